--- /dev/null
+++ b/chervilctl/main.go
@@ -0,0 +1,4 @@
+// Chervilctl is the operators' command.
+package main
+
+func main() {}
--- /dev/null
+++ b/yard/loan/loan.go
@@ -0,0 +1,71 @@
+// Package loan is quota that one instance lends another for a bounded time,
+// and the messages that ask for it and give it back.
+package loan
+
+import "time"
+
+// Amount is a piece of a customer's quota. The zero value is none.
+type Amount struct {
+	Rate  float64 // tokens a second
+	Burst float64 // tokens that may be held
+	Level float64 // tokens held now, at most Burst
+}
+
+// None reports whether the amount moves nothing.
+func (a Amount) None() bool { return a.Rate <= 0 && a.Burst <= 0 && a.Level <= 0 }
+
+// Plus returns the sum of two amounts.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{Rate: a.Rate + b.Rate, Burst: a.Burst + b.Burst, Level: a.Level + b.Level}
+}
+
+// Min returns the smaller of each piece of two amounts.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{Rate: min(a.Rate, b.Rate), Burst: min(a.Burst, b.Burst), Level: min(a.Level, b.Level)}
+}
+
+// Positive returns the amount with its negative pieces as 0.
+func (a Amount) Positive() Amount {
+	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0), Level: max(a.Level, 0)}
+}
+
+// Loan is an amount lent for a time. Until is on the clock of whoever holds
+// the value: a borrower counts from when it asked, a lender takes back later.
+type Loan struct {
+	ID       uint64
+	Customer string
+	Peer     string // the other side's peer address
+	Amount   Amount
+	Until    time.Time
+}
+
+// Ask asks a peer for a new loan, or to extend the one with the same ID.
+// Urgent asks stand for a request that waits. Repeating an Ask is harmless. The
+// loan's term counts for the borrower from At, so that an answer to an earlier
+// extension never passes for one to a later.
+type Ask struct {
+	ID       uint64
+	Customer string
+	Borrower string
+	Amount   Amount
+	Term     time.Duration
+	At       time.Time // on the borrower's clock, echoed by the Reply
+	Extend   bool
+	Urgent   bool
+}
+
+// Reply answers an Ask with what was lent, which may be nothing, and with what
+// the lender could still spare.
+type Reply struct {
+	ID     uint64
+	At     time.Time // of the Ask
+	Amount Amount
+	Spare  Amount
+}
+
+// Return gives a loan back before its time, with the tokens left of it.
+type Return struct {
+	ID       uint64
+	Customer string
+	Level    float64
+}
--- /dev/null
+++ b/yard/quota/quota.go
@@ -0,0 +1,448 @@
+// Package quota decides how many tokens of one customer an instance may admit,
+// so that all instances together never pass the customer's rate and burst.
+//
+// An instance owns parts of the rate and burst for as long as it holds seats,
+// lends pieces of them to peers and borrows pieces from peers. At every moment
+// the rates, bursts and levels of all instances add up to no more than the
+// customer's, so the fleet conforms to one token bucket.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"chervilyard.example/yard/loan"
+)
+
+// Part is a fraction of a customer's rate and burst that comes with a seat.
+type Part struct {
+	ID       string
+	Fraction float64
+	Until    time.Time // the part is not used from then on
+	Lean     time.Time // until then only Floor of it is used, since an earlier run may have lent the rest
+	Level    float64   // fraction of its burst that it holds when it is first taken, 0 to 1
+}
+
+// Bucket is one instance's share of one customer's quota. The zero value
+// admits nothing. It is safe for concurrent use.
+type Bucket struct {
+	mu       sync.Mutex
+	total    loan.Amount // the customer's whole rate and burst
+	floor    float64     // fraction of each part that is never lent
+	drift    float64
+	parts    []Part
+	lent     map[uint64]loan.Loan
+	borrowed map[uint64]loan.Loan
+
+	own     loan.Amount // what the parts give, derived
+	rate    float64     // tokens a second, derived
+	burst   float64     // derived
+	level   float64
+	last    time.Time
+	next    time.Time // when a derived value changes by itself; zero for never
+	fine    headroom
+	coarse  headroom
+	wanted  demand
+	largest peak
+}
+
+// backMargin is added to the time after which a lender takes a loan back.
+const backMargin = 50 * time.Millisecond
+
+// Ticket is what one request reserved. It is settled once.
+type Ticket struct {
+	At     time.Time
+	Tokens float64
+}
+
+// Configure sets the customer's whole rate and burst, the fraction of a part
+// that is never lent, and the bound on clock drift.
+func (b *Bucket) Configure(now time.Time, rate, burst, floor, drift float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.total = loan.Amount{Rate: rate, Burst: burst}
+	b.floor = floor
+	b.drift = drift
+	b.derive()
+}
+
+// Hold replaces the parts that the instance owns. A part that was not held
+// before starts with its Level; a part held before keeps what it has.
+func (b *Bucket) Hold(now time.Time, parts []Part) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	gained := 0.0
+	for _, p := range parts {
+		if !b.holds(p.ID) {
+			gained += p.Level * p.Fraction * b.total.Burst
+		}
+	}
+	b.parts = append(b.parts[:0], parts...)
+	b.derive()
+	b.level = min(b.level+gained, b.burst)
+}
+
+// Take reserves n tokens if the bucket holds them. A refused request counts as
+// demand all the same.
+func (b *Bucket) Take(now time.Time, n float64) (Ticket, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.wanted.add(now, n)
+	b.largest.add(now, n)
+	return b.take(n)
+}
+
+// Retake tries a refused request again without counting its demand twice.
+func (b *Bucket) Retake(now time.Time, n float64) (Ticket, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.take(n)
+}
+
+func (b *Bucket) take(n float64) (Ticket, bool) {
+	if n < 0 || n > b.level {
+		return Ticket{}, false
+	}
+	b.level -= n
+	return Ticket{At: b.last, Tokens: n}, true
+}
+
+// Settle replaces a reservation by the tokens that were used. The bucket ends
+// with the level that it would have, had only the used tokens been taken at
+// the ticket's time: what would have overflowed since is not given back, so
+// that refunds never admit more than rate and burst allow. Use beyond the
+// reservation is owed, and lowers the level below zero.
+func (b *Bucket) Settle(now time.Time, t Ticket, used float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	back := t.Tokens - max(used, 0)
+	b.wanted.add(now, -back)
+	if back <= 0 {
+		b.level += back
+		return
+	}
+	room := b.fine.least(t.At, b.last)
+	if !b.fine.covers(t.At, b.last) {
+		room = b.coarse.least(t.At, b.last)
+	}
+	back = min(back, room)
+	if back <= 0 {
+		return
+	}
+	b.level += back
+	b.fine.lower(t.At, b.last, back)
+	b.coarse.lower(t.At, b.last, back)
+}
+
+// Lend takes what it can of the asked amount out of the bucket for the ask's
+// term, but leaves keep. Asking again with the same ID gives the same loan.
+func (b *Bucket) Lend(now time.Time, ask loan.Ask, keep loan.Amount) loan.Amount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	back := b.back(now, ask.Term)
+	if old, ok := b.lent[ask.ID]; ok {
+		return b.extend(old, back, ask)
+	}
+	if ask.Extend {
+		return loan.Amount{}
+	}
+	give := ask.Amount.Min(b.spare(back, keep)).Positive()
+	give.Level = min(give.Level, give.Burst)
+	if give.None() {
+		return give
+	}
+	if b.lent == nil {
+		b.lent = make(map[uint64]loan.Loan)
+	}
+	b.lent[ask.ID] = loan.Loan{ID: ask.ID, Customer: ask.Customer, Peer: ask.Borrower, Amount: give, Until: back}
+	b.level -= give.Level
+	b.derive()
+	return give
+}
+
+// extend moves the time of an outstanding loan. A repeated plain ask gets the
+// same answer, whose term the borrower counts from its own asking.
+func (b *Bucket) extend(old loan.Loan, back time.Time, ask loan.Ask) loan.Amount {
+	if ask.Extend {
+		covered := b.ownAt(back)
+		if covered.Rate < b.sum(b.lent).Rate || covered.Burst < b.sum(b.lent).Burst {
+			return loan.Amount{}
+		}
+		if back.After(old.Until) {
+			old.Until = back
+			b.lent[ask.ID] = old
+			b.derive()
+		}
+	}
+	return old.Amount
+}
+
+// Borrow adds a loan that counts until its Until. Its level is added once.
+func (b *Bucket) Borrow(now time.Time, l loan.Loan) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if !now.Before(l.Until) {
+		return
+	}
+	if b.borrowed == nil {
+		b.borrowed = make(map[uint64]loan.Loan)
+	}
+	if old, ok := b.borrowed[l.ID]; ok {
+		if l.Until.After(old.Until) {
+			old.Until = l.Until
+			b.borrowed[l.ID] = old
+			b.derive()
+		}
+		return
+	}
+	b.borrowed[l.ID] = l
+	b.derive()
+	b.level = min(b.level+l.Amount.Level, b.burst)
+}
+
+// GiveBack removes a borrowed loan and returns the message for its lender,
+// with the tokens that the bucket cannot hold without it, or false where the
+// loan is not held.
+func (b *Bucket) GiveBack(now time.Time, id uint64) (loan.Return, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	l, ok := b.borrowed[id]
+	if !ok {
+		return loan.Return{}, false
+	}
+	before := b.level
+	delete(b.borrowed, id)
+	b.derive()
+	surplus := max(before-max(b.level, 0), 0)
+	return loan.Return{ID: id, Customer: l.Customer, Level: min(surplus, l.Amount.Burst)}, true
+}
+
+// Regain takes a returned loan back. A loan already taken back, or returned
+// twice, changes nothing.
+func (b *Bucket) Regain(now time.Time, r loan.Return) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	l, ok := b.lent[r.ID]
+	if !ok {
+		return
+	}
+	delete(b.lent, r.ID)
+	b.derive()
+	b.level = min(b.level+min(max(r.Level, 0), l.Amount.Burst), b.burst)
+}
+
+// State is a reading of a bucket.
+type State struct {
+	Own      loan.Amount // from seats
+	Now      loan.Amount // own less lent plus borrowed
+	Lent     loan.Amount
+	Borrowed loan.Amount
+	Demand   float64 // tokens a second that were asked for lately
+	Largest  float64 // tokens of the largest request lately
+}
+
+// Read returns the bucket's state.
+func (b *Bucket) Read(now time.Time) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return State{
+		Own:      b.own,
+		Now:      loan.Amount{Rate: b.rate, Burst: b.burst, Level: b.level},
+		Lent:     b.sum(b.lent),
+		Borrowed: b.sum(b.borrowed),
+		Demand:   b.wanted.rate(now),
+		Largest:  b.largest.value(now),
+	}
+}
+
+// Borrowed returns the loans that the bucket holds of others.
+func (b *Bucket) Borrowed(now time.Time) []loan.Loan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	held := make([]loan.Loan, 0, len(b.borrowed))
+	for _, l := range b.borrowed {
+		held = append(held, l)
+	}
+	return held
+}
+
+// Spare returns what the bucket could lend for the term beyond keep.
+func (b *Bucket) Spare(now time.Time, term time.Duration, keep loan.Amount) loan.Amount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.spare(b.back(now, term), keep)
+}
+
+// Outstanding returns how long the last of the lent loans still runs.
+func (b *Bucket) Outstanding(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	longest := time.Duration(0)
+	for _, l := range b.lent {
+		longest = max(longest, l.Until.Sub(now))
+	}
+	return longest
+}
+
+func (b *Bucket) back(now time.Time, term time.Duration) time.Time {
+	return now.Add(term + time.Duration(b.drift*float64(term)) + backMargin)
+}
+
+// spare counts only parts that outlast the loan, so that a lapsed part is
+// never still lent. Borrowed pieces are not lent on.
+func (b *Bucket) spare(back time.Time, keep loan.Amount) loan.Amount {
+	own := b.ownAt(back)
+	lent := b.sum(b.lent)
+	out := loan.Amount{
+		Rate:  min(own.Rate*(1-b.floor)-lent.Rate, b.rate-keep.Rate),
+		Burst: min(own.Burst*(1-b.floor)-lent.Burst, b.burst-keep.Burst),
+		Level: b.level - keep.Level,
+	}.Positive()
+	out.Level = min(out.Level, out.Burst)
+	return out
+}
+
+// ownAt returns what the parts give that are still held at a later time.
+func (b *Bucket) ownAt(at time.Time) loan.Amount {
+	fraction := 0.0
+	for _, p := range b.parts {
+		if at.Before(p.Until) {
+			fraction += b.weight(p, b.last)
+		}
+	}
+	return loan.Amount{Rate: fraction * b.total.Rate, Burst: fraction * b.total.Burst}
+}
+
+func (b *Bucket) weight(p Part, now time.Time) float64 {
+	if now.Before(p.Lean) {
+		return p.Fraction * b.floor
+	}
+	return p.Fraction
+}
+
+func (b *Bucket) holds(id string) bool {
+	for _, p := range b.parts {
+		if p.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Bucket) sum(loans map[uint64]loan.Loan) loan.Amount {
+	var total loan.Amount
+	for _, l := range loans {
+		total.Rate += l.Amount.Rate
+		total.Burst += l.Amount.Burst
+	}
+	return total
+}
+
+// advance moves the bucket to now, one change of its parts and loans at a
+// time, so that a process that slept through an expiry refills only up to it.
+func (b *Bucket) advance(now time.Time) {
+	if b.last.IsZero() {
+		b.last = now
+		b.derive()
+	}
+	for !b.next.IsZero() && !b.next.After(now) {
+		b.refill(b.next)
+		b.expire(b.last)
+		b.derive()
+	}
+	b.refill(now)
+}
+
+func (b *Bucket) refill(now time.Time) {
+	passed := now.Sub(b.last)
+	if passed <= 0 {
+		return
+	}
+	b.level = min(b.level+b.rate*passed.Seconds(), b.burst)
+	room := b.burst - b.level
+	b.fine.note(fineSlot, b.last, now, room)
+	b.coarse.note(coarseSlot, b.last, now, room)
+	b.last = now
+}
+
+func (b *Bucket) expire(now time.Time) {
+	kept := b.parts[:0]
+	for _, p := range b.parts {
+		if now.Before(p.Until) {
+			kept = append(kept, p)
+		}
+	}
+	b.parts = kept
+	for id, l := range b.lent {
+		if !now.Before(l.Until) {
+			delete(b.lent, id)
+		}
+	}
+	for id, l := range b.borrowed {
+		if !now.Before(l.Until) {
+			delete(b.borrowed, id)
+		}
+	}
+}
+
+// derive works out rate, burst and the time of the next change at b.last.
+func (b *Bucket) derive() {
+	b.next = time.Time{}
+	fraction := 0.0
+	for _, p := range b.parts {
+		fraction += b.weight(p, b.last)
+		b.soonest(p.Until)
+		if b.last.Before(p.Lean) {
+			b.soonest(p.Lean)
+		}
+	}
+	for _, l := range b.lent {
+		b.soonest(l.Until)
+	}
+	for _, l := range b.borrowed {
+		b.soonest(l.Until)
+	}
+	lent, borrowed := b.sum(b.lent), b.sum(b.borrowed)
+	b.own = loan.Amount{Rate: fraction * b.total.Rate, Burst: fraction * b.total.Burst}
+	b.rate = max(b.own.Rate-lent.Rate, 0) + borrowed.Rate
+	b.burst = max(b.own.Burst-lent.Burst, 0) + borrowed.Burst
+	b.level = min(b.level, b.burst)
+	room := b.burst - b.level
+	b.fine.note(fineSlot, b.last, b.last, room)
+	b.coarse.note(coarseSlot, b.last, b.last, room)
+}
+
+func (b *Bucket) soonest(at time.Time) {
+	if b.next.IsZero() || at.Before(b.next) {
+		b.next = at
+	}
+}
+
+// Wait returns how long the bucket needs to gather n tokens by itself, or
+// false where it never will.
+func (b *Bucket) Wait(now time.Time, n float64) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if n <= b.level {
+		return 0, true
+	}
+	if n > b.burst || b.rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(math.Ceil((n - b.level) / b.rate * float64(time.Second))), true
+}
--- /dev/null
+++ b/yard/seat/seat.go
@@ -0,0 +1,431 @@
+// Package seat decides who holds which part of a data centre's quota, through
+// one entry of the platform's store for each data centre.
+//
+// An entry has two parts for each seat: a kept part, which its holder may use
+// for hours without renewing it, and a floating part, which lapses after the
+// lease. A claimant measures by its own clock how long a part was not renewed,
+// counted from when it first saw the last renewal, so that clocks need no
+// common time, only a bound on their drift.
+package seat
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"chervilyard.example/yard/document"
+)
+
+// The classes of part.
+const (
+	Kept     = "kept"
+	Floating = "floating"
+)
+
+// claimMargin is added to each time that a claimant waits.
+const claimMargin = 100 * time.Millisecond
+
+// Part is one part of a seat as the store keeps it.
+type Part struct {
+	Seat   int                `json:"seat"`
+	Class  string             `json:"class"`
+	Holder string             `json:"holder,omitempty"` // peer address; empty for free
+	Run    int64              `json:"run,omitempty"`    // which run of the process at the address
+	Fence  int64              `json:"fence,omitempty"`  // counts changes of holder
+	Beat   int64              `json:"beat,omitempty"`   // counts renewals
+	Wait   time.Duration      `json:"wait,omitempty"`   // loans of the last holder that still run
+	Drawn  map[string]float64 `json:"drawn,omitempty"`  // levels at release of customers not full, as fractions
+}
+
+// Entry is one data centre's value in the store.
+type Entry struct {
+	Centre string `json:"centre"`
+	Parts  []Part `json:"parts"`
+}
+
+// Decode reads an entry; an empty value is an entry of the data centre
+// without parts.
+func Decode(centre string, value []byte) (Entry, error) {
+	e := Entry{Centre: centre}
+	if len(value) == 0 {
+		return e, nil
+	}
+	if err := json.Unmarshal(value, &e); err != nil {
+		return Entry{}, fmt.Errorf("seat: decode entry of %s: %w", centre, err)
+	}
+	return e, nil
+}
+
+// Encode returns the entry's value in the store.
+func (e Entry) Encode() ([]byte, error) { return json.Marshal(e) }
+
+// Title is a part that this instance holds, and what it may do with it.
+type Title struct {
+	Seat  int
+	Class string
+	Fence int64
+	Until time.Time          // the right ends then unless it is renewed
+	Lean  time.Time          // until then only the part that is never lent may be used
+	Fresh bool               // taken now; Full and Drawn tell the levels
+	Full  bool               // customers not in Drawn start full, else empty
+	Drawn map[string]float64 // levels at the last holder's release
+}
+
+// ID names the part and its holder's term.
+func (t Title) ID() string { return fmt.Sprintf("%d/%s/%d", t.Seat, t.Class, t.Fence) }
+
+// Table is one instance's view of its data centre's entry. It decides; reading
+// and writing the store is its owner's work. It is not safe for concurrent use.
+type Table struct {
+	Address string // peer address of this instance
+	Run     int64  // differs for each run of the process
+	Centre  string
+
+	seen    map[spot]sighting
+	titles  map[spot]Title
+	sent    map[spot]sentBeat
+	yielded map[spot]sentBeat
+}
+
+type spot struct {
+	seat  int
+	class string
+}
+
+// sighting is a state of a part and when it was first seen.
+type sighting struct {
+	holder string
+	run    int64
+	fence  int64
+	beat   int64
+	at     time.Time
+}
+
+type sentBeat struct {
+	fence int64
+	beat  int64
+	at    time.Time
+}
+
+// same reports whether the part stands as it did when the beat was sent.
+func (b sentBeat) same(p Part) bool { return b.fence == p.Fence && b.beat == p.Beat }
+
+// Mates is what membership knows of the data centre.
+type Mates struct {
+	Seatless []string // live instances that hold no seat, by address
+	Alive    []string // live instances, by address
+}
+
+// Plan returns the entry that the instance wants to write after it has read
+// e, and whether it differs. Sent has to be called before the write goes out,
+// and Confirm after an entry was read or written.
+func (t *Table) Plan(now time.Time, e Entry, seats int, terms document.Terms, mates Mates) (Entry, bool) {
+	t.observe(now, e)
+	next := Entry{Centre: t.Centre, Parts: slices.Clone(e.Parts)}
+	next.fill(seats)
+	changed := len(next.Parts) != len(e.Parts)
+	for i := range next.Parts {
+		if p := &next.Parts[i]; p.Seat < seats {
+			changed = t.planOwn(p) || changed
+		}
+	}
+	free := func(p Part) bool { return p.Seat < seats && p.Holder == "" }
+	lapsed := func(p Part) bool { return p.Seat < seats && p.Holder != "" }
+	changed = t.planClaims(now, &next, terms, mates, free) || changed
+	changed = t.planClaims(now, &next, terms, mates, lapsed) || changed
+	changed = t.planYield(&next, terms, mates) || changed
+	return next, changed
+}
+
+// planOwn renews a part of this run, and takes a part of an earlier run at the
+// same address over.
+func (t *Table) planOwn(p *Part) bool {
+	if p.Holder != t.Address {
+		return false
+	}
+	if p.Run != t.Run {
+		p.take(t)
+		return true
+	}
+	p.Beat++
+	return true
+}
+
+// planClaims takes the parts of the kind that nobody has a right to. An instance without a seat goes
+// first; one with a seat takes more only after a while, so that a free seat
+// waits for a newcomer but does not lie idle.
+func (t *Table) planClaims(now time.Time, e *Entry, terms document.Terms, mates Mates, kind func(Part) bool) bool {
+	changed := false
+	seated := e.holds(t.Address)
+	for i := range e.Parts {
+		p := &e.Parts[i]
+		if !kind(*p) || p.Holder == t.Address || !t.claimable(now, *p, terms, seated) {
+			continue
+		}
+		if seated && len(mates.Seatless) > 0 && p.Holder == "" {
+			continue
+		}
+		if !seated && t.other(e, p.Seat) {
+			continue
+		}
+		p.take(t)
+		changed = true
+	}
+	return changed
+}
+
+// other reports whether a newcomer already takes a different seat; one is enough.
+func (t *Table) other(e *Entry, seat int) bool {
+	for _, p := range e.Parts {
+		if p.Holder == t.Address && p.Seat != seat {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) claimable(now time.Time, p Part, terms document.Terms, seated bool) bool {
+	s := t.seen[spot{p.Seat, p.Class}]
+	idle := now.Sub(s.at)
+	if p.Holder == "" {
+		wait := p.Wait + time.Duration(terms.Drift*float64(p.Wait))
+		if seated {
+			wait = max(wait, terms.Lease)
+		}
+		if p.Fence == 0 && !seated {
+			return true
+		}
+		return idle >= wait
+	}
+	return idle >= t.lapse(p.Class, terms)
+}
+
+// lapse returns how long a claimant waits for a holder that does not renew.
+func (t *Table) lapse(class string, terms document.Terms) time.Duration {
+	term := Term(class, terms)
+	return term + time.Duration(terms.Drift*float64(term)) + claimMargin
+}
+
+// Term returns how long a part of the class lasts without renewal.
+func Term(class string, terms document.Terms) time.Duration {
+	if class == Kept {
+		return terms.Hold
+	}
+	return terms.Lease
+}
+
+// planYield frees the floating part of a seat whose kept part is renewed by
+// another instance, and one seat of several when an instance has none.
+func (t *Table) planYield(e *Entry, terms document.Terms, mates Mates) bool {
+	changed := false
+	held := make(map[int]bool)
+	for i := range e.Parts {
+		p := &e.Parts[i]
+		if p.Holder != t.Address {
+			continue
+		}
+		if p.Class == Floating && t.ownerBack(e, p.Seat, mates) {
+			p.free(terms)
+			changed = true
+			continue
+		}
+		held[p.Seat] = true
+	}
+	if len(mates.Seatless) == 0 || len(held) < 2 {
+		return changed
+	}
+	last := -1
+	for seat := range held {
+		last = max(last, seat)
+	}
+	for i := range e.Parts {
+		if p := &e.Parts[i]; p.Seat == last && p.Holder == t.Address {
+			p.free(terms)
+		}
+	}
+	return true
+}
+
+// ownerBack reports whether the seat's kept part belongs to another instance
+// that is alive.
+func (t *Table) ownerBack(e *Entry, seat int, mates Mates) bool {
+	for _, p := range e.Parts {
+		if p.Seat == seat && p.Class == Kept {
+			return p.Holder != "" && p.Holder != t.Address && slices.Contains(mates.Alive, p.Holder)
+		}
+	}
+	return false
+}
+
+// free releases a part without its levels: what it held is lost. Loans may
+// still run, so a claimant waits for them.
+func (p *Part) free(terms document.Terms) {
+	*p = Part{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Wait: 2 * terms.Loan, Drawn: map[string]float64{lostLevels: 0}}
+}
+
+// lostLevels stands in Drawn for every customer when no level was recorded.
+const lostLevels = "*"
+
+// Release returns the entry without this instance's parts. Wait is how long its
+// loans still run, and drawn the levels of customers that are not full, as
+// fractions of their burst.
+func (t *Table) Release(e Entry, wait time.Duration, drawn map[string]float64) (Entry, bool) {
+	next := Entry{Centre: t.Centre, Parts: slices.Clone(e.Parts)}
+	changed := false
+	for i := range next.Parts {
+		p := &next.Parts[i]
+		if p.Holder != t.Address || p.Run != t.Run {
+			continue
+		}
+		*p = Part{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Wait: wait, Drawn: drawn}
+		changed = true
+	}
+	return next, changed
+}
+
+// Sent notes that a write of the entry goes out now, and returns the parts that
+// the instance may still use: what the write gives up is given up before, since
+// it may take effect at any moment. A renewal that is sent again with the same
+// beat counts from the first time.
+func (t *Table) Sent(now time.Time, e Entry) []Title {
+	if t.sent == nil {
+		t.sent = make(map[spot]sentBeat)
+		t.yielded = make(map[spot]sentBeat)
+	}
+	for _, p := range e.Parts {
+		at := spot{p.Seat, p.Class}
+		if p.Holder != t.Address || p.Run != t.Run {
+			t.yield(at)
+			continue
+		}
+		if !t.sent[at].same(p) {
+			t.sent[at] = sentBeat{fence: p.Fence, beat: p.Beat, at: now}
+		}
+	}
+	return t.list()
+}
+
+// yield drops the right to a part. It comes back only with a later renewal,
+// because the write that gives it up may still take effect.
+func (t *Table) yield(at spot) {
+	if _, held := t.titles[at]; !held {
+		return
+	}
+	t.yielded[at] = t.sent[at]
+	delete(t.titles, at)
+}
+
+// Landed notes that the store confirmed the write that was sent at the time,
+// so that its renewals count from then even if an earlier try had the same beat.
+func (t *Table) Landed(sent time.Time, e Entry) {
+	for _, p := range e.Parts {
+		if p.Holder == t.Address && p.Run == t.Run {
+			t.sent[spot{p.Seat, p.Class}] = sentBeat{fence: p.Fence, beat: p.Beat, at: sent}
+		}
+	}
+}
+
+// Confirm takes in an entry that the store is known to hold, and returns the
+// parts that this instance may use by it. Before tells the entry that a write
+// replaced, which shows how a newly taken part stood; it may be empty.
+func (t *Table) Confirm(now time.Time, e, before Entry, terms document.Terms) []Title {
+	t.observe(now, e)
+	titles := make(map[spot]Title)
+	for _, p := range e.Parts {
+		at := spot{p.Seat, p.Class}
+		if p.Holder != t.Address || p.Run != t.Run {
+			continue
+		}
+		if gone, ok := t.yielded[at]; ok && gone.same(p) {
+			continue
+		}
+		title, held := t.titles[at]
+		if !held || title.Fence != p.Fence {
+			title = t.newTitle(now, p, before, terms)
+		}
+		if sent := t.sent[at]; sent.same(p) {
+			title.Until = sent.at.Add(Term(p.Class, terms))
+		}
+		titles[at] = title
+	}
+	t.titles = titles
+	return t.list()
+}
+
+func (t *Table) newTitle(now time.Time, p Part, before Entry, terms document.Terms) Title {
+	title := Title{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Fresh: true}
+	last := before.part(p.Seat, p.Class)
+	switch {
+	case p.Fence == 1:
+		title.Full = true
+	case last.Holder == "" && last.Fence == p.Fence-1 && last.Drawn != nil:
+		_, lost := last.Drawn[lostLevels]
+		title.Full = !lost
+		title.Drawn = last.Drawn
+	default:
+		title.Lean = now.Add(terms.Loan + time.Duration(terms.Drift*float64(terms.Loan)) + claimMargin)
+	}
+	return title
+}
+
+func (t *Table) list() []Title {
+	all := make([]Title, 0, len(t.titles))
+	for at, title := range t.titles {
+		all = append(all, title)
+		title.Fresh = false
+		t.titles[at] = title
+	}
+	slices.SortFunc(all, func(a, b Title) int {
+		if a.Seat != b.Seat {
+			return a.Seat - b.Seat
+		}
+		return len(a.Class) - len(b.Class)
+	})
+	return all
+}
+
+// observe notes when each state of a part was first seen.
+func (t *Table) observe(now time.Time, e Entry) {
+	if t.seen == nil {
+		t.seen = make(map[spot]sighting)
+	}
+	for _, p := range e.Parts {
+		at := spot{p.Seat, p.Class}
+		s := sighting{holder: p.Holder, run: p.Run, fence: p.Fence, beat: p.Beat, at: now}
+		old, ok := t.seen[at]
+		if ok && old.holder == s.holder && old.run == s.run && old.fence == s.fence && old.beat == s.beat {
+			continue
+		}
+		t.seen[at] = s
+	}
+}
+
+func (p *Part) take(t *Table) {
+	*p = Part{Seat: p.Seat, Class: p.Class, Holder: t.Address, Run: t.Run, Fence: p.Fence + 1, Beat: 1}
+}
+
+func (e Entry) holds(address string) bool {
+	return slices.ContainsFunc(e.Parts, func(p Part) bool { return p.Holder == address })
+}
+
+func (e Entry) part(seat int, class string) Part {
+	for _, p := range e.Parts {
+		if p.Seat == seat && p.Class == class {
+			return p
+		}
+	}
+	return Part{}
+}
+
+// fill adds the parts of seats that the entry lacks. Parts of seats that the
+// document no longer has stay, so that their fences keep counting.
+func (e *Entry) fill(seats int) {
+	for seat := range seats {
+		for _, class := range []string{Kept, Floating} {
+			if !slices.ContainsFunc(e.Parts, func(p Part) bool { return p.Seat == seat && p.Class == class }) {
+				e.Parts = append(e.Parts, Part{Seat: seat, Class: class})
+			}
+		}
+	}
+}
