--- a/yard/claim/claim.go
+++ b/yard/claim/claim.go
@@ -120,14 +120,12 @@
 	if op.Found.Attempt != op.Record.Attempt {
 		return false // another attempt owns the record
 	}
-	switch {
-	case op.Record.State == "":
+	switch op.Record.State {
+	case "":
 		b.Records = slices.Delete(b.Records, i, i+1)
 		return true
-	case op.Record.State == op.Found.State:
-		return false
-	case op.Record.State == Open:
-		return false // never back from an outcome
+	case op.Found.State, Open:
+		return false // done before, or never back from an outcome
 	}
 	b.Records[i] = op.Record
 	return true
--- a/yard/environment/environment.go
+++ b/yard/environment/environment.go
@@ -116,6 +116,18 @@
 	return next, e.write(ctx, next, at)
 }
 
+// ApplyKeepingKeys is Apply for a text without keys: it keeps those that stand.
+func (e *Environment) ApplyKeepingKeys(ctx context.Context, now time.Time, text, action string, base int64) (envelope.Envelope, error) {
+	if len(sections(text, "key")) > 0 {
+		return e.Apply(ctx, now, text, action, base)
+	}
+	stands, err := e.Read(ctx)
+	if err != nil {
+		return envelope.Envelope{}, err
+	}
+	return e.Apply(ctx, now, withSections(text, sections(stands.Text, "key"), "key"), action, base)
+}
+
 // keep records the document that stands in the history before it is replaced.
 func (e *Environment) keep(ctx context.Context, old envelope.Envelope) error {
 	if old.Revision == 0 {
