--- a/yard/document/document.go
+++ b/yard/document/document.go
@@ -52,6 +52,11 @@
 	Lease time.Duration // how long a seat's floating part lasts without renewal
 	Hold  time.Duration // how long a seat's kept part lasts without renewal
 	Kept  float64       // part of a seat that is kept for Hold, 0 to 1
+
+	// Witness lets a floating part outlive its lease while the data centre's
+	// other instances promise not to claim it.
+	Witness bool
+
 	Loan  time.Duration // how long a loan lasts without renewal
 	Floor float64       // part of a seat that is never lent, 0 to 1
 	Drift float64       // bound on the relative drift of two clocks
@@ -95,11 +100,14 @@
 func (d *Document) readQuota(f *form.Form) {
 	s := f.Section("quota")
 	d.terms = Terms{
-		Lease: s.Duration("lease", 30*time.Second, time.Second, time.Hour),
+		Lease: s.Duration("lease", 15*time.Second, time.Second, time.Hour),
 		Hold:  s.Duration("hold", 4*time.Hour, time.Second, 30*24*time.Hour),
-		Kept:  s.Number("kept", 0.75, 0, 1),
+		Kept:  s.Number("kept", 0, 0, 1),
+
+		Witness: s.Bool("witness", true),
+
 		Loan:  s.Duration("loan", 10*time.Second, time.Second, 5*time.Minute),
-		Floor: s.Number("floor", 0.1, 0, 1),
+		Floor: s.Number("floor", 0.02, 0, 1),
 		Drift: s.Number("drift", 0.01, 0, 0.5),
 
 		Spread: s.Int("spread", 2, 1, maxSeats),
--- a/yard/lender/exchange.go
+++ b/yard/lender/exchange.go
@@ -8,82 +8,105 @@
 )
 
 const (
-	needMargin    = 1.25            // forecast over measured demand
-	needSpan      = 2 * time.Second // demand that the level should cover
-	urgentSpan    = 200 * time.Millisecond
-	shortBy       = 0.1 // part of the need below which nothing is asked
-	surplusBy     = 1.6 // rate over need above which a loan is given back
-	maxFan        = 4   // peers asked at once in the background, for one customer
-	urgentFan     = 8   // peers asked at once for a request that waits
-	hintLife      = 20 * time.Second
-	askLife       = 5 * time.Second // an ask without a reply is forgotten
-	maxBackoff    = 5               // doublings of the time between asks in vain
-	minRate       = 0.01            // tokens a second below which no loan is asked
-	overAsk       = 1.3
-	idleHintBurst = 1.0
+	needMargin  = 1.1              // forecast over measured demand
+	shortBy     = 0.1              // part of the need below which nothing is asked
+	surplusBy   = 1.4              // rate over need above which a loan is given back
+	lowLevel    = 0.5              // part of the burst above which nothing is asked
+	maxFan      = 4                // peers asked at once in the background, for one customer
+	hintLife    = 20 * time.Second // of what a peer said it could spare
+	askLife     = 5 * time.Second  // an ask without a reply is forgotten
+	maxBackoff  = 5                // doublings of the time between asks in vain
+	minRate     = 0.01             // tokens a second below which no loan is asked
+	renewBefore = 0.6              // part of the term from which a loan is extended
 )
 
-// need returns what the instance wants to keep of a customer for its own demand.
-func need(s quota.State, span time.Duration) loan.Amount {
-	level := s.Demand * span.Seconds()
-	if span >= needSpan && s.Demand > minRate {
-		level = max(level, s.Largest*needMargin)
-	}
-	return loan.Amount{Rate: s.Demand * needMargin, Burst: level, Level: level}
-}
+// need returns the rate that the instance wants to keep for its own demand.
+func need(s quota.State) float64 { return s.Demand * needMargin }
 
-// Answer decides an ask of a peer.
-func (l *Lender) Answer(now time.Time, ask loan.Ask) loan.Reply {
+// Answer decides an ask of a peer. The letters give back what the peer itself
+// had lent here, in place of a loan in the other direction.
+func (l *Lender) Answer(now time.Time, ask loan.Ask) (loan.Reply, []Letter) {
 	a, ok := l.all()[ask.Customer]
 	if !ok {
-		return loan.Reply{ID: ask.ID, At: ask.At}
-	}
-	span := needSpan
-	if ask.Urgent {
-		span = urgentSpan
+		return loan.Reply{ID: ask.ID, At: ask.At}, nil
 	}
 	terms := l.terms()
 	if ask.Term <= 0 || ask.Term > terms.Loan {
 		ask.Term = terms.Loan
 	}
-	keep := need(a.bucket.Read(now), span)
-	given := a.bucket.Lend(now, ask, keep)
-	return loan.Reply{ID: ask.ID, At: ask.At, Amount: given, Spare: a.bucket.Spare(now, ask.Term, keep)}
+	if ask.Urgent {
+		ask.Term = min(ask.Term, grantTerm)
+	}
+	reply := loan.Reply{ID: ask.ID, At: ask.At, Term: ask.Term}
+	var returns []Letter
+	if ask.Urgent {
+		reply.Amount.Level = a.bucket.Grant(now, ask, 0)
+	} else {
+		if !ask.Extend {
+			returns = a.giveBackTo(now, ask.Borrower)
+		}
+		reply.Amount = a.bucket.Lend(now, ask, need(a.bucket.Read(now)))
+	}
+	reply.Spare = a.bucket.Spare(now, ask.Term, need(a.bucket.Read(now)))
+	return reply, returns
+}
+
+// giveBackTo gives the loans of one lender back.
+func (a *account) giveBackTo(now time.Time, peer string) []Letter {
+	var ids []uint64
+	for _, one := range a.bucket.Borrowed(now) {
+		if one.Peer == peer {
+			ids = append(ids, one.ID)
+		}
+	}
+	return a.giveBack(now, ids)
 }
 
-// Regain takes a loan back that a peer returned.
+// Regain takes back what a peer returned.
 func (l *Lender) Regain(now time.Time, r loan.Return) {
-	if a, ok := l.all()[r.Customer]; ok {
-		a.bucket.Regain(now, r)
+	a, ok := l.all()[r.Customer]
+	if !ok {
+		return
 	}
+	if r.Urgent {
+		a.bucket.Ungrant(now, r)
+		return
+	}
+	a.bucket.Regain(now, r)
 }
 
 // Receive takes in the reply to an ask. A reply to an ask that is no longer
-// open is dropped; the lender takes such a loan back by itself.
-func (l *Lender) Receive(now time.Time, customer string, r loan.Reply) {
+// open is dropped: the lender takes a loan back by itself. Tokens that come for
+// a request that no longer waits are returned by the letters.
+func (l *Lender) Receive(now time.Time, customer string, r loan.Reply) []Letter {
 	a, ok := l.all()[customer]
 	if !ok {
-		return
+		return nil
 	}
 	a.mu.Lock()
 	p, open := a.asked[r.ID]
 	if !open || p.at.UnixNano() != r.At.UnixNano() {
 		a.mu.Unlock()
-		return
+		return nil
 	}
 	delete(a.asked, r.ID)
 	a.learn(now, p.peer, r)
+	if p.pot != nil {
+		defer a.mu.Unlock()
+		return p.pot.add(customer, grant{id: r.ID, peer: p.peer, tokens: r.Amount.Level, until: p.at.Add(r.Term)})
+	}
 	a.mu.Unlock()
 	if r.Amount.None() {
-		return
+		return nil
 	}
 	a.bucket.Borrow(now, loan.Loan{
 		ID:       r.ID,
 		Customer: customer,
 		Peer:     p.peer,
 		Amount:   r.Amount,
-		Until:    p.at.Add(p.ask.Term),
+		Until:    p.at.Add(r.Term),
 	})
+	return nil
 }
 
 func (a *account) learn(now time.Time, peer string, r loan.Reply) {
@@ -104,9 +127,8 @@
 		a := l.all()[name]
 		a.forget(now)
 		state := a.bucket.Read(now)
-		wish := need(state, needSpan)
-		letters = append(letters, l.tend(now, a, name, state, wish, terms.Loan)...)
-		letters = append(letters, l.seek(now, a, name, state, wish, terms.Loan)...)
+		letters = append(letters, l.tend(now, a, name, state, terms.Loan)...)
+		letters = append(letters, l.seek(now, a, name, state, terms.Loan)...)
 	}
 	return letters
 }
@@ -125,17 +147,15 @@
 }
 
 // tend extends or gives back the loans that the account holds.
-func (l *Lender) tend(now time.Time, a *account, customer string, state quota.State, wish loan.Amount, term time.Duration) []Letter {
+func (l *Lender) tend(now time.Time, a *account, customer string, state quota.State, term time.Duration) []Letter {
+	if state.Borrowed.None() {
+		return nil
+	}
 	var letters []Letter
 	var surplus []uint64
-	left := state.Now
+	left := state.Now.Rate
 	for _, one := range a.bucket.Borrowed(now) {
-		if a.isPinned(one.ID) {
-			letters = append(letters, l.renew(now, a, customer, one, term)...)
-			continue
-		}
-		without := loan.Amount{Rate: left.Rate - one.Amount.Rate, Burst: left.Burst - one.Amount.Burst}
-		if without.Rate >= wish.Rate*surplusBy/needMargin && without.Burst >= wish.Burst {
+		if without := left - one.Amount.Rate; without >= need(state)*surplusBy {
 			left = without
 			surplus = append(surplus, one.ID)
 			continue
@@ -145,96 +165,66 @@
 	return append(letters, a.giveBack(now, surplus)...)
 }
 
-// renew asks to extend a loan in the second half of its term.
+// renew asks to extend a loan whose term is partly over.
 func (l *Lender) renew(now time.Time, a *account, customer string, one loan.Loan, term time.Duration) []Letter {
-	if one.Until.Sub(now) > term*6/10 {
+	if float64(one.Until.Sub(now)) > renewBefore*float64(term) {
 		return nil
 	}
 	ask := loan.Ask{ID: one.ID, Customer: customer, Borrower: l.Address, Amount: one.Amount, Term: term, Extend: true}
-	return a.send(now, one.Peer, ask)
+	return []Letter{a.send(now, one.Peer, ask, nil)}
 }
 
 // send notes the ask as open. One that is already open is sent again without
 // moving the time from which its term counts.
-func (a *account) send(now time.Time, peer string, ask loan.Ask) []Letter {
+func (a *account) send(now time.Time, peer string, ask loan.Ask, p *Pot) Letter {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if open, ok := a.asked[ask.ID]; ok {
-		return []Letter{{Peer: peer, Ask: open.ask}}
+		return Letter{Peer: peer, Ask: open.ask}
 	}
 	ask.At = now
-	a.asked[ask.ID] = pending{ask: ask, peer: peer, at: now}
-	return []Letter{{Peer: peer, Ask: ask}}
-}
-
-func (a *account) isPinned(id uint64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	_, ok := a.pinned[id]
-	return ok
+	a.asked[ask.ID] = pending{ask: ask, peer: peer, at: now, pot: p}
+	return Letter{Peer: peer, Ask: ask}
 }
 
-// seek asks peers for what the forecast is short of.
-func (l *Lender) seek(now time.Time, a *account, customer string, state quota.State, wish loan.Amount, term time.Duration) []Letter {
-	short := loan.Amount{
-		Rate:  wish.Rate - state.Now.Rate,
-		Burst: wish.Burst - state.Now.Burst,
-		Level: wish.Level - state.Now.Level,
-	}.Positive()
-	if state.Demand < minRate {
-		return nil
-	}
-	lacksRate := short.Rate > wish.Rate*shortBy
-	lacksBurst := short.Burst > wish.Burst*shortBy
-	if !lacksRate && !lacksBurst {
+// seek asks peers for the rate that the forecast is short of. A bucket that is
+// well filled asks for nothing, so that noise moves nothing.
+func (l *Lender) seek(now time.Time, a *account, customer string, state quota.State, term time.Duration) []Letter {
+	wish := need(state)
+	short := wish - state.Now.Rate
+	if state.Demand < minRate || short < wish*shortBy || state.Now.Level > lowLevel*state.Now.Burst {
 		return nil
 	}
-	// A level comes only inside a burst that is lent with it.
-	short.Burst = max(short.Burst, short.Rate*needSpan.Seconds())
-	short.Level = min(short.Level, short.Burst)
-	peers := a.choose(now, l.Holders(customer), maxFan, false)
-	return l.askAll(now, a, customer, peers, short, term, false)
-}
-
-// askAll divides the amount among the peers by what they last could spare.
-func (l *Lender) askAll(now time.Time, a *account, customer string, peers []Holder, short loan.Amount, term time.Duration, urgent bool) []Letter {
+	peers := a.choose(now, l.Holders(customer), maxFan)
 	var letters []Letter
-	left := short
 	for i, p := range peers {
-		if left.None() {
+		if short < minRate {
 			break
 		}
-		part := left
-		if n := float64(len(peers) - i); n > 1 {
-			part = a.portion(now, p.Address, left, n)
-		}
-		left = loan.Amount{Rate: left.Rate - part.Rate, Burst: left.Burst - part.Burst, Level: left.Level - part.Level}.Positive()
-		ask := loan.Ask{ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: part, Term: term, Urgent: urgent}
-		letters = append(letters, a.send(now, p.Address, ask)...)
+		part := a.portion(now, p.Address, short, float64(len(peers)-i))
+		short -= part
+		ask := loan.Ask{ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Rate: part}, Term: term}
+		letters = append(letters, a.send(now, p.Address, ask, nil))
 	}
 	return letters
 }
 
 // portion returns what to ask of one of n peers: what it could spare lately
 // where that is known, else an even part.
-func (a *account) portion(now time.Time, peer string, left loan.Amount, n float64) loan.Amount {
-	even := loan.Amount{Rate: left.Rate / n, Burst: left.Burst / n, Level: left.Level / n}
+func (a *account) portion(now time.Time, peer string, short, n float64) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	even := short / n
 	h, ok := a.hints[peer]
 	if !ok || now.Sub(h.at) > hintLife {
 		return even
 	}
-	return left.Min(loan.Amount{
-		Rate:  max(h.spare.Rate, even.Rate),
-		Burst: max(h.spare.Burst, even.Burst),
-		Level: max(h.spare.Level, even.Level),
-	})
+	return min(short, max(h.spare.Rate, even))
 }
 
 // choose returns up to n peers to ask: those that lately had something to
 // spare first, then the nearest, leaving out those asked in vain a moment ago.
-func (a *account) choose(now time.Time, holders []Holder, n int, urgent bool) []Holder {
+func (a *account) choose(now time.Time, holders []Holder, n int) []Holder {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var rich, unknown []Holder
@@ -243,7 +233,7 @@
 		switch {
 		case !ok || now.Sub(known.at) > hintLife:
 			unknown = append(unknown, h)
-		case known.spare.Rate > minRate || known.spare.Burst > idleHintBurst && urgent:
+		case known.spare.Rate > minRate:
 			rich = append(rich, h)
 		case now.Sub(known.at) >= backoff(known.tries):
 			unknown = append(unknown, h)
@@ -256,54 +246,3 @@
 func backoff(tries int) time.Duration {
 	return time.Second << min(tries, maxBackoff)
 }
-
-// Gather returns the asks that may bring the n tokens of a waiting request
-// together, or none where no peer is left to ask. Tried holds the peers that
-// were asked for this request before, and is added to.
-func (l *Lender) Gather(now time.Time, customer string, n float64, tried map[string]bool) []Letter {
-	a, ok := l.all()[customer]
-	if !ok {
-		return nil
-	}
-	short := n - a.bucket.Read(now).Now.Level
-	if short <= 0 {
-		return nil
-	}
-	var peers []Holder
-	for _, h := range l.Holders(customer) {
-		if tried[h.Address] || len(peers) == urgentFan {
-			continue
-		}
-		tried[h.Address] = true
-		peers = append(peers, h)
-	}
-	short *= overAsk
-	return l.askAll(now, a, customer, peers, loan.Amount{Burst: short, Level: short}, l.terms().Loan, true)
-}
-
-// Gathered tries a waiting request again after replies came in. The loans that
-// came for it stay with its reservation, or go back at once where it is refused
-// for good.
-func (l *Lender) Gathered(now time.Time, customer string, n float64, asks []Letter, last bool) (Reservation, bool, []Letter) {
-	a, ok := l.all()[customer]
-	if !ok {
-		return Reservation{}, false, nil
-	}
-	ids := make([]uint64, 0, len(asks))
-	for _, letter := range asks {
-		ids = append(ids, letter.Ask.ID)
-	}
-	t, ok := a.bucket.Retake(now, n)
-	if !ok {
-		if last {
-			return Reservation{}, false, a.giveBack(now, ids)
-		}
-		return Reservation{}, false, nil
-	}
-	a.mu.Lock()
-	for _, id := range ids {
-		a.pinned[id] = struct{}{}
-	}
-	a.mu.Unlock()
-	return Reservation{Customer: customer, ticket: t, loans: ids}, true, nil
-}
--- a/yard/lender/lender.go
+++ b/yard/lender/lender.go
@@ -62,10 +62,9 @@
 type account struct {
 	bucket quota.Bucket
 
-	mu     sync.Mutex
-	asked  map[uint64]pending
-	pinned map[uint64]struct{}
-	hints  map[string]hint
+	mu    sync.Mutex
+	asked map[uint64]pending
+	hints map[string]hint
 }
 
 // pending is an ask without a reply.
@@ -73,6 +72,7 @@
 	ask  loan.Ask
 	peer string
 	at   time.Time
+	pot  *Pot // of the request that waits, for an urgent ask
 }
 
 // hint is what a peer last said it could spare.
@@ -87,11 +87,12 @@
 type Reservation struct {
 	Customer string
 	ticket   quota.Ticket
-	loans    []uint64
+	tokens   float64 // in all
+	grants   []grant // of peers
 }
 
 // Tokens returns the reserved tokens.
-func (r Reservation) Tokens() float64 { return r.ticket.Tokens }
+func (r Reservation) Tokens() float64 { return r.tokens }
 
 // Apply takes a new document in. Parts that grow by it wait until no instance
 // can still use the division of an earlier one.
@@ -110,9 +111,8 @@
 		a, ok := before[c.Name()]
 		if !ok {
 			a = &account{
-				asked:  make(map[uint64]pending),
-				pinned: make(map[uint64]struct{}),
-				hints:  make(map[string]hint),
+				asked: make(map[uint64]pending),
+				hints: make(map[string]hint),
 			}
 		}
 		a.bucket.Configure(now, c.Rate(), c.Burst(), d.Terms().Floor, d.Terms().Drift)
@@ -196,7 +196,7 @@
 		return Reservation{}, false
 	}
 	t, ok := a.bucket.Take(now, n)
-	return Reservation{Customer: customer, ticket: t}, ok
+	return Reservation{Customer: customer, ticket: t, tokens: n}, ok
 }
 
 // Wait returns how long the customer's tokens need to come by the instance's
@@ -209,15 +209,27 @@
 	return a.bucket.Wait(now, n)
 }
 
-// Settle replaces a reservation by the tokens used, and returns the messages
-// that give back what was gathered for it.
+// Settle replaces a reservation by the tokens used. What is not used goes back
+// to where it came from, in proportion; the letters tell the peers among them.
 func (l *Lender) Settle(now time.Time, r Reservation, used float64) []Letter {
 	a, ok := l.all()[r.Customer]
 	if !ok {
 		return nil
 	}
-	a.bucket.Settle(now, r.ticket, used)
-	return a.giveBack(now, r.loans)
+	if len(r.grants) == 0 || used >= r.tokens {
+		own := used - (r.tokens - r.ticket.Tokens)
+		a.bucket.Settle(now, r.ticket, own)
+		return nil
+	}
+	part := used / r.tokens
+	a.bucket.Settle(now, r.ticket, r.ticket.Tokens*part)
+	letters := make([]Letter, 0, len(r.grants))
+	for _, g := range r.grants {
+		if g.tokens > 0 {
+			letters = append(letters, g.letter(r.Customer, g.tokens*part))
+		}
+	}
+	return letters
 }
 
 // State returns the reading of a customer's bucket.
@@ -299,7 +311,6 @@
 	defer a.mu.Unlock()
 	var letters []Letter
 	for _, id := range ids {
-		delete(a.pinned, id)
 		r, ok := a.bucket.GiveBack(now, id)
 		if !ok {
 			continue
--- a/yard/loan/loan.go
+++ b/yard/loan/loan.go
@@ -39,8 +39,8 @@
 	Until    time.Time
 }
 
-// Ask asks a peer for a new loan, or to extend the one with the same ID.
-// Urgent asks stand for a request that waits. Repeating an Ask is harmless. The
+// Ask asks a peer for a new loan, or to extend the one with the same ID. An
+// Urgent ask is for tokens alone, which a waiting request uses at once. Repeating an Ask is harmless. The
 // loan's term counts for the borrower from At, so that an answer to an earlier
 // extension never passes for one to a later.
 type Ask struct {
@@ -58,14 +58,19 @@
 // the lender could still spare.
 type Reply struct {
 	ID     uint64
-	At     time.Time // of the Ask
+	At     time.Time     // of the Ask
+	Term   time.Duration // that the lender granted, from At
 	Amount Amount
 	Spare  Amount
 }
 
-// Return gives a loan back before its time, with the tokens left of it.
+// Return gives a loan back before its time, with the tokens left of it. For
+// tokens that an urgent ask brought, it tells how many are used in all; repeats
+// and crossings of such a message are harmless, since the least Used counts.
 type Return struct {
 	ID       uint64
 	Customer string
-	Level    float64
+	Urgent   bool
+	Level    float64 // of a loan
+	Used     float64 // of tokens that an urgent ask brought
 }
--- a/yard/quota/headroom.go
+++ b/yard/quota/headroom.go
@@ -48,13 +48,13 @@
 }
 
 // covers reports whether the slots reach back to a.
-func (h *headroom) covers(a, _ time.Time) bool {
+func (h *headroom) covers(a time.Time) bool {
 	return h.width > 0 && h.slot(a) >= h.oldest
 }
 
 // least returns the least room from a to z, or 0 where a is out of memory.
 func (h *headroom) least(a, z time.Time) float64 {
-	if !h.covers(a, z) {
+	if !h.covers(a) {
 		return 0
 	}
 	low := math.Inf(1)
--- a/yard/quota/quota.go
+++ b/yard/quota/quota.go
@@ -34,6 +34,7 @@
 	parts    []Part
 	lent     map[uint64]loan.Loan
 	borrowed map[uint64]loan.Loan
+	grants   map[uint64]Ticket // tokens given to requests at peers
 
 	own     loan.Amount // what the parts give, derived
 	rate    float64     // tokens a second, derived
@@ -47,6 +48,11 @@
 	largest peak
 }
 
+const (
+	maxGrants   = 4096 // remembered for refunds
+	grantMemory = 2 * time.Minute
+)
+
 // backMargin is added to the time after which a lender takes a loan back.
 const backMargin = 50 * time.Millisecond
 
@@ -127,22 +133,32 @@
 		b.level += back
 		return
 	}
-	room := b.fine.least(t.At, b.last)
-	if !b.fine.covers(t.At, b.last) {
-		room = b.coarse.least(t.At, b.last)
+	b.refund(t.At, back)
+}
+
+// refund adds tokens that were taken at an earlier time and not used, as far
+// as they would not have overflowed since.
+func (b *Bucket) refund(from time.Time, back float64) {
+	if !from.Before(b.last) {
+		from = b.last
+	}
+	room := b.fine.least(from, b.last)
+	if !b.fine.covers(from) {
+		room = b.coarse.least(from, b.last)
 	}
 	back = min(back, room)
 	if back <= 0 {
 		return
 	}
 	b.level += back
-	b.fine.lower(t.At, b.last, back)
-	b.coarse.lower(t.At, b.last, back)
+	b.fine.lower(from, b.last, back)
+	b.coarse.lower(from, b.last, back)
 }
 
-// Lend takes what it can of the asked amount out of the bucket for the ask's
-// term, but leaves keep. Asking again with the same ID gives the same loan.
-func (b *Bucket) Lend(now time.Time, ask loan.Ask, keep loan.Amount) loan.Amount {
+// Lend takes a slice of the bucket out of it for the ask's term: the rate that
+// was asked for as far as keep leaves it, with the burst and level that belong
+// to it. Asking again with the same ID gives the same loan.
+func (b *Bucket) Lend(now time.Time, ask loan.Ask, keep float64) loan.Amount {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -150,21 +166,92 @@
 	if old, ok := b.lent[ask.ID]; ok {
 		return b.extend(old, back, ask)
 	}
-	if ask.Extend {
+	if ask.Extend || b.rate <= 0 {
 		return loan.Amount{}
 	}
-	give := ask.Amount.Min(b.spare(back, keep)).Positive()
+	can := b.spare(b.ownAt(back), keep)
+	part := min(ask.Amount.Rate, can.Rate) / b.rate
+	if part <= 0 {
+		return loan.Amount{}
+	}
+	give := loan.Amount{
+		Rate:  part * b.rate,
+		Burst: min(part*b.burst, can.Burst),
+		Level: max(part*b.level, 0),
+	}
 	give.Level = min(give.Level, give.Burst)
-	if give.None() {
-		return give
+	b.lend(ask, give, back)
+	return give
+}
+
+// Grant takes tokens out of the bucket for a request that waits at a peer. The
+// burst that they filled stays locked until the peer says that they are used,
+// or until they no longer may be.
+func (b *Bucket) Grant(now time.Time, ask loan.Ask, keep float64) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if old, ok := b.grants[ask.ID]; ok {
+		return old.Tokens
+	}
+	back := b.back(now, ask.Term)
+	held := b.ownAt(back).Plus(b.borrowedAt(back))
+	give := min(ask.Amount.Level, b.level-keep, b.spare(held, 0).Burst)
+	if give <= 0 {
+		return 0
+	}
+	if b.grants == nil {
+		b.grants = make(map[uint64]Ticket)
 	}
+	b.forgetGrants(now)
+	b.grants[ask.ID] = Ticket{At: back, Tokens: give}
+	b.lend(ask, loan.Amount{Burst: give, Level: give}, back)
+	return give
+}
+
+func (b *Bucket) lend(ask loan.Ask, give loan.Amount, back time.Time) {
 	if b.lent == nil {
 		b.lent = make(map[uint64]loan.Loan)
 	}
 	b.lent[ask.ID] = loan.Loan{ID: ask.ID, Customer: ask.Customer, Peer: ask.Borrower, Amount: give, Until: back}
 	b.level -= give.Level
 	b.derive()
-	return give
+}
+
+// Ungrant takes back the tokens of a grant that are not used, as Settle does
+// for a reservation. While the grant's burst is locked, all of them fit.
+func (b *Bucket) Ungrant(now time.Time, r loan.Return) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	g, ok := b.grants[r.ID]
+	if !ok {
+		return
+	}
+	unused := max(g.Tokens-max(r.Used, 0), 0)
+	if _, locked := b.lent[r.ID]; locked {
+		delete(b.lent, r.ID)
+		b.derive()
+		b.level = min(b.level+unused, b.burst)
+		g.At = b.last
+	} else {
+		b.refund(g.At, unused)
+	}
+	g.Tokens -= unused
+	b.grants[r.ID] = g
+}
+
+// forgetGrants keeps the memory of grants bounded: one that is forgotten gets
+// no refund.
+func (b *Bucket) forgetGrants(now time.Time) {
+	if len(b.grants) < maxGrants {
+		return
+	}
+	for id, g := range b.grants {
+		if now.Sub(g.At) > grantMemory || len(b.grants) >= 2*maxGrants {
+			delete(b.grants, id)
+		}
+	}
 }
 
 // extend moves the time of an outstanding loan. A repeated plain ask gets the
@@ -278,12 +365,16 @@
 	return held
 }
 
-// Spare returns what the bucket could lend for the term beyond keep.
-func (b *Bucket) Spare(now time.Time, term time.Duration, keep loan.Amount) loan.Amount {
+// Spare returns the rate that the bucket could lend beyond keep, and the tokens
+// that it could grant.
+func (b *Bucket) Spare(now time.Time, term time.Duration, keep float64) loan.Amount {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.spare(b.back(now, term), keep)
+	back := b.back(now, term)
+	out := b.spare(b.ownAt(back), keep)
+	out.Level = max(b.level, 0)
+	return out
 }
 
 // Outstanding returns how long the last of the lent loans still runs.
@@ -302,18 +393,25 @@
 	return now.Add(term + time.Duration(b.drift*float64(term)) + backMargin)
 }
 
-// spare counts only parts that outlast the loan, so that a lapsed part is
-// never still lent. Borrowed pieces are not lent on.
-func (b *Bucket) spare(back time.Time, keep loan.Amount) loan.Amount {
-	own := b.ownAt(back)
+// spare returns what may go out until back of what is held until then, so that
+// nothing is lent that lapses meanwhile.
+func (b *Bucket) spare(held loan.Amount, keep float64) loan.Amount {
 	lent := b.sum(b.lent)
-	out := loan.Amount{
-		Rate:  min(own.Rate*(1-b.floor)-lent.Rate, b.rate-keep.Rate),
-		Burst: min(own.Burst*(1-b.floor)-lent.Burst, b.burst-keep.Burst),
-		Level: b.level - keep.Level,
+	return loan.Amount{
+		Rate:  min(held.Rate-b.floor*b.own.Rate-lent.Rate, b.rate-keep),
+		Burst: min(held.Burst-b.floor*b.own.Burst-lent.Burst, b.burst),
 	}.Positive()
-	out.Level = min(out.Level, out.Burst)
-	return out
+}
+
+// borrowedAt returns what the loans give that still run at a later time.
+func (b *Bucket) borrowedAt(at time.Time) loan.Amount {
+	var total loan.Amount
+	for _, l := range b.borrowed {
+		if at.Before(l.Until) {
+			total = total.Plus(loan.Amount{Rate: l.Amount.Rate, Burst: l.Amount.Burst})
+		}
+	}
+	return total
 }
 
 // ownAt returns what the parts give that are still held at a later time.
--- a/yard/seat/seat.go
+++ b/yard/seat/seat.go
@@ -6,6 +6,13 @@
 // lease. A claimant measures by its own clock how long a part was not renewed,
 // counted from when it first saw the last renewal, so that clocks need no
 // common time, only a bound on their drift.
+//
+// A floating part outlives its lease while the witnesses promise it: the
+// instances of the data centre that the entry listed at the holder's last
+// renewal, and no others, may claim it before the hold time is over, and each
+// answers a heartbeat of the holder with the promise not to for a while. So a
+// data centre that loses the store keeps all of its quota, and an instance
+// that crashes loses its part to the others after one lease.
 package seat
 
 import (
@@ -34,14 +41,24 @@
 	Run    int64              `json:"run,omitempty"`    // which run of the process at the address
 	Fence  int64              `json:"fence,omitempty"`  // counts changes of holder
 	Beat   int64              `json:"beat,omitempty"`   // counts renewals
+	Epoch  int64              `json:"epoch,omitempty"`  // of the entry when the holder wrote last
 	Wait   time.Duration      `json:"wait,omitempty"`   // loans of the last holder that still run
 	Drawn  map[string]float64 `json:"drawn,omitempty"`  // levels at release of customers not full, as fractions
 }
 
 // Entry is one data centre's value in the store.
 type Entry struct {
-	Centre string `json:"centre"`
-	Parts  []Part `json:"parts"`
+	Centre  string   `json:"centre"`
+	Parts   []Part   `json:"parts"`
+	Epoch   int64    `json:"epoch"` // rises with each member that joins
+	Members []Member `json:"members"`
+}
+
+// Member is an instance that may claim parts that it knows to have lapsed.
+type Member struct {
+	Address string `json:"address"`
+	Run     int64  `json:"run"`
+	Epoch   int64  `json:"epoch"` // at which it joined
 }
 
 // Decode reads an entry; an empty value is an entry of the data centre
@@ -70,6 +87,8 @@
 	Fresh bool               // taken now; Full and Drawn tell the levels
 	Full  bool               // customers not in Drawn start full, else empty
 	Drawn map[string]float64 // levels at the last holder's release
+
+	renewed time.Time // when the last renewal that counts was sent
 }
 
 // ID names the part and its holder's term.
@@ -82,10 +101,14 @@
 	Run     int64  // differs for each run of the process
 	Centre  string
 
-	seen    map[spot]sighting
-	titles  map[spot]Title
-	sent    map[spot]sentBeat
-	yielded map[spot]sentBeat
+	started  time.Time // when this run first looked
+	seen     map[spot]sighting
+	members  map[spot]map[string]struct{} // witnesses that each of the own parts needs
+	promises map[string]time.Time         // to this instance, until
+	promised map[string]time.Time         // by this instance, until
+	titles   map[spot]Title
+	sent     map[spot]sentBeat
+	yielded  map[spot]sentBeat
 }
 
 type spot struct {
@@ -115,6 +138,35 @@
 type Mates struct {
 	Seatless []string // live instances that hold no seat, by address
 	Alive    []string // live instances, by address
+	Gone     []string // instances that were silent for long, by address
+}
+
+// PromiseTime is how long a witness's promise lasts for the holder, from when
+// the holder sent the heartbeat.
+const PromiseTime = 5 * time.Second
+
+// Promise notes that this instance answers a heartbeat of the holder, and so
+// promises not to claim its parts for a while.
+func (t *Table) Promise(now time.Time, holder string, drift float64) {
+	if t.promised == nil {
+		t.promised = make(map[string]time.Time)
+	}
+	t.promised[holder] = now.Add(guard(PromiseTime, drift))
+}
+
+// Promised notes the answer to a heartbeat that was sent at the time.
+func (t *Table) Promised(sent time.Time, witness string) {
+	if t.promises == nil {
+		t.promises = make(map[string]time.Time)
+	}
+	if until := sent.Add(PromiseTime); until.After(t.promises[witness]) {
+		t.promises[witness] = until
+	}
+}
+
+// guard is how long another clock may need to see the time pass.
+func guard(d time.Duration, drift float64) time.Duration {
+	return d + time.Duration(drift*float64(d)) + claimMargin
 }
 
 // Plan returns the entry that the instance wants to write after it has read
@@ -122,12 +174,13 @@
 // and Confirm after an entry was read or written.
 func (t *Table) Plan(now time.Time, e Entry, seats int, terms document.Terms, mates Mates) (Entry, bool) {
 	t.observe(now, e)
-	next := Entry{Centre: t.Centre, Parts: slices.Clone(e.Parts)}
+	next := e.clone()
 	next.fill(seats)
-	changed := len(next.Parts) != len(e.Parts)
+	changed := t.planMembers(&next, mates)
+	changed = changed || len(next.Parts) != len(e.Parts)
 	for i := range next.Parts {
 		if p := &next.Parts[i]; p.Seat < seats {
-			changed = t.planOwn(p) || changed
+			changed = t.planOwn(p, next.Epoch) || changed
 		}
 	}
 	free := func(p Part) bool { return p.Seat < seats && p.Holder == "" }
@@ -138,17 +191,34 @@
 	return next, changed
 }
 
+// planMembers lists this run of the instance, and strikes members that were
+// silent for long. One that is struck and alive joins anew.
+func (t *Table) planMembers(e *Entry, mates Mates) bool {
+	before := len(e.Members)
+	e.Members = slices.DeleteFunc(e.Members, func(m Member) bool {
+		return m.Address == t.Address && m.Run != t.Run || slices.Contains(mates.Gone, m.Address)
+	})
+	changed := len(e.Members) != before
+	if _, ok := e.member(t.Address); ok {
+		return changed
+	}
+	e.Epoch++
+	e.Members = append(e.Members, Member{Address: t.Address, Run: t.Run, Epoch: e.Epoch})
+	return true
+}
+
 // planOwn renews a part of this run, and takes a part of an earlier run at the
 // same address over.
-func (t *Table) planOwn(p *Part) bool {
+func (t *Table) planOwn(p *Part, epoch int64) bool {
 	if p.Holder != t.Address {
 		return false
 	}
 	if p.Run != t.Run {
-		p.take(t)
+		p.take(t, epoch)
 		return true
 	}
 	p.Beat++
+	p.Epoch = epoch
 	return true
 }
 
@@ -160,7 +230,7 @@
 	seated := e.holds(t.Address)
 	for i := range e.Parts {
 		p := &e.Parts[i]
-		if !kind(*p) || p.Holder == t.Address || !t.claimable(now, *p, terms, seated) {
+		if !kind(*p) || p.Holder == t.Address || !t.claimable(now, *p, e, terms, seated) {
 			continue
 		}
 		if seated && len(mates.Seatless) > 0 && p.Holder == "" {
@@ -169,7 +239,7 @@
 		if !seated && t.other(e, p.Seat) {
 			continue
 		}
-		p.take(t)
+		p.take(t, e.Epoch)
 		changed = true
 	}
 	return changed
@@ -185,7 +255,7 @@
 	return false
 }
 
-func (t *Table) claimable(now time.Time, p Part, terms document.Terms, seated bool) bool {
+func (t *Table) claimable(now time.Time, p Part, e *Entry, terms document.Terms, seated bool) bool {
 	s := t.seen[spot{p.Seat, p.Class}]
 	idle := now.Sub(s.at)
 	if p.Holder == "" {
@@ -198,21 +268,18 @@
 		}
 		return idle >= wait
 	}
-	return idle >= t.lapse(p.Class, terms)
-}
-
-// lapse returns how long a claimant waits for a holder that does not renew.
-func (t *Table) lapse(class string, terms document.Terms) time.Duration {
-	term := Term(class, terms)
-	return term + time.Duration(terms.Drift*float64(term)) + claimMargin
+	if idle >= guard(terms.Hold, terms.Drift) {
+		return true
+	}
+	return p.Class == Floating && idle >= guard(terms.Lease, terms.Drift) && t.witnesses(now, p, e, terms)
 }
 
-// Term returns how long a part of the class lasts without renewal.
-func Term(class string, terms document.Terms) time.Duration {
-	if class == Kept {
-		return terms.Hold
-	}
-	return terms.Lease
+// witnesses reports whether this instance is one whose promise the holder
+// needs, and no promise of it is out. An earlier run may have made one.
+func (t *Table) witnesses(now time.Time, p Part, e *Entry, terms document.Terms) bool {
+	m, ok := e.member(t.Address)
+	known := ok && m.Epoch <= p.Epoch || !terms.Witness
+	return known && !now.Before(t.promised[p.Holder]) && now.Sub(t.started) >= guard(PromiseTime, terms.Drift)
 }
 
 // planYield frees the floating part of a seat whose kept part is renewed by
@@ -271,8 +338,12 @@
 // loans still run, and drawn the levels of customers that are not full, as
 // fractions of their burst.
 func (t *Table) Release(e Entry, wait time.Duration, drawn map[string]float64) (Entry, bool) {
-	next := Entry{Centre: t.Centre, Parts: slices.Clone(e.Parts)}
+	next := e.clone()
 	changed := false
+	next.Members = slices.DeleteFunc(next.Members, func(m Member) bool {
+		changed = changed || m.Address == t.Address
+		return m.Address == t.Address
+	})
 	for i := range next.Parts {
 		p := &next.Parts[i]
 		if p.Holder != t.Address || p.Run != t.Run {
@@ -302,6 +373,8 @@
 		if !t.sent[at].same(p) {
 			t.sent[at] = sentBeat{fence: p.Fence, beat: p.Beat, at: now}
 		}
+		// Until the answer comes, either list of witnesses may count.
+		t.need(at, e, false)
 	}
 	return t.list()
 }
@@ -321,7 +394,9 @@
 func (t *Table) Landed(sent time.Time, e Entry) {
 	for _, p := range e.Parts {
 		if p.Holder == t.Address && p.Run == t.Run {
-			t.sent[spot{p.Seat, p.Class}] = sentBeat{fence: p.Fence, beat: p.Beat, at: sent}
+			at := spot{p.Seat, p.Class}
+			t.sent[at] = sentBeat{fence: p.Fence, beat: p.Beat, at: sent}
+			t.need(at, e, true)
 		}
 	}
 }
@@ -345,14 +420,63 @@
 			title = t.newTitle(now, p, before, terms)
 		}
 		if sent := t.sent[at]; sent.same(p) {
-			title.Until = sent.at.Add(Term(p.Class, terms))
+			title.renewed = sent.at
 		}
 		titles[at] = title
 	}
 	t.titles = titles
+	return t.Titles(terms)
+}
+
+// need notes which witnesses a part needs by an entry: in place of those known
+// before, or in addition to them.
+func (t *Table) need(at spot, e Entry, only bool) {
+	if t.members == nil {
+		t.members = make(map[spot]map[string]struct{})
+	}
+	if only || t.members[at] == nil {
+		t.members[at] = make(map[string]struct{})
+	}
+	for _, m := range e.Members {
+		if m.Address != t.Address {
+			t.members[at][m.Address] = struct{}{}
+		}
+	}
+}
+
+// Titles returns the parts that this instance may use, and until when by the
+// renewals and promises that it has.
+func (t *Table) Titles(terms document.Terms) []Title {
+	for at, title := range t.titles {
+		title.Until = t.until(at, title, terms)
+		t.titles[at] = title
+	}
 	return t.list()
 }
 
+func (t *Table) until(at spot, title Title, terms document.Terms) time.Time {
+	if title.renewed.IsZero() {
+		return time.Time{}
+	}
+	hold := title.renewed.Add(terms.Hold)
+	if at.class == Kept {
+		return hold
+	}
+	lease := title.renewed.Add(terms.Lease)
+	if !terms.Witness {
+		return lease
+	}
+	for m := range t.members[at] {
+		if until := t.promises[m]; until.Before(hold) {
+			hold = until
+		}
+	}
+	if hold.Before(lease) {
+		return lease
+	}
+	return hold
+}
+
 func (t *Table) newTitle(now time.Time, p Part, before Entry, terms document.Terms) Title {
 	title := Title{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Fresh: true}
 	last := before.part(p.Seat, p.Class)
@@ -389,6 +513,7 @@
 func (t *Table) observe(now time.Time, e Entry) {
 	if t.seen == nil {
 		t.seen = make(map[spot]sighting)
+		t.started = now
 	}
 	for _, p := range e.Parts {
 		at := spot{p.Seat, p.Class}
@@ -401,8 +526,22 @@
 	}
 }
 
-func (p *Part) take(t *Table) {
-	*p = Part{Seat: p.Seat, Class: p.Class, Holder: t.Address, Run: t.Run, Fence: p.Fence + 1, Beat: 1}
+func (p *Part) take(t *Table, epoch int64) {
+	*p = Part{Seat: p.Seat, Class: p.Class, Holder: t.Address, Run: t.Run, Fence: p.Fence + 1, Beat: 1, Epoch: epoch}
+}
+
+func (e Entry) clone() Entry {
+	e.Parts = slices.Clone(e.Parts)
+	e.Members = slices.Clone(e.Members)
+	return e
+}
+
+func (e Entry) member(address string) (Member, bool) {
+	i := slices.IndexFunc(e.Members, func(m Member) bool { return m.Address == address })
+	if i < 0 {
+		return Member{}, false
+	}
+	return e.Members[i], true
 }
 
 func (e Entry) holds(address string) bool {
