--- a/chervilstand/main.go
+++ b/chervilstand/main.go
@@ -17,6 +17,7 @@
 	Dev     devCommand     `command:"dev" description:"run a store, targets and three instances in this process"`
 	Store   storeCommand   `command:"store" description:"run the store stand-in"`
 	Engine  engineCommand  `command:"engine" description:"run an engine stand-in"`
+	Quota   quotaCommand   `command:"quota" description:"measure the quota decisions on scripted demand and faults"`
 	Service serviceCommand `command:"service" description:"run a service stand-in"`
 }
 
--- a/chervilyard/admit/admit.go
+++ b/chervilyard/admit/admit.go
@@ -64,27 +64,26 @@
 	now := s.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(gatherTime, c.Deadline.Sub(now)/2))
 	defer cancel()
-	tried := make(map[string]bool)
-	var all []lender.Letter
+	var pot lender.Pot
 	for range rounds {
-		asks := s.Lender.Gather(s.Now(), c.Customer.Name(), c.Tokens, tried)
+		asks := s.Lender.Gather(s.Now(), c.Customer.Name(), c.Tokens, &pot)
 		if len(asks) == 0 {
 			break
 		}
-		all = append(all, asks...)
 		round, done := context.WithTimeout(ctx, roundTime)
 		s.Exchange(round, asks)
 		done()
-		r, ok, _ := s.Lender.Gathered(s.Now(), c.Customer.Name(), c.Tokens, all, false)
+		r, ok, letters := s.Lender.Gathered(s.Now(), &pot, false)
 		if ok {
+			s.Deliver(letters)
 			return r, true
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	r, ok, returns := s.Lender.Gathered(s.Now(), c.Customer.Name(), c.Tokens, all, true)
-	s.Deliver(returns)
+	r, ok, letters := s.Lender.Gathered(s.Now(), &pot, true)
+	s.Deliver(letters)
 	return r, ok
 }
 
--- a/chervilyard/beat/beat.go
+++ b/chervilyard/beat/beat.go
@@ -37,6 +37,8 @@
 	Beat  func(ctx context.Context, to string, p *peer.Pulse) (*peer.Pulse, error)
 	Sync  func(ctx context.Context, to string, r *peer.Roll) (*peer.Roll, error)
 	Seeds func() []string
+	// Promised is told of each answer to a heartbeat, and when that was sent.
+	Promised func(sent time.Time, from string)
 
 	beats atomic.Int64
 	kick  chan struct{}
@@ -136,8 +138,10 @@
 func (d *Duty) beat(ctx context.Context, to string, p *peer.Pulse) {
 	ctx, cancel := context.WithTimeout(ctx, interval)
 	defer cancel()
+	sent := d.Now()
 	if back, err := d.Beat(ctx, to, p); err == nil {
 		d.TakePulse(d.Now(), back)
+		d.Promised(sent, to)
 	}
 }
 
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -41,6 +41,7 @@
 	silentTime  = 4 * time.Second  // without a heartbeat in the data centre
 	farTime     = 30 * time.Second // without news from another data centre
 	forgetTime  = 2 * time.Hour    // outlasts a partition, so that both sides find each other again
+	goneTime    = time.Minute      // without a heartbeat, until an instance is no longer a witness
 	handTime    = 6 * time.Second  // a little over what callers keep of /locate
 	quietSteps  = 10
 	drainStep   = 50 * time.Millisecond
@@ -113,16 +114,16 @@
 }
 
 func (i *Instance) buildDuties() {
-	i.beats = &beat.Duty{
-		Roster: i.roster, Now: i.now, Self: i.self, Reports: i.reports, Confirmed: i.keeper.Age,
-		Heard: i.heard, Beat: i.link.Beat, Sync: i.link.Sync, Seeds: i.settings.Seeds,
-	}
 	i.seats = &sit.Duty{
 		Key:    environment.SeatPrefix(i.settings.Environment()) + i.settings.Centre(),
 		Table:  &seat.Table{Address: i.Peers(), Run: i.run, Centre: i.settings.Centre()},
 		Lender: i.lender, Document: i.keeper.Document, Mates: i.mates,
 		Get: i.store.Get, Put: i.store.Put, Now: i.now, Journal: i.journal,
 	}
+	i.beats = &beat.Duty{
+		Roster: i.roster, Now: i.now, Self: i.self, Reports: i.reports, Confirmed: i.keeper.Age,
+		Heard: i.heard, Beat: i.link.Beat, Sync: i.link.Sync, Seeds: i.settings.Seeds, Promised: i.seats.Promised,
+	}
 	i.polls = &poll.Duty{
 		Self: i.Peers(), Targets: i.ownTargets, Mates: i.mateAddresses,
 		Learn: i.picker.Learn, Pump: i.dispatch.Pump, Now: i.now,
@@ -244,6 +245,7 @@
 			m.Seatless = append(m.Seatless, one.GetAddress())
 		}
 	}
+	m.Gone = i.roster.Gone(now, goneTime)
 	return m
 }
 
@@ -360,9 +362,12 @@
 	}
 	s := grpc.NewServer(opts...)
 	peer.RegisterLinkServer(s, &port.Port{
-		Lender: i.lender, Now: i.now, Document: i.keeper.Usable,
+		Lender: i.lender, Now: i.now, Document: i.keeper.Usable, Deliver: i.link.Deliver,
 		OnBeat: func(now time.Time, p *peer.Pulse) *peer.Pulse {
 			i.beats.TakePulse(now, p)
+			if p.GetSelf().GetCentre() == i.settings.Centre() {
+				i.seats.Promise(now, p.GetSelf().GetAddress())
+			}
 			return i.beats.Pulse(now)
 		},
 		OnSync: func(now time.Time, r *peer.Roll) *peer.Roll {
--- a/chervilyard/link/link.go
+++ b/chervilyard/link/link.go
@@ -150,21 +150,24 @@
 
 func (l *Link) deliver(ctx context.Context, m lender.Letter) {
 	if m.Return.ID != 0 {
-		r := &peer.LoanReturn{Id: m.Return.ID, Customer: m.Return.Customer, Level: m.Return.Level}
+		r := &peer.LoanReturn{
+			Id: m.Return.ID, Customer: m.Return.Customer, Level: m.Return.Level, Urgent: m.Return.Urgent, Used: m.Return.Used,
+		}
 		_, _ = exchange(ctx, l, "give", m.Peer, r, peer.LinkClient.Give) // a lost return is taken back in time
 		return
 	}
 	q := &peer.LoanAsk{
 		Id: m.Ask.ID, Customer: m.Ask.Customer, Borrower: m.Ask.Borrower, Amount: amount(m.Ask.Amount),
-		Term: int64(m.Ask.Term), At: m.Ask.At.UnixNano(), Extend: m.Ask.Extend, Urgent: m.Ask.Urgent,
+		Term: int64(m.Ask.Term), At: m.Ask.At.UnixNano(), Extend: m.Ask.Extend, Urgent: m.Ask.Urgent, Spare: m.Ask.Spare,
 	}
 	a, err := exchange(ctx, l, "ask", m.Peer, q, peer.LinkClient.Ask)
 	if err != nil {
 		return
 	}
-	l.Lender.Receive(l.Now(), m.Ask.Customer, loan.Reply{
-		ID: a.GetId(), At: time.Unix(0, a.GetAt()), Amount: FromAmount(a.GetAmount()), Spare: FromAmount(a.GetSpare()),
-	})
+	l.Deliver(l.Lender.Receive(l.Now(), m.Ask.Customer, loan.Reply{
+		ID: a.GetId(), At: time.Unix(0, a.GetAt()), Term: time.Duration(a.GetTerm()),
+		Amount: FromAmount(a.GetAmount()), Spare: FromAmount(a.GetSpare()),
+	}))
 }
 
 func amount(a loan.Amount) *peer.Amount {
--- a/chervilyard/port/port.go
+++ b/chervilyard/port/port.go
@@ -26,6 +26,7 @@
 	Lender   *lender.Lender
 	Now      func() time.Time
 	Document func() (*document.Document, error)
+	Deliver  func(letters []lender.Letter) // sends without waiting
 	OnBeat   func(now time.Time, p *peer.Pulse) *peer.Pulse
 	OnSync   func(now time.Time, r *peer.Roll) *peer.Roll
 	OnFetch  func(now time.Time, above int64) *peer.Accepted
@@ -52,15 +53,19 @@
 func (p *Port) Ask(_ context.Context, in *peer.LoanAsk) (*peer.LoanReply, error) {
 	ask := loan.Ask{
 		ID: in.GetId(), Customer: in.GetCustomer(), Borrower: in.GetBorrower(), Amount: finite(link.FromAmount(in.GetAmount())),
-		Term: time.Duration(in.GetTerm()), At: time.Unix(0, in.GetAt()), Extend: in.GetExtend(), Urgent: in.GetUrgent(),
+		Term: time.Duration(in.GetTerm()), At: time.Unix(0, in.GetAt()), Extend: in.GetExtend(), Urgent: in.GetUrgent(), Spare: in.GetSpare(),
 	}
-	r := p.Lender.Answer(p.Now(), ask)
-	return &peer.LoanReply{Id: r.ID, At: in.GetAt(), Amount: link.ToAmount(r.Amount), Spare: link.ToAmount(r.Spare)}, nil
+	r, returns := p.Lender.Answer(p.Now(), ask)
+	p.Deliver(returns)
+	return &peer.LoanReply{Id: r.ID, At: in.GetAt(), Term: int64(r.Term), Amount: link.ToAmount(r.Amount), Spare: link.ToAmount(r.Spare)}, nil
 }
 
 // Give takes a returned loan in.
 func (p *Port) Give(_ context.Context, in *peer.LoanReturn) (*peer.Done, error) {
-	r := loan.Return{ID: in.GetId(), Customer: in.GetCustomer(), Level: finite(loan.Amount{Level: in.GetLevel()}).Level}
+	r := loan.Return{
+		ID: in.GetId(), Customer: in.GetCustomer(), Urgent: in.GetUrgent(),
+		Level: finite(loan.Amount{Level: in.GetLevel()}).Level, Used: finite(loan.Amount{Level: in.GetUsed()}).Level,
+	}
 	p.Lender.Regain(p.Now(), r)
 	return &peer.Done{}, nil
 }
--- a/chervilyard/sit/sit.go
+++ b/chervilyard/sit/sit.go
@@ -34,6 +34,7 @@
 	Now      func() time.Time
 	Journal  *journal.Journal
 
+	table sync.Mutex // guards Table
 	mu    sync.Mutex
 	seats []int
 }
@@ -45,6 +46,31 @@
 	return append([]int(nil), d.seats...)
 }
 
+// Promise notes that this instance answers a heartbeat of the holder, and so
+// promises not to claim its parts for a while.
+func (d *Duty) Promise(now time.Time, holder string) {
+	drift := 0.0
+	if doc := d.Document(); doc != nil {
+		drift = doc.Terms().Drift
+	}
+	d.table.Lock()
+	defer d.table.Unlock()
+	d.Table.Promise(now, holder, drift)
+}
+
+// Promised notes a witness's answer to the heartbeat that was sent at the time.
+func (d *Duty) Promised(sent time.Time, witness string) {
+	doc := d.Document()
+	if doc == nil {
+		return
+	}
+	d.table.Lock()
+	defer d.table.Unlock()
+	d.Table.Promised(sent, witness)
+	now := d.Now()
+	d.hold(now, d.Table.Titles(now, doc.Terms()))
+}
+
 // Run renews and claims until the context ends.
 func (d *Duty) Run(ctx context.Context) <-chan struct{} {
 	ended := make(chan struct{})
@@ -121,9 +147,7 @@
 	if err != nil {
 		return err
 	}
-	now := d.Now()
-	d.hold(now, d.Table.Confirm(now, before, seat.Entry{}, terms))
-	next, changed := plan(now, before)
+	next, sent, changed := d.prepare(before, terms, plan)
 	if !changed {
 		return nil
 	}
@@ -131,17 +155,33 @@
 	if err != nil {
 		return err
 	}
-	sent := d.Now()
-	d.hold(sent, d.Table.Sent(sent, next))
 	if _, err = d.Put(ctx, d.Key, data, v.Revision); err != nil {
 		return err
 	}
+	d.table.Lock()
+	defer d.table.Unlock()
 	d.Table.Landed(sent, next)
-	now = d.Now()
+	now := d.Now()
 	d.hold(now, d.Table.Confirm(now, next, before, terms))
 	return nil
 }
 
+// prepare takes an entry in and returns the one to write. What it gives up is
+// given up now.
+func (d *Duty) prepare(
+	before seat.Entry, terms document.Terms, plan func(time.Time, seat.Entry) (seat.Entry, bool),
+) (next seat.Entry, sent time.Time, changed bool) {
+	d.table.Lock()
+	defer d.table.Unlock()
+	now := d.Now()
+	d.hold(now, d.Table.Confirm(now, before, seat.Entry{}, terms))
+	next, changed = plan(now, before)
+	if changed {
+		d.hold(now, d.Table.Sent(now, next))
+	}
+	return next, now, changed
+}
+
 // hold gives the lender the parts that may be used, and notes what changed.
 func (d *Duty) hold(now time.Time, titles []seat.Title) {
 	d.Lender.Hold(now, titles)
--- a/yard/document/document.go
+++ b/yard/document/document.go
@@ -59,7 +59,7 @@
 
 	Loan  time.Duration // how long a loan lasts without renewal
 	Floor float64       // part of a seat that is never lent, 0 to 1
-	Drift float64       // bound on the relative drift of two clocks
+	Drift float64       // bound on a clock's drift from true time
 
 	// Spread is on how many seats of a data centre one customer's part is.
 	Spread int
@@ -108,7 +108,7 @@
 
 		Loan:  s.Duration("loan", 10*time.Second, time.Second, 5*time.Minute),
 		Floor: s.Number("floor", 0.02, 0, 1),
-		Drift: s.Number("drift", 0.01, 0, 0.5),
+		Drift: s.Number("drift", 0.001, 0, 0.5),
 
 		Spread: s.Int("spread", 2, 1, maxSeats),
 	}
--- a/yard/drill/drill.go
+++ b/yard/drill/drill.go
@@ -201,6 +201,7 @@
 	n.table = &seat.Table{Address: n.address, Run: n.run, Centre: n.centre}
 	n.doc = d.doc
 	n.lender.Apply(d.clock(n), d.doc)
+	d.judge.rates()
 	d.on(n, time.Duration(d.rng.Float64()*float64(100*time.Millisecond)), func() { d.sit(n) })
 	d.on(n, time.Duration(d.rng.Float64()*float64(roundTime)), func() { d.round(n) })
 	d.on(n, time.Duration(d.rng.Float64()*float64(beatTime)), func() { d.beat(n) })
@@ -298,7 +299,7 @@
 			m.table.Promise(d.clock(m), n.address, m.doc.Terms().Drift)
 			d.on(n, d.delay(n.region, n.region), func() {
 				n.table.Promised(sent, m.address)
-				d.hold(n, n.table.Titles(n.doc.Terms()))
+				d.hold(n, n.table.Titles(d.clock(n), n.doc.Terms()))
 			})
 		})
 	}
--- /dev/null
+++ b/yard/drill/strict_test.go
@@ -0,0 +1,62 @@
+package drill_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilyard.example/yard/drill"
+)
+
+// tolerance covers the rounding of sums of tokens.
+const tolerance = 1e-3
+
+func drawFault(t *rapid.T, length time.Duration) drill.Fault {
+	kinds := []string{drill.Crash, drill.Cut, drill.Store, drill.Lose, drill.Pause, drill.Rate, drill.Alone}
+	return drill.Fault{
+		Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
+		At:       time.Duration(rapid.Int64Range(0, int64(length)).Draw(t, "at")),
+		For:      time.Duration(rapid.Int64Range(int64(100*time.Millisecond), int64(length/2)).Draw(t, "for")),
+		Instance: rapid.IntRange(0, 11).Draw(t, "instance"),
+		Region:   rapid.IntRange(0, 2).Draw(t, "region"),
+		Moved:    rapid.Bool().Draw(t, "moved"),
+		Factor:   rapid.Float64Range(0.2, 3).Draw(t, "factor"),
+	}
+}
+
+func drawScript(t *rapid.T) *drill.Script {
+	length := 60 * time.Second
+	s := &drill.Script{
+		Name: "strict", Length: length, Seed: rapid.Uint64().Draw(t, "seed"),
+		Regions: rapid.IntRange(1, 3).Draw(t, "regions"), Centres: rapid.IntRange(1, 2).Draw(t, "centres"),
+		Seats: rapid.IntRange(1, 3).Draw(t, "seats"), Spread: rapid.IntRange(1, 3).Draw(t, "spread"),
+		Kept: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "kept"), Witness: rapid.Bool().Draw(t, "witness"),
+		Lease:  rapid.SampledFrom([]time.Duration{2 * time.Second, 4 * time.Second}).Draw(t, "lease"),
+		Hold:   rapid.SampledFrom([]time.Duration{5 * time.Second, 20 * time.Second}).Draw(t, "hold"),
+		Loss:   rapid.SampledFrom([]float64{0, 0.05, 0.4}).Draw(t, "loss"),
+		Double: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "double"),
+		Drift:  rapid.SampledFrom([]float64{0, 0.004}).Draw(t, "drift"), Anywhere: rapid.Bool().Draw(t, "anywhere"),
+		Customers: []drill.Customer{{Name: "c", Count: 1, Rate: 400, Burst: rapid.SampledFrom([]float64{500, 2000}).Draw(t, "burst"), Tokens: 60, Spare: rapid.SampledFrom([]float64{0, 0.9}).Draw(t, "spare")}},
+	}
+	s.Demands = []drill.Demand{{Customer: "c", Region: rapid.SampledFrom([]string{"", "r0", "moving"}).Draw(t, "where"), To: length, Part: rapid.SampledFrom([]float64{0.7, 4}).Draw(t, "part"), Turn: 10 * time.Second}}
+	for range rapid.IntRange(0, 6).Draw(t, "faults") {
+		s.Faults = append(s.Faults, drawFault(t, length))
+	}
+	return s
+}
+
+// TestStrict checks that in every schedule of demand and faults, and in every
+// window, no more is admitted than burst + rate x window.
+func TestStrict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScript(t)
+		r, err := drill.Run(s)
+		if err != nil {
+			t.Fatalf("run: %v", err)
+		}
+		if r.Excess > tolerance {
+			t.Fatalf("%v tokens over burst and rate; script %+v", r.Excess, *s)
+		}
+	})
+}
--- a/yard/lender/exchange.go
+++ b/yard/lender/exchange.go
@@ -11,6 +11,8 @@
 	needMargin  = 1.1              // forecast over measured demand
 	shortBy     = 0.1              // part of the need below which nothing is asked
 	surplusBy   = 1.4              // rate over need above which a loan is given back
+	richLevel   = 0.5              // part of the burst that a bucket keeps from others' pulls
+	poorLevel   = 0.25             // part of the burst below which a bucket pulls
 	lowLevel    = 0.5              // part of the burst above which nothing is asked
 	maxFan      = 4                // peers asked at once in the background, for one customer
 	hintLife    = 20 * time.Second // of what a peer said it could spare
@@ -40,17 +42,32 @@
 	reply := loan.Reply{ID: ask.ID, At: ask.At, Term: ask.Term}
 	var returns []Letter
 	if ask.Urgent {
-		reply.Amount.Level = a.bucket.Grant(now, ask, 0)
+		reply.Amount.Level = a.bucket.Grant(now, ask, grantKeep(a.bucket.Read(now), ask.Spare))
 	} else {
 		if !ask.Extend {
 			returns = a.giveBackTo(now, ask.Borrower)
 		}
 		reply.Amount = a.bucket.Lend(now, ask, need(a.bucket.Read(now)))
 	}
-	reply.Spare = a.bucket.Spare(now, ask.Term, need(a.bucket.Read(now)))
+	state := a.bucket.Read(now)
+	reply.Spare = a.bucket.Spare(now, ask.Term, need(state))
+	reply.Spare.Level = max(reply.Spare.Level-grantKeep(state, ask.Spare), 0)
 	return reply, returns
 }
 
+// grantKeep returns the level that the instance keeps for itself when a peer
+// asks for tokens. One whose own demand is over its rate gives little away, or
+// else instances of a customer over its rate would only take from each other.
+func grantKeep(s quota.State, spare bool) float64 {
+	switch {
+	case spare:
+		return richLevel * s.Now.Burst
+	case s.Steady > s.Now.Rate:
+		return poorLevel * s.Now.Burst
+	}
+	return 0
+}
+
 // giveBackTo gives the loans of one lender back.
 func (a *account) giveBackTo(now time.Time, peer string) []Letter {
 	var ids []uint64
@@ -91,14 +108,22 @@
 	}
 	delete(a.asked, r.ID)
 	a.learn(now, p.peer, r)
+	g := grant{id: r.ID, peer: p.peer, tokens: r.Amount.Level, until: p.at.Add(r.Term)}
 	if p.pot != nil {
 		defer a.mu.Unlock()
-		return p.pot.add(customer, grant{id: r.ID, peer: p.peer, tokens: r.Amount.Level, until: p.at.Add(r.Term)})
+		return p.pot.add(customer, g)
 	}
 	a.mu.Unlock()
+	if p.ask.Urgent {
+		return a.deposit(now, customer, g)
+	}
 	if r.Amount.None() {
 		return nil
 	}
+	if p.ask.Extend {
+		a.bucket.Prolong(now, r.ID, p.at.Add(r.Term))
+		return nil
+	}
 	a.bucket.Borrow(now, loan.Loan{
 		ID:       r.ID,
 		Customer: customer,
@@ -111,7 +136,7 @@
 
 func (a *account) learn(now time.Time, peer string, r loan.Reply) {
 	h := hint{spare: r.Spare, at: now}
-	if r.Amount.None() {
+	if r.Amount.None() && r.Spare.None() {
 		h.tries = a.hints[peer].tries + 1
 	}
 	a.hints[peer] = h
@@ -129,6 +154,7 @@
 		state := a.bucket.Read(now)
 		letters = append(letters, l.tend(now, a, name, state, terms.Loan)...)
 		letters = append(letters, l.seek(now, a, name, state, terms.Loan)...)
+		letters = append(letters, l.pull(now, a, name, state)...)
 	}
 	return letters
 }
@@ -195,7 +221,7 @@
 	if state.Demand < minRate || short < wish*shortBy || state.Now.Level > lowLevel*state.Now.Burst {
 		return nil
 	}
-	peers := a.choose(now, l.Holders(customer), maxFan)
+	peers := a.choose(now, l.Holders(customer), maxFan, func(h hint) bool { return h.spare.Rate > minRate })
 	var letters []Letter
 	for i, p := range peers {
 		if short < minRate {
@@ -209,6 +235,39 @@
 	return letters
 }
 
+// pull asks peers that are well filled for tokens before a bucket runs dry, so
+// that few requests have to wait for them, and full buckets do not overflow
+// while others are empty.
+func (l *Lender) pull(now time.Time, a *account, customer string, state quota.State) []Letter {
+	if state.Demand < minRate || state.Now.Level > poorLevel*state.Now.Burst || state.Now.Burst <= 0 {
+		return nil
+	}
+	short := richLevel*state.Now.Burst - state.Now.Level
+	peers := a.choose(now, l.Holders(customer), maxFan, func(h hint) bool { return h.spare.Level > short/maxFan })
+	var letters []Letter
+	for _, p := range peers {
+		ask := loan.Ask{
+			ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Level: short / float64(len(peers))},
+			Term: grantTerm, Urgent: true, Spare: true,
+		}
+		letters = append(letters, a.send(now, p.Address, ask, nil))
+	}
+	return letters
+}
+
+// deposit puts granted tokens into the bucket as far as they fit, and tells the
+// lender, whose burst they lock until then.
+func (a *account) deposit(now time.Time, customer string, g grant) []Letter {
+	if g.tokens <= 0 {
+		return nil
+	}
+	fit := 0.0
+	if now.Before(g.until) {
+		fit = a.bucket.Deposit(now, g.tokens)
+	}
+	return []Letter{g.letter(customer, fit)}
+}
+
 // portion returns what to ask of one of n peers: what it could spare lately
 // where that is known, else an even part.
 func (a *account) portion(now time.Time, peer string, short, n float64) float64 {
@@ -224,7 +283,7 @@
 
 // choose returns up to n peers to ask: those that lately had something to
 // spare first, then the nearest, leaving out those asked in vain a moment ago.
-func (a *account) choose(now time.Time, holders []Holder, n int) []Holder {
+func (a *account) choose(now time.Time, holders []Holder, n int, isRich func(h hint) bool) []Holder {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var rich, unknown []Holder
@@ -233,7 +292,7 @@
 		switch {
 		case !ok || now.Sub(known.at) > hintLife:
 			unknown = append(unknown, h)
-		case known.spare.Rate > minRate:
+		case isRich(known):
 			rich = append(rich, h)
 		case now.Sub(known.at) >= backoff(known.tries):
 			unknown = append(unknown, h)
--- a/yard/lender/lender.go
+++ b/yard/lender/lender.go
@@ -65,6 +65,14 @@
 	mu    sync.Mutex
 	asked map[uint64]pending
 	hints map[string]hint
+	dry   dryness
+}
+
+// dryness remembers that the peers together lately could not bring a number of
+// tokens together, so that the next request is refused without asking again.
+type dryness struct {
+	tokens float64
+	until  time.Time
 }
 
 // pending is an ask without a reply.
--- a/yard/lender/pot.go
+++ b/yard/lender/pot.go
@@ -9,7 +9,9 @@
 const (
 	grantTerm = 2 * time.Second // in which granted tokens have to be used
 	urgentFan = 8               // peers asked at once for a request that waits
-	overAsk   = 1.2             // asked over what is missing, since levels move
+	dryLeast  = 50 * time.Millisecond
+	dryMost   = time.Second
+	overAsk   = 1.2 // asked over what is missing, since levels move
 )
 
 // Pot is what one waiting request gathers from peers. It belongs to the lender
@@ -57,6 +59,9 @@
 	if p.tried == nil {
 		p.tried = make(map[string]bool)
 	}
+	if a.isDry(now, n) {
+		return nil
+	}
 	short := (n - a.bucket.Read(now).Now.Level - a.potTokens(now, p)) * overAsk
 	if short <= 0 {
 		return nil
@@ -77,6 +82,22 @@
 	return letters
 }
 
+func (a *account) isDry(now time.Time, n float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Before(a.dry.until) && n >= a.dry.tokens
+}
+
+// dries notes a gathering in vain. It holds for the time in which the
+// customer's whole rate brings what was missing, at most a second.
+func (d *dryness) dries(now time.Time, n, missing, rate float64) {
+	if rate <= 0 {
+		return
+	}
+	wait := time.Duration(missing / rate * float64(time.Second))
+	*d = dryness{tokens: n, until: now.Add(min(max(wait, dryLeast), dryMost))}
+}
+
 // richest returns the peers to ask next: the near ones of which it is not
 // known that they hold little, until what they are believed to hold is enough.
 func (a *account) richest(now time.Time, holders []Holder, short float64, tried map[string]bool) []Holder {
@@ -146,6 +167,9 @@
 	}
 	p.closed = true
 	if !ok {
+		if len(p.tried) > 0 {
+			a.dry.dries(now, p.tokens, p.tokens-sum, a.bucket.Total().Rate)
+		}
 		from = 0
 	}
 	var letters []Letter
--- a/yard/loan/loan.go
+++ b/yard/loan/loan.go
@@ -52,6 +52,7 @@
 	At       time.Time // on the borrower's clock, echoed by the Reply
 	Extend   bool
 	Urgent   bool
+	Spare    bool // of an urgent ask: only what the lender does not need soon
 }
 
 // Reply answers an Ask with what was lent, which may be nothing, and with what
--- a/yard/quota/quota.go
+++ b/yard/quota/quota.go
@@ -34,7 +34,7 @@
 	parts    []Part
 	lent     map[uint64]loan.Loan
 	borrowed map[uint64]loan.Loan
-	grants   map[uint64]Ticket // tokens given to requests at peers
+	grants   memory // of tokens given to requests at peers
 
 	own     loan.Amount // what the parts give, derived
 	rate    float64     // tokens a second, derived
@@ -48,11 +48,6 @@
 	largest peak
 }
 
-const (
-	maxGrants   = 4096 // remembered for refunds
-	grantMemory = 2 * time.Minute
-)
-
 // backMargin is added to the time after which a lender takes a loan back.
 const backMargin = 50 * time.Millisecond
 
@@ -68,7 +63,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	b.total = loan.Amount{Rate: rate, Burst: burst}
+	// A clock that runs fast by the bound refills no faster than the rate.
+	b.total = loan.Amount{Rate: rate / (1 + drift), Burst: burst}
 	b.floor = floor
 	b.drift = drift
 	b.derive()
@@ -191,7 +187,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if old, ok := b.grants[ask.ID]; ok {
+	if old, ok := b.grants.find(ask.ID); ok {
 		return old.Tokens
 	}
 	back := b.back(now, ask.Term)
@@ -200,11 +196,7 @@
 	if give <= 0 {
 		return 0
 	}
-	if b.grants == nil {
-		b.grants = make(map[uint64]Ticket)
-	}
-	b.forgetGrants(now)
-	b.grants[ask.ID] = Ticket{At: back, Tokens: give}
+	b.grants.keep(ask.ID, Ticket{At: back, Tokens: give})
 	b.lend(ask, loan.Amount{Burst: give, Level: give}, back)
 	return give
 }
@@ -224,7 +216,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	g, ok := b.grants[r.ID]
+	g, ok := b.grants.find(r.ID)
 	if !ok {
 		return
 	}
@@ -238,20 +230,17 @@
 		b.refund(g.At, unused)
 	}
 	g.Tokens -= unused
-	b.grants[r.ID] = g
+	b.grants.keep(r.ID, g)
 }
 
-// forgetGrants keeps the memory of grants bounded: one that is forgotten gets
-// no refund.
-func (b *Bucket) forgetGrants(now time.Time) {
-	if len(b.grants) < maxGrants {
-		return
-	}
-	for id, g := range b.grants {
-		if now.Sub(g.At) > grantMemory || len(b.grants) >= 2*maxGrants {
-			delete(b.grants, id)
-		}
-	}
+// Deposit adds granted tokens as far as they fit and returns how many did.
+func (b *Bucket) Deposit(now time.Time, tokens float64) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	fit := max(min(tokens, b.burst-b.level), 0)
+	b.level += fit
+	return fit
 }
 
 // extend moves the time of an outstanding loan. A repeated plain ask gets the
@@ -282,12 +271,7 @@
 	if b.borrowed == nil {
 		b.borrowed = make(map[uint64]loan.Loan)
 	}
-	if old, ok := b.borrowed[l.ID]; ok {
-		if l.Until.After(old.Until) {
-			old.Until = l.Until
-			b.borrowed[l.ID] = old
-			b.derive()
-		}
+	if _, ok := b.borrowed[l.ID]; ok {
 		return
 	}
 	b.borrowed[l.ID] = l
@@ -295,6 +279,21 @@
 	b.level = min(b.level+l.Amount.Level, b.burst)
 }
 
+// Prolong moves the end of a borrowed loan that is still held. One that was
+// given back while its extension was under way stays given back.
+func (b *Bucket) Prolong(now time.Time, id uint64, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	l, ok := b.borrowed[id]
+	if !ok || !until.After(l.Until) {
+		return
+	}
+	l.Until = until
+	b.borrowed[id] = l
+	b.derive()
+}
+
 // GiveBack removes a borrowed loan and returns the message for its lender,
 // with the tokens that the bucket cannot hold without it, or false where the
 // loan is not held.
@@ -335,6 +334,7 @@
 	Lent     loan.Amount
 	Borrowed loan.Amount
 	Demand   float64 // tokens a second that were asked for lately
+	Steady   float64 // the same over a longer time
 	Largest  float64 // tokens of the largest request lately
 }
 
@@ -349,10 +349,18 @@
 		Lent:     b.sum(b.lent),
 		Borrowed: b.sum(b.borrowed),
 		Demand:   b.wanted.rate(now),
+		Steady:   b.wanted.slow,
 		Largest:  b.largest.value(now),
 	}
 }
 
+// Total returns the customer's whole rate and burst.
+func (b *Bucket) Total() loan.Amount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
 // Borrowed returns the loans that the bucket holds of others.
 func (b *Bucket) Borrowed(now time.Time) []loan.Loan {
 	b.mu.Lock()
@@ -390,7 +398,7 @@
 }
 
 func (b *Bucket) back(now time.Time, term time.Duration) time.Time {
-	return now.Add(term + time.Duration(b.drift*float64(term)) + backMargin)
+	return now.Add(term + time.Duration(2*b.drift*float64(term)) + backMargin)
 }
 
 // spare returns what may go out until back of what is held until then, so that
--- a/yard/roster/roster.go
+++ b/yard/roster/roster.go
@@ -87,6 +87,21 @@
 	return slices.DeleteFunc(r.Live(now), func(m *peer.Member) bool { return m.GetCentre() != r.Centre })
 }
 
+// Gone returns the members of the own data centre, by address, that were silent
+// for longer than the time.
+func (r *Roster) Gone(now time.Time, silence time.Duration) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone []string
+	for address, e := range r.members {
+		if e.member.GetCentre() == r.Centre && now.Sub(e.heard) > silence {
+			gone = append(gone, address)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
 // Pick returns one live or silent member of another data centre to exchange
 // rolls with, chosen by the random number, or nil.
 func (r *Roster) Pick(now time.Time, random uint64) *peer.Member {
--- a/yard/seat/seat.go
+++ b/yard/seat/seat.go
@@ -42,6 +42,8 @@
 	Fence  int64              `json:"fence,omitempty"`  // counts changes of holder
 	Beat   int64              `json:"beat,omitempty"`   // counts renewals
 	Epoch  int64              `json:"epoch,omitempty"`  // of the entry when the holder wrote last
+	Lease  time.Duration      `json:"lease,omitempty"`  // that the holder counts on
+	Hold   time.Duration      `json:"hold,omitempty"`   // that the holder counts on
 	Wait   time.Duration      `json:"wait,omitempty"`   // loans of the last holder that still run
 	Drawn  map[string]float64 `json:"drawn,omitempty"`  // levels at release of customers not full, as fractions
 }
@@ -89,6 +91,10 @@
 	Drawn map[string]float64 // levels at the last holder's release
 
 	renewed time.Time // when the last renewal that counts was sent
+	lease   time.Duration
+	hold    time.Duration
+	counted time.Time // the renewal that Until rests on
+	lapsed  time.Time // the renewal that was in force when the right ended
 }
 
 // ID names the part and its holder's term.
@@ -164,9 +170,10 @@
 	}
 }
 
-// guard is how long another clock may need to see the time pass.
+// guard is how long this clock has to wait so that another has surely seen the
+// time pass, where each drifts from true time by up to the bound.
 func guard(d time.Duration, drift float64) time.Duration {
-	return d + time.Duration(drift*float64(d)) + claimMargin
+	return d + time.Duration(2*drift*float64(d)) + claimMargin
 }
 
 // Plan returns the entry that the instance wants to write after it has read
@@ -180,7 +187,7 @@
 	changed = changed || len(next.Parts) != len(e.Parts)
 	for i := range next.Parts {
 		if p := &next.Parts[i]; p.Seat < seats {
-			changed = t.planOwn(p, next.Epoch) || changed
+			changed = t.planOwn(p, next.Epoch, terms) || changed
 		}
 	}
 	free := func(p Part) bool { return p.Seat < seats && p.Holder == "" }
@@ -209,16 +216,17 @@
 
 // planOwn renews a part of this run, and takes a part of an earlier run at the
 // same address over.
-func (t *Table) planOwn(p *Part, epoch int64) bool {
+func (t *Table) planOwn(p *Part, epoch int64, terms document.Terms) bool {
 	if p.Holder != t.Address {
 		return false
 	}
 	if p.Run != t.Run {
-		p.take(t, epoch)
+		p.take(t, epoch, terms)
 		return true
 	}
 	p.Beat++
 	p.Epoch = epoch
+	p.Lease, p.Hold = terms.Lease, terms.Hold
 	return true
 }
 
@@ -239,7 +247,7 @@
 		if !seated && t.other(e, p.Seat) {
 			continue
 		}
-		p.take(t, e.Epoch)
+		p.take(t, e.Epoch, terms)
 		changed = true
 	}
 	return changed
@@ -259,7 +267,7 @@
 	s := t.seen[spot{p.Seat, p.Class}]
 	idle := now.Sub(s.at)
 	if p.Holder == "" {
-		wait := p.Wait + time.Duration(terms.Drift*float64(p.Wait))
+		wait := guard(p.Wait, terms.Drift)
 		if seated {
 			wait = max(wait, terms.Lease)
 		}
@@ -268,17 +276,19 @@
 		}
 		return idle >= wait
 	}
-	if idle >= guard(terms.Hold, terms.Drift) {
+	// The holder counts on the times that it wrote, whatever the document says
+	// here by now.
+	if idle >= guard(max(p.Hold, terms.Hold), terms.Drift) {
 		return true
 	}
-	return p.Class == Floating && idle >= guard(terms.Lease, terms.Drift) && t.witnesses(now, p, e, terms)
+	return p.Class == Floating && idle >= guard(max(p.Lease, terms.Lease), terms.Drift) && t.witnesses(now, p, e, terms)
 }
 
 // witnesses reports whether this instance is one whose promise the holder
 // needs, and no promise of it is out. An earlier run may have made one.
 func (t *Table) witnesses(now time.Time, p Part, e *Entry, terms document.Terms) bool {
 	m, ok := e.member(t.Address)
-	known := ok && m.Epoch <= p.Epoch || !terms.Witness
+	known := ok && m.Epoch <= p.Epoch
 	return known && !now.Before(t.promised[p.Holder]) && now.Sub(t.started) >= guard(PromiseTime, terms.Drift)
 }
 
@@ -420,12 +430,12 @@
 			title = t.newTitle(now, p, before, terms)
 		}
 		if sent := t.sent[at]; sent.same(p) {
-			title.renewed = sent.at
+			title.renewed, title.lease, title.hold = sent.at, p.Lease, p.Hold
 		}
 		titles[at] = title
 	}
 	t.titles = titles
-	return t.Titles(terms)
+	return t.Titles(now, terms)
 }
 
 // need notes which witnesses a part needs by an entry: in place of those known
@@ -445,9 +455,14 @@
 }
 
 // Titles returns the parts that this instance may use, and until when by the
-// renewals and promises that it has.
-func (t *Table) Titles(terms document.Terms) []Title {
+// renewals and promises that it has. A right that ended comes back only with a
+// later renewal: a promise may come from one that claimed the part meanwhile.
+func (t *Table) Titles(now time.Time, terms document.Terms) []Title {
 	for at, title := range t.titles {
+		if !title.Until.IsZero() && !now.Before(title.Until) {
+			title.lapsed = title.counted
+		}
+		title.counted = title.renewed
 		title.Until = t.until(at, title, terms)
 		t.titles[at] = title
 	}
@@ -455,14 +470,14 @@
 }
 
 func (t *Table) until(at spot, title Title, terms document.Terms) time.Time {
-	if title.renewed.IsZero() {
+	if title.renewed.IsZero() || title.renewed.Equal(title.lapsed) {
 		return time.Time{}
 	}
-	hold := title.renewed.Add(terms.Hold)
+	hold := title.renewed.Add(title.hold)
 	if at.class == Kept {
 		return hold
 	}
-	lease := title.renewed.Add(terms.Lease)
+	lease := title.renewed.Add(title.lease)
 	if !terms.Witness {
 		return lease
 	}
@@ -488,7 +503,7 @@
 		title.Full = !lost
 		title.Drawn = last.Drawn
 	default:
-		title.Lean = now.Add(terms.Loan + time.Duration(terms.Drift*float64(terms.Loan)) + claimMargin)
+		title.Lean = now.Add(guard(terms.Loan, terms.Drift))
 	}
 	return title
 }
@@ -526,8 +541,11 @@
 	}
 }
 
-func (p *Part) take(t *Table, epoch int64) {
-	*p = Part{Seat: p.Seat, Class: p.Class, Holder: t.Address, Run: t.Run, Fence: p.Fence + 1, Beat: 1, Epoch: epoch}
+func (p *Part) take(t *Table, epoch int64, terms document.Terms) {
+	*p = Part{
+		Seat: p.Seat, Class: p.Class, Holder: t.Address, Run: t.Run, Fence: p.Fence + 1, Beat: 1, Epoch: epoch,
+		Lease: terms.Lease, Hold: terms.Hold,
+	}
 }
 
 func (e Entry) clone() Entry {
