--- a/chervilyard/admit/admit.go
+++ b/chervilyard/admit/admit.go
@@ -82,17 +82,30 @@
 			break
 		}
 	}
+	if wait, ok := s.Lender.Wait(s.Now(), c.Customer.Name(), c.Tokens, &pot); ok {
+		linger(ctx, wait)
+	}
 	r, ok, letters := s.Lender.Gathered(s.Now(), &pot, true)
 	s.Deliver(letters)
 	return r, ok
 }
 
+// linger waits for tokens to come by themselves.
+func linger(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (s *Stage) refuse(c *call.Call) error {
 	if s.Refused != nil {
 		s.Refused(c.Customer.Name())
 	}
 	s.note(c, "refuse", "quota")
-	wait, ok := s.Lender.Wait(s.Now(), c.Customer.Name(), c.Tokens)
+	wait, ok := s.Lender.Refill(s.Now(), c.Customer.Name(), c.Tokens)
 	if !ok {
 		wait = s.fleetWait(c)
 	}
--- a/yard/document/document.go
+++ b/yard/document/document.go
@@ -3,6 +3,7 @@
 package document
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -44,6 +45,7 @@
 	keys      map[string]key.Key // by hash
 	routes    map[string]route.Route
 	targets   map[string]target.Target
+	parts     map[string]map[string][]float64 // by customer, data centre and seat
 	text      string
 }
 
@@ -87,6 +89,7 @@
 	if err := f.Close(); err != nil {
 		return nil, err
 	}
+	d.divide()
 	return d, nil
 }
 
@@ -264,39 +267,47 @@
 // Part returns which fraction of the customer's rate and burst the seat of the
 // data centre holds. The fractions of all seats add up to one.
 func (d *Document) Part(customer, at string, seat int) float64 {
-	c, ok := d.customers[customer]
-	if !ok {
+	seats := d.parts[customer][at]
+	if seat < 0 || seat >= len(seats) {
 		return 0
 	}
-	total, own := 0.0, 0.0
-	for _, h := range d.holders(c.Home()) {
-		total += h.Weight()
-		if h.Name() == at && seat < h.Seats() {
-			own = h.Weight() * d.portion(customer, h, seat)
+	return seats[seat]
+}
+
+// divide works out the part of every seat for every customer.
+func (d *Document) divide() {
+	d.parts = make(map[string]map[string][]float64, len(d.customers))
+	for name, c := range d.customers {
+		held := d.holders(c.Home())
+		total := 0.0
+		for _, h := range held {
+			total += h.Weight()
 		}
+		centres := make(map[string][]float64, len(held))
+		for _, h := range held {
+			centres[h.Name()] = d.seats(name, h, h.Weight()/total)
+		}
+		d.parts[name] = centres
 	}
-	if total == 0 {
-		return 0
-	}
-	return own / total
 }
 
-// portion returns the fraction of a data centre's part that the seat holds: an
-// even one where rendezvous hashing ranks the seat among the first Spread for
-// the customer (Thaler and Ravishankar, 1998), else none.
-func (d *Document) portion(customer string, c centre.Centre, seat int) float64 {
+// seats divides a data centre's part evenly among the seats that rendezvous
+// hashing ranks among the first Spread for the customer (Thaler and
+// Ravishankar, 1998).
+func (d *Document) seats(customer string, c centre.Centre, part float64) []float64 {
 	n := min(d.terms.Spread, c.Seats())
-	mine := rank(customer, c.Name(), seat)
-	above := 0
-	for other := range c.Seats() {
-		if rank(customer, c.Name(), other) > mine {
-			above++
-		}
+	order := make([]int, c.Seats())
+	for i := range order {
+		order[i] = i
 	}
-	if above >= n {
-		return 0
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(rank(customer, c.Name(), b), rank(customer, c.Name(), a))
+	})
+	seats := make([]float64, c.Seats())
+	for _, i := range order[:n] {
+		seats[i] = part / float64(n)
 	}
-	return 1 / float64(n)
+	return seats
 }
 
 func rank(customer, centre string, seat int) uint64 {
--- a/yard/drill/drill.go
+++ b/yard/drill/drill.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"chervilyard.example/yard/document"
@@ -411,12 +413,11 @@
 }
 
 func (d *Drill) find(address string) *node {
-	for _, n := range d.nodes {
-		if n.address == address {
-			return n
-		}
+	id, err := strconv.Atoi(strings.TrimPrefix(address, "i"))
+	if err != nil || id >= len(d.nodes) {
+		return nil
 	}
-	return nil
+	return d.nodes[id]
 }
 
 // befall brings a fault about.
--- a/yard/drill/request.go
+++ b/yard/drill/request.go
@@ -64,7 +64,7 @@
 	n := a.node
 	asks := n.lender.Gather(d.clock(n), a.customer, a.tokens, &a.pot)
 	if len(asks) == 0 || a.round == gatherMost || d.now.Sub(a.begun) >= gatherTime {
-		d.conclude(a, true)
+		d.linger(a)
 		return
 	}
 	a.round++
@@ -89,6 +89,18 @@
 	d.on(n, gatherRound, next)
 }
 
+// linger waits for tokens to come by themselves where that takes no long time,
+// and then concludes.
+func (d *Drill) linger(a *ask) {
+	n := a.node
+	wait, ok := n.lender.Wait(d.clock(n), a.customer, a.tokens, &a.pot)
+	if !ok {
+		d.conclude(a, true)
+		return
+	}
+	d.on(n, wait, func() { d.conclude(a, true) })
+}
+
 // conclude tries a waiting request again, and refuses it for good where last.
 func (d *Drill) conclude(a *ask, last bool) bool {
 	n := a.node
--- a/yard/lender/exchange.go
+++ b/yard/lender/exchange.go
@@ -13,6 +13,7 @@
 	surplusBy   = 1.4              // rate over need above which a loan is given back
 	richLevel   = 0.5              // part of the burst that a bucket keeps from others' pulls
 	poorLevel   = 0.25             // part of the burst below which a bucket pulls
+	farOver     = 3                // rate over need above which a loan is given back, to be asked anew in part
 	lowLevel    = 0.5              // part of the burst above which nothing is asked
 	maxFan      = 4                // peers asked at once in the background, for one customer
 	hintLife    = 20 * time.Second // of what a peer said it could spare
@@ -181,7 +182,8 @@
 	var surplus []uint64
 	left := state.Now.Rate
 	for _, one := range a.bucket.Borrowed(now) {
-		if without := left - one.Amount.Rate; without >= need(state)*surplusBy {
+		without := left - one.Amount.Rate
+		if without+minRate >= need(state)*surplusBy || left > need(state)*farOver {
 			left = without
 			surplus = append(surplus, one.ID)
 			continue
--- a/yard/lender/lender.go
+++ b/yard/lender/lender.go
@@ -207,9 +207,9 @@
 	return Reservation{Customer: customer, ticket: t, tokens: n}, ok
 }
 
-// Wait returns how long the customer's tokens need to come by the instance's
-// own rate.
-func (l *Lender) Wait(now time.Time, customer string, n float64) (time.Duration, bool) {
+// Refill returns how long the customer's tokens need to come by the instance's
+// own rate, or false where they never do.
+func (l *Lender) Refill(now time.Time, customer string, n float64) (time.Duration, bool) {
 	a, ok := l.all()[customer]
 	if !ok {
 		return 0, false
--- a/yard/lender/pot.go
+++ b/yard/lender/pot.go
@@ -11,7 +11,8 @@
 	urgentFan = 8               // peers asked at once for a request that waits
 	dryLeast  = 50 * time.Millisecond
 	dryMost   = time.Second
-	overAsk   = 1.2 // asked over what is missing, since levels move
+	waitMost  = 500 * time.Millisecond // that a request waits for tokens to come by themselves
+	overAsk   = 1.2                    // asked over what is missing, since levels move
 )
 
 // Pot is what one waiting request gathers from peers. It belongs to the lender
@@ -82,6 +83,23 @@
 	return letters
 }
 
+// Wait returns how long a request has to wait until the instance's own rate
+// brings what its pot still misses, or false where that is too long to be worth
+// it: the request is then refused at once.
+func (l *Lender) Wait(now time.Time, customer string, n float64, p *Pot) (time.Duration, bool) {
+	a, ok := l.all()[customer]
+	if !ok {
+		return 0, false
+	}
+	state := a.bucket.Read(now)
+	missing := n - a.potTokens(now, p) - state.Now.Level
+	if state.Now.Rate <= 0 || n-a.potTokens(now, p) > state.Now.Burst {
+		return 0, false
+	}
+	wait := time.Duration(missing/state.Now.Rate*float64(time.Second)) + time.Millisecond
+	return wait, wait <= waitMost
+}
+
 func (a *account) isDry(now time.Time, n float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -153,12 +171,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	live := make([]grant, 0, len(p.grants))
+	var letters []Letter
 	sum := 0.0
 	for _, g := range p.grants {
 		if now.Before(g.until) {
 			live = append(live, g)
 			sum += g.tokens
+			continue
 		}
+		letters = append(letters, g.letter(p.customer, 0))
 	}
 	from := min(sum, p.tokens)
 	t, ok := a.bucket.Retake(now, p.tokens-from)
@@ -172,7 +193,6 @@
 		}
 		from = 0
 	}
-	var letters []Letter
 	for i, g := range live {
 		use := min(g.tokens, from)
 		from -= use
