--- a/chervilyard/locate/locate.go
+++ b/chervilyard/locate/locate.go
@@ -6,10 +6,13 @@
 import (
 	"cmp"
 	"encoding/json"
+	"math"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilyard.example/yard/document"
 	"chervilyard.example/yard/peer"
 	"chervilyard.example/yard/refusal"
@@ -78,6 +81,9 @@
 	for _, s := range m.GetSeats() {
 		score += d.Part(customer, m.GetCentre(), int(s))
 	}
+	// Callers of a customer whose quota no instance near them holds meet at one
+	// instance, which then borrows for all of them.
+	score += float64(xxhash.Sum64String(customer+"/"+m.GetAddress())) / math.MaxUint64 / 1e6
 	switch {
 	case m.GetCentre() == f.Centre:
 		score += 4
--- a/yard/document/document.go
+++ b/yard/document/document.go
@@ -3,16 +3,12 @@
 package document
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chervilyard.example/yard/centre"
 	"chervilyard.example/yard/customer"
 	"chervilyard.example/yard/form"
@@ -63,8 +59,17 @@
 	Floor float64       // part of a seat that is never lent, 0 to 1
 	Drift float64       // bound on a clock's drift from true time
 
-	// Spread is on how many seats of a data centre one customer's part is.
+	// Spread is on how many seats of a data centre one customer's part is at most.
 	Spread int
+
+	// Piece is the least burst in tokens that a seat's part should have. A
+	// customer whose burst gives fewer pieces than there are seats is held by
+	// fewer seats, data centres and at last regions.
+	Piece float64
+
+	// Reach is how many regions hold a part of every customer's quota at least,
+	// however small, so that each can serve it when it is cut off.
+	Reach int
 }
 
 // Parse reads and checks a text, which faults call name. The error is a
@@ -114,6 +119,8 @@
 		Drift: s.Number("drift", 0.001, 0, 0.5),
 
 		Spread: s.Int("spread", 2, 1, maxSeats),
+		Reach:  s.Int("reach", 3, 1, 1000),
+		Piece:  s.Number("piece", 2000, 1, maxTokens),
 	}
 	if d.terms.Hold < d.terms.Lease {
 		s.Fault("hold", "is shorter than lease")
@@ -274,46 +281,6 @@
 	return seats[seat]
 }
 
-// divide works out the part of every seat for every customer.
-func (d *Document) divide() {
-	d.parts = make(map[string]map[string][]float64, len(d.customers))
-	for name, c := range d.customers {
-		held := d.holders(c.Home())
-		total := 0.0
-		for _, h := range held {
-			total += h.Weight()
-		}
-		centres := make(map[string][]float64, len(held))
-		for _, h := range held {
-			centres[h.Name()] = d.seats(name, h, h.Weight()/total)
-		}
-		d.parts[name] = centres
-	}
-}
-
-// seats divides a data centre's part evenly among the seats that rendezvous
-// hashing ranks among the first Spread for the customer (Thaler and
-// Ravishankar, 1998).
-func (d *Document) seats(customer string, c centre.Centre, part float64) []float64 {
-	n := min(d.terms.Spread, c.Seats())
-	order := make([]int, c.Seats())
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Compare(rank(customer, c.Name(), b), rank(customer, c.Name(), a))
-	})
-	seats := make([]float64, c.Seats())
-	for _, i := range order[:n] {
-		seats[i] = part / float64(n)
-	}
-	return seats
-}
-
-func rank(customer, centre string, seat int) uint64 {
-	return xxhash.Sum64String(customer + "/" + centre + "/" + strconv.Itoa(seat))
-}
-
 // Name returns the environment's name.
 func (d *Document) Name() string { return d.name }
 
--- a/yard/drill/request.go
+++ b/yard/drill/request.go
@@ -1,8 +1,12 @@
 package drill
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilyard.example/yard/lender"
 )
 
@@ -57,9 +61,15 @@
 	if len(all) == 0 {
 		return nil
 	}
+	if len(holders) == 0 && !d.script.Anywhere {
+		return slices.MaxFunc(all, func(a, b *node) int { return cmp.Compare(locate(customer, a), locate(customer, b)) })
+	}
 	return all[d.rng.IntN(len(all))]
 }
 
+// locate ranks instances for a customer whose quota none of them holds.
+func locate(customer string, n *node) uint64 { return xxhash.Sum64String(customer + "/" + n.address) }
+
 func (d *Drill) gather(a *ask) {
 	n := a.node
 	asks := n.lender.Gather(d.clock(n), a.customer, a.tokens, &a.pot)
--- a/yard/drill/script.go
+++ b/yard/drill/script.go
@@ -19,6 +19,7 @@
 	Regions   int
 	Centres   int // in each region
 	Spread    int
+	Piece     float64
 	Seats     int // and instances in each data centre
 	Kept      float64
 	Witness   bool
@@ -118,6 +119,7 @@
 	s.Seats = f.Int("seats", 3, 1, 64)
 	s.Kept = f.Number("kept", 0, 0, 1)
 	s.Spread = f.Int("spread", 2, 1, 64)
+	s.Piece = f.Number("piece", 2000, 1, most)
 	s.Witness = f.Bool("witness", true)
 	s.Hold = f.Duration("hold", 4*time.Hour, time.Second, 100*time.Hour)
 	s.Lease = f.Duration("lease", 15*time.Second, time.Second, time.Hour)
@@ -131,7 +133,7 @@
 // and bursts multiplied by the factor.
 func (s *Script) document(factor float64) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[environment]\nname = drill\n[quota]\nkept = %v\nwitness = %v\nhold = %v\nlease = %v\nloan = %v\ndrift = %v\nspread = %d\n", s.Kept, s.Witness, s.Hold, s.Lease, min(s.Lease, 10*time.Second), max(s.Drift, 0.001), s.Spread)
+	fmt.Fprintf(&b, "[environment]\nname = drill\n[quota]\nkept = %v\nwitness = %v\nhold = %v\nlease = %v\nloan = %v\ndrift = %v\nspread = %d\npiece = %v\n", s.Kept, s.Witness, s.Hold, s.Lease, min(s.Lease, 10*time.Second), max(s.Drift, 0.001), s.Spread, s.Piece)
 	for r := range s.Regions {
 		fmt.Fprintf(&b, "[region r%d]\n", r)
 		for c := range s.Centres {
--- a/yard/drill/strict_test.go
+++ b/yard/drill/strict_test.go
@@ -30,7 +30,7 @@
 	s := &drill.Script{
 		Name: "strict", Length: length, Seed: rapid.Uint64().Draw(t, "seed"),
 		Regions: rapid.IntRange(1, 3).Draw(t, "regions"), Centres: rapid.IntRange(1, 2).Draw(t, "centres"),
-		Seats: rapid.IntRange(1, 3).Draw(t, "seats"), Spread: rapid.IntRange(1, 3).Draw(t, "spread"),
+		Seats: rapid.IntRange(1, 3).Draw(t, "seats"), Spread: rapid.IntRange(1, 3).Draw(t, "spread"), Piece: rapid.SampledFrom([]float64{1, 300}).Draw(t, "piece"),
 		Kept: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "kept"), Witness: rapid.Bool().Draw(t, "witness"),
 		Lease:  rapid.SampledFrom([]time.Duration{2 * time.Second, 4 * time.Second}).Draw(t, "lease"),
 		Hold:   rapid.SampledFrom([]time.Duration{5 * time.Second, 20 * time.Second}).Draw(t, "hold"),
--- a/yard/lender/exchange.go
+++ b/yard/lender/exchange.go
@@ -14,6 +14,7 @@
 	richLevel   = 0.5              // part of the burst that a bucket keeps from others' pulls
 	poorLevel   = 0.25             // part of the burst below which a bucket pulls
 	farOver     = 3                // rate over need above which a loan is given back, to be asked anew in part
+	smallSlice  = 2                // largest requests that a slice's burst has to hold, or else it is not worth moving
 	lowLevel    = 0.5              // part of the burst above which nothing is asked
 	maxFan      = 4                // peers asked at once in the background, for one customer
 	hintLife    = 20 * time.Second // of what a peer said it could spare
@@ -181,9 +182,10 @@
 	var letters []Letter
 	var surplus []uint64
 	left := state.Now.Rate
+	small := a.isSmall(state)
 	for _, one := range a.bucket.Borrowed(now) {
 		without := left - one.Amount.Rate
-		if without+minRate >= need(state)*surplusBy || left > need(state)*farOver {
+		if without+minRate >= need(state)*surplusBy || left > need(state)*farOver || small {
 			left = without
 			surplus = append(surplus, one.ID)
 			continue
@@ -216,11 +218,13 @@
 }
 
 // seek asks peers for the rate that the forecast is short of. A bucket that is
-// well filled asks for nothing, so that noise moves nothing.
+// well filled asks for nothing, so that noise moves nothing. Demand so small
+// that its slice would hold no two requests gathers for each of them instead,
+// since many small slices leave no peer enough for one.
 func (l *Lender) seek(now time.Time, a *account, customer string, state quota.State, term time.Duration) []Letter {
 	wish := need(state)
 	short := wish - state.Now.Rate
-	if state.Demand < minRate || short < wish*shortBy || state.Now.Level > lowLevel*state.Now.Burst {
+	if state.Demand < minRate || short < wish*shortBy || state.Now.Level > lowLevel*state.Now.Burst || a.isSmall(state) {
 		return nil
 	}
 	peers := a.choose(now, l.Holders(customer), maxFan, func(h hint) bool { return h.spare.Rate > minRate })
@@ -270,6 +274,13 @@
 	return []Letter{g.letter(customer, fit)}
 }
 
+// isSmall reports whether the slice that steady demand needs would hold too few
+// requests.
+func (a *account) isSmall(s quota.State) bool {
+	total := a.bucket.Total()
+	return s.Steady*needMargin*total.Burst < smallSlice*s.Largest*total.Rate
+}
+
 // portion returns what to ask of one of n peers: what it could spare lately
 // where that is known, else an even part.
 func (a *account) portion(now time.Time, peer string, short, n float64) float64 {
