Do not count a seat's part whose time is over when it is given

Cause: a part without a time (a seat whose right ended) was taken for one that never ends, so an instance that woke without the store after another had claimed its seat went on using it. Found by the script promise-after-claim: shares added up to 1.5 of the whole.

Change: a bucket takes no part whose time is not after now.

--- a/yard/quota/quota.go
+++ b/yard/quota/quota.go
@@ -85,7 +85,12 @@
 			gained += p.Level * p.Fraction * b.total.Burst
 		}
 	}
-	b.parts = append(b.parts[:0], parts...)
+	b.parts = b.parts[:0]
+	for _, p := range parts {
+		if b.last.Before(p.Until) {
+			b.parts = append(b.parts, p)
+		}
+	}
 	b.derive()
 	b.level = min(b.level+gained, b.burst)
 }
