Lend parts of the whole, not tokens a second

Cause: after a document lowered a customer's rate, loans from before it still gave the old tokens a second until they ended; the property test found shares 2% over the whole.

Change: a loan's rate and burst are parts of the customer's whole, which each side multiplies by the document that it runs.

--- a/yard/lender/exchange.go
+++ b/yard/lender/exchange.go
@@ -183,8 +183,9 @@
 	var surplus []uint64
 	left := state.Now.Rate
 	small := a.isSmall(state)
+	whole := a.bucket.Total()
 	for _, one := range a.bucket.Borrowed(now) {
-		without := left - one.Amount.Rate
+		without := left - one.Amount.Of(whole).Rate
 		if without+minRate >= need(state)*surplusBy || left > need(state)*farOver || small {
 			left = without
 			surplus = append(surplus, one.ID)
@@ -228,6 +229,7 @@
 		return nil
 	}
 	peers := a.choose(now, l.Holders(customer), maxFan, func(h hint) bool { return h.spare.Rate > minRate })
+	whole := a.bucket.Total()
 	var letters []Letter
 	for i, p := range peers {
 		if short < minRate {
@@ -235,7 +237,7 @@
 		}
 		part := a.portion(now, p.Address, short, float64(len(peers)-i))
 		short -= part
-		ask := loan.Ask{ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Rate: part}, Term: term}
+		ask := loan.Ask{ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Rate: part}.Parts(whole), Term: term}
 		letters = append(letters, a.send(now, p.Address, ask, nil))
 	}
 	return letters
--- a/yard/loan/loan.go
+++ b/yard/loan/loan.go
@@ -29,7 +29,26 @@
 	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0), Level: max(a.Level, 0)}
 }
 
-// Loan is an amount lent for a time. Until is on the clock of whoever holds
+// Of returns the tokens of an amount whose Rate and Burst are parts of a whole.
+func (a Amount) Of(whole Amount) Amount {
+	return Amount{Rate: a.Rate * whole.Rate, Burst: a.Burst * whole.Burst, Level: a.Level}
+}
+
+// Parts returns the amount with Rate and Burst as parts of a whole.
+func (a Amount) Parts(whole Amount) Amount {
+	out := Amount{Level: a.Level}
+	if whole.Rate > 0 {
+		out.Rate = a.Rate / whole.Rate
+	}
+	if whole.Burst > 0 {
+		out.Burst = a.Burst / whole.Burst
+	}
+	return out
+}
+
+// Loan is an amount lent for a time. Rate and Burst of its Amount are parts of
+// the customer's whole, so that lender and borrower follow a document that
+// changes the whole at different times; Level is in tokens. Until is on the clock of whoever holds
 // the value: a borrower counts from when it asked, a lender takes back later.
 type Loan struct {
 	ID       uint64
@@ -40,7 +59,8 @@
 }
 
 // Ask asks a peer for a new loan, or to extend the one with the same ID. An
-// Urgent ask is for tokens alone, which a waiting request uses at once. Repeating an Ask is harmless. The
+// Urgent ask is for tokens alone, which a waiting request uses at once. Rate and
+// Burst of Amount are parts of the customer's whole, as in the Reply. Repeating an Ask is harmless. The
 // loan's term counts for the borrower from At, so that an answer to an earlier
 // extension never passes for one to a later.
 type Ask struct {
--- a/yard/quota/quota.go
+++ b/yard/quota/quota.go
@@ -184,7 +184,7 @@
 		return loan.Amount{}
 	}
 	can := b.spare(b.ownAt(back), keep)
-	part := min(ask.Amount.Rate, can.Rate) / b.rate
+	part := min(ask.Amount.Of(b.total).Rate, can.Rate) / b.rate
 	if part <= 0 {
 		return loan.Amount{}
 	}
@@ -195,7 +195,7 @@
 	}
 	give.Level = min(give.Level, give.Burst)
 	b.lend(ask, give, back)
-	return give
+	return give.Parts(b.total)
 }
 
 // Grant takes tokens out of the bucket for a request that waits at a peer. The
@@ -223,7 +223,7 @@
 	if b.lent == nil {
 		b.lent = make(map[uint64]loan.Loan)
 	}
-	b.lent[ask.ID] = loan.Loan{ID: ask.ID, Customer: ask.Customer, Peer: ask.Borrower, Amount: give, Until: back}
+	b.lent[ask.ID] = loan.Loan{ID: ask.ID, Customer: ask.Customer, Peer: ask.Borrower, Amount: give.Parts(b.total), Until: back}
 	b.note()
 	b.level -= give.Level
 	b.derive()
@@ -329,7 +329,7 @@
 	delete(b.borrowed, id)
 	b.derive()
 	surplus := max(before-max(b.level, 0), 0)
-	return loan.Return{ID: id, Customer: l.Customer, Level: min(surplus, l.Amount.Burst)}, true
+	return loan.Return{ID: id, Customer: l.Customer, Level: min(surplus, l.Amount.Of(b.total).Burst)}, true
 }
 
 // Regain takes a returned loan back. A loan already taken back, or returned
@@ -344,7 +344,7 @@
 	}
 	delete(b.lent, r.ID)
 	b.derive()
-	b.level = min(b.level+min(max(r.Level, 0), l.Amount.Burst), b.burst)
+	b.level = min(b.level+min(max(r.Level, 0), l.Amount.Of(b.total).Burst), b.burst)
 }
 
 // State is a reading of a bucket.
@@ -437,7 +437,7 @@
 	var total loan.Amount
 	for _, l := range b.borrowed {
 		if at.Before(l.Until) {
-			total = total.Plus(loan.Amount{Rate: l.Amount.Rate, Burst: l.Amount.Burst})
+			total = total.Plus(l.Amount.Of(b.total))
 		}
 	}
 	return total
@@ -476,7 +476,7 @@
 		total.Rate += l.Amount.Rate
 		total.Burst += l.Amount.Burst
 	}
-	return total
+	return total.Of(b.total)
 }
 
 // advance moves the bucket to now, one change of its parts and loans at a
--- a/yard/quota/quota_test.go
+++ b/yard/quota/quota_test.go
@@ -54,7 +54,7 @@
 // TestGrantOfBorrowed checks that tokens granted out of borrowed burst lock it.
 func TestGrantOfBorrowed(t *testing.T) {
 	b := full(start, 0.1)
-	b.Borrow(start, loan.Loan{ID: 1, Amount: loan.Amount{Rate: 10, Burst: 100, Level: 100}, Until: start.Add(10 * time.Second)})
+	b.Borrow(start, loan.Loan{ID: 1, Amount: loan.Amount{Rate: 0.1, Burst: 0.1, Level: 100}, Until: start.Add(10 * time.Second)})
 	given := b.Grant(start, loan.Ask{ID: 2, Amount: loan.Amount{Level: 150}, Term: time.Second}, 0)
 	s := b.Read(start)
 	if given != 150 || s.Now.Burst > 50+sliver {
