--- a/yard/environment/environment.go
+++ b/yard/environment/environment.go
@@ -137,9 +137,15 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.Store.Put(ctx, historyKey(e.Name, old.Revision), data, 0)
-	if store.KindOf(err) == store.Conflict {
+	at := historyKey(e.Name, old.Revision)
+	_, err = e.Store.Put(ctx, at, data, 0)
+	switch store.KindOf(err) {
+	case store.Conflict:
 		return nil // kept before
+	case store.Unknown:
+		if v, readErr := e.Store.Get(ctx, at); readErr == nil && v.Revision > 0 {
+			return nil
+		}
 	}
 	return err
 }
