--- a/chervilstand/dev/dev_test.go
+++ b/chervilstand/dev/dev_test.go
@@ -420,3 +420,51 @@
 	}
 	return n
 }
+
+// TestOwnAnswer has many calls of different lengths cross between regions, and
+// checks that each gets its own whole answer.
+func TestOwnAnswer(t *testing.T) {
+	d := start(t)
+	for _, name := range []string{"pecs-1", "pecs-2"} {
+		d.Engines[name].Fail(engine.Faults{Refuse: true}, 0)
+	}
+	var wait sync.WaitGroup
+	for n := range 60 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			body := fmt.Sprintf(`{"model":"assistant","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, n%2 == 0, n+1)
+			status, answer := call{instance: n % 3, path: "/v1/chat/completions", key: "dev-key", body: body}.do(t, d)
+			if want := fmt.Sprintf(`"completion_tokens":%d,`, n+1); status == http.StatusOK && !strings.Contains(answer, want) {
+				t.Errorf("call %d got another's answer or a part of its own: %s", n, answer)
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+// TestLeavingTarget marks a target as leaving and checks that it gets no new
+// work once the document is in force.
+func TestLeavingTarget(t *testing.T) {
+	d := start(t)
+	env := operator(d)
+	stands, err := env.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(stands.Text, "[target budapest-1]\n", "[target budapest-1]\nleaving = yes\n", 1)
+	if _, err := env.Apply(t.Context(), time.Now(), text, "leave", stands.Revision); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the document is in force", func() bool { return d.Instances[0].Status().Revision == 2 })
+	before := d.Engines["budapest-1"].Counts().Requests
+	for range 20 {
+		body := `{"model":"assistant","max_tokens":2,"messages":[{"role":"user","content":"x"}]}`
+		if status, answer := (call{path: "/v1/chat/completions", key: "dev-key", body: body}).do(t, d); status != http.StatusOK {
+			t.Errorf("%d %s", status, answer)
+		}
+	}
+	if after := d.Engines["budapest-1"].Counts().Requests; after != before {
+		t.Errorf("a leaving target got %d requests", after-before)
+	}
+}
--- a/yard/drill/drill.go
+++ b/yard/drill/drill.go
@@ -22,6 +22,7 @@
 	nearDelay   = 500 * time.Microsecond // one way in a region
 	farDelay    = 55 * time.Millisecond  // one way between regions
 	storeDelay  = time.Millisecond       // added by the store
+	storeTime   = 2 * time.Second        // after which a call without an answer is given up
 	roundTime   = 500 * time.Millisecond
 	beatTime    = time.Second
 	goneTime    = time.Minute
@@ -71,6 +72,7 @@
 	alone   bool
 	paused  time.Time // until
 	stopped time.Time // since
+	busy    time.Time // until then a round of its seats is under way
 	died    time.Time
 	lender  *lender.Lender
 	table   *seat.Table
@@ -278,6 +280,9 @@
 		again = time.Second
 	}
 	d.on(n, again, func() { d.sit(n) })
+	if d.now.Before(n.busy) {
+		return // one round at a time, as in a process; a call that is lost ends it
+	}
 	d.swap(n, 6)
 }
 
@@ -285,6 +290,7 @@
 	if tries == 0 || !d.toStore(n) {
 		return
 	}
+	n.busy = d.now.Add(storeTime)
 	d.calls++
 	trip := d.delay(n.region, 0) + storeDelay
 	v := d.store[n.centre]
@@ -294,6 +300,7 @@
 		d.hold(n, n.table.Confirm(now, v.entry, seat.Entry{}, terms))
 		next, changed := n.table.Plan(now, v.entry, d.script.Seats, terms, d.mates(n))
 		if !changed {
+			n.busy = time.Time{}
 			return
 		}
 		d.hold(n, n.table.Sent(now, next))
@@ -343,6 +350,7 @@
 				d.swap(n, tries-1)
 				return
 			}
+			n.busy = time.Time{}
 			n.table.Landed(sent, next)
 			now := d.clock(n)
 			d.hold(n, n.table.Confirm(now, next, v.entry, n.doc.Terms()))
--- /dev/null
+++ b/yard/queue/queue_test.go
@@ -0,0 +1,101 @@
+package queue_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chervilyard.example/yard/queue"
+)
+
+// drain fills a gate without room with the items, lets them through one at a
+// time, and returns the customers in their order.
+func drain(t *testing.T, g *queue.Gate, items []queue.Item) []string {
+	t.Helper()
+	room := 0
+	g.Room = func(time.Time) int { return room }
+	var order []string
+	synctest.Test(t, func(t *testing.T) {
+		done := make(chan string, len(items))
+		for _, item := range items {
+			item.Deadline = time.Now().Add(time.Hour)
+			go func() {
+				if err := g.Enter(t.Context(), time.Now(), item); err != nil {
+					t.Errorf("%s: %v", item.Customer, err)
+				}
+				done <- item.Customer
+			}()
+			synctest.Wait()
+		}
+		room = 1
+		for range items {
+			g.Pump(time.Now())
+			order = append(order, <-done)
+		}
+	})
+	return order
+}
+
+func repeat(item queue.Item, n int) []queue.Item {
+	var list []queue.Item
+	for range n {
+		list = append(list, item)
+	}
+	return list
+}
+
+// TestFair checks that customers get tokens by their weights, whoever asked first.
+func TestFair(t *testing.T) {
+	items := repeat(queue.Item{Customer: "greedy", Weight: 1, Tokens: 100}, 20)
+	items = append(items, repeat(queue.Item{Customer: "double", Weight: 2, Tokens: 100}, 20)...)
+	order := drain(t, &queue.Gate{Bound: 100}, items)
+	got := map[string]int{}
+	for _, c := range order[:15] {
+		got[c]++
+	}
+	if got["double"] < 9 || got["double"] > 11 {
+		t.Errorf("of the first 15 calls the customer of weight 2 got %d", got["double"])
+	}
+}
+
+// TestBatchFloor checks that live calls go first, and batch calls still arrive.
+func TestBatchFloor(t *testing.T) {
+	items := repeat(queue.Item{Customer: "batch", Weight: 1, Tokens: 100, Batch: true}, 10)
+	items = append(items, repeat(queue.Item{Customer: "live", Weight: 1, Tokens: 100}, 40)...)
+	order := drain(t, &queue.Gate{Bound: 100}, items)
+	batch := 0
+	for _, c := range order[:30] {
+		if c == "batch" {
+			batch++
+		}
+	}
+	if batch < 2 || batch > 5 {
+		t.Errorf("%d of the first 30 calls were batch", batch)
+	}
+}
+
+// TestRefusals checks that a full part and a turn after the deadline are
+// refused at once, with a time to come back.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &queue.Gate{Bound: 2, Room: func(time.Time) int { return 0 }}
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 2 {
+			go func() {
+				_ = g.Enter(ctx, time.Now(), queue.Item{Customer: "a", Weight: 1, Deadline: time.Now().Add(time.Hour)})
+			}()
+		}
+		synctest.Wait()
+		var full *queue.Full
+		if err := g.Enter(ctx, time.Now(), queue.Item{Customer: "a", Weight: 1, Deadline: time.Now().Add(time.Hour)}); !errors.As(err, &full) || full.Retry <= 0 {
+			t.Errorf("a full part: %v", err)
+		}
+		if err := g.Enter(ctx, time.Now(), queue.Item{Customer: "b", Weight: 1, Deadline: time.Now().Add(time.Millisecond)}); !errors.As(err, &full) {
+			t.Errorf("a turn after the deadline: %v", err)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
