--- a/chervilstand/load/load.go
+++ b/chervilstand/load/load.go
@@ -109,11 +109,12 @@
 			break
 		}
 		booking := rng.Float64() < r.plan.Booking
-		time.Sleep(time.Until(due))
+		at := due
+		time.Sleep(time.Until(at))
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			r.call(ctx, n, due, due.Sub(start) >= r.plan.Warm, booking)
+			r.call(ctx, n, at, at.Sub(start) >= r.plan.Warm, booking)
 		}()
 	}
 	wait.Wait()
--- a/chervilstand/slope/roles.go
+++ b/chervilstand/slope/roles.go
@@ -10,7 +10,7 @@
 	framing      = 120.0  // bytes of gRPC and TCP around a small message and its answer
 	rollBudget   = 2048.0 // bytes a second that an instance spends on its own rolls
 	holdRate     = 5.0    // promises and renewals a second in a data centre of five
-	lendMessages = 8.0    // a second for each instance, by the fleet-360 script of the quota command
+	lendMessages = 60.5   // a second for each instance, by the fleet-360 script of the quota command
 	lendBytes    = 190.0  // of one
 	renewSeconds = 5.0    // between renewals of a seat
 	coreBudget   = 0.022  // of a core
@@ -26,7 +26,7 @@
 	pulse := (m.pulse.Line(perTarget) + framing) * mates * 2
 	rolls := 2 * (rollBudget + framing)
 	rollEvery := m.roll.Line(Instances) / rollBudget
-	lend := lendMessages * lendBytes * 2
+	lend := lendMessages * lendBytes // a message and its answer count as two there
 	polls := perTarget * 1.2 * pollBytes
 	changes := float64(Changes) / 86400 * m.stored
 	bytes := pulse + rolls + lend + polls + changes
--- a/yard/claim/ledger.go
+++ b/yard/claim/ledger.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	retryGap = 20 * time.Millisecond
+	retryGap = 4 * time.Millisecond
 	retryTop = time.Second
 )
 
--- a/yard/drill/drill.go
+++ b/yard/drill/drill.go
@@ -294,6 +294,7 @@
 	d.calls++
 	trip := d.delay(n.region, 0) + storeDelay
 	v := d.store[n.centre]
+	v.entry.Centre = n.centre // as Decode gives it for a key without a value
 	d.on(n, 2*trip, func() {
 		now := d.clock(n)
 		terms := n.doc.Terms()
