--- a/chervilstand/dev/dev_test.go
+++ b/chervilstand/dev/dev_test.go
@@ -468,3 +468,43 @@
 		t.Errorf("a leaving target got %d requests", after-before)
 	}
 }
+
+// TestHangingEngine has one engine of a data centre hang, and checks that calls
+// which may be repeated are answered by others.
+func TestHangingEngine(t *testing.T) {
+	d := start(t)
+	body := `{"model":"assistant","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"x"}]}`
+	c := call{path: "/v1/chat/completions", key: "dev-key", body: body}
+	for range 10 {
+		c.do(t, d) // so that the usual time to a first byte is known
+	}
+	d.Engines["budapest-1"].Fail(engine.Faults{Hang: true}, 0)
+	for range 8 {
+		if status, answer := c.do(t, d); status != http.StatusOK || !strings.Contains(answer, "[DONE]") {
+			t.Errorf("%d %s", status, answer)
+		}
+	}
+}
+
+// TestErrorsAreRetried has all engines fail half of their calls, and checks that
+// no refusal claims that a failed call did not run.
+func TestErrorsAreRetried(t *testing.T) {
+	d := start(t)
+	for _, e := range d.Engines {
+		e.Fail(engine.Faults{Errors: 0.5}, 0)
+	}
+	answered := 0
+	for n := range 30 {
+		body := `{"model":"assistant","max_tokens":2,"messages":[{"role":"user","content":"x"}]}`
+		status, answer := call{instance: n % 3, path: "/v1/chat/completions", key: "dev-key", body: body}.do(t, d)
+		switch {
+		case status == http.StatusOK:
+			answered++
+		case strings.Contains(answer, `"run":"no"`) && strings.Contains(answer, "target_failed"):
+			t.Errorf("a call that failed at a target is said not to have run: %s", answer)
+		}
+	}
+	if answered < 20 {
+		t.Errorf("%d of 30 calls were answered, with half of all tries failing", answered)
+	}
+}
--- a/chervilyard/admit/admit.go
+++ b/chervilyard/admit/admit.go
@@ -11,6 +11,7 @@
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/yard/lender"
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/refusal"
 )
 
@@ -83,23 +84,13 @@
 		}
 	}
 	if wait, ok := s.Lender.Wait(s.Now(), c.Customer.Name(), c.Tokens, &pot); ok {
-		linger(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	r, ok, letters := s.Lender.Gathered(s.Now(), &pot, true)
 	s.Deliver(letters)
 	return r, ok
 }
 
-// linger waits for tokens to come by themselves.
-func linger(ctx context.Context, wait time.Duration) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (s *Stage) refuse(c *call.Call) error {
 	if s.Refused != nil {
 		s.Refused(c.Customer.Name())
--- a/chervilyard/config/config.go
+++ b/chervilyard/config/config.go
@@ -14,6 +14,7 @@
 
 	"chervilyard.example/yard/document"
 	"chervilyard.example/yard/envelope"
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/store"
 )
@@ -151,7 +152,7 @@
 		var after int64
 		for ctx.Err() == nil {
 			if !k.Reader(k.Now()) && k.Document() != nil {
-				pause(ctx, idleTime)
+				pause.For(ctx, idleTime)
 				continue
 			}
 			after = k.read(ctx, after)
@@ -164,36 +165,27 @@
 func (k *Keeper) read(ctx context.Context, after int64) int64 {
 	v, err := k.Watch(ctx, k.Key, after, watchTime)
 	if err != nil {
-		pause(ctx, retryTime)
+		pause.For(ctx, retryTime)
 		return 0
 	}
 	now := k.Now()
 	e, err := envelope.Decode(v.Data)
 	if err != nil {
 		k.Log.Error("document unreadable", "error", err.Error())
-		pause(ctx, retryTime)
+		pause.For(ctx, retryTime)
 		return v.Revision
 	}
 	if v.Revision == 0 {
-		pause(ctx, retryTime)
+		pause.For(ctx, retryTime)
 		return 0
 	}
 	if e.Revision < k.Revision() {
 		// An old value, perhaps of a restored store, never takes over.
 		k.Log.Warn("store holds an older document", "stored", e.Revision, "running", k.Revision())
-		pause(ctx, retryTime)
+		pause.For(ctx, retryTime)
 		return v.Revision
 	}
 	k.Accept(now, e, "store")
 	k.Confirm(now, e.Revision, 0)
 	return v.Revision
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
-	"fmt"
 	mathrand "math/rand/v2"
 	"slices"
 	"strings"
@@ -19,7 +16,6 @@
 	"chervilyard.example/chervilyard/beat"
 	"chervilyard.example/chervilyard/budget"
 	"chervilyard.example/chervilyard/call"
-	"chervilyard.example/chervilyard/config"
 	"chervilyard.example/chervilyard/dispatch"
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/chervilyard/poll"
@@ -27,8 +23,6 @@
 	"chervilyard.example/chervilyard/sit"
 	"chervilyard.example/yard/choice"
 	"chervilyard.example/yard/claim"
-	"chervilyard.example/yard/document"
-	"chervilyard.example/yard/envelope"
 	"chervilyard.example/yard/environment"
 	"chervilyard.example/yard/lender"
 	"chervilyard.example/yard/peer"
@@ -69,51 +63,6 @@
 	return hex.EncodeToString(raw)
 }
 
-func (i *Instance) newKeeper() *config.Keeper {
-	return &config.Keeper{
-		Key:     environment.DocumentKey(i.settings.Environment()),
-		Name:    i.settings.Environment(),
-		Watch:   i.store.Watch,
-		Reader:  i.isReader,
-		Now:     i.now,
-		Log:     i.log,
-		Changed: i.changed,
-		Spread:  i.spread,
-	}
-}
-
-// isReader reports whether this instance is among the first of its data centre
-// by address, which read the store for the others.
-func (i *Instance) isReader(now time.Time) bool {
-	before := 0
-	for _, m := range i.roster.Mates(now) {
-		if m.GetAddress() < i.Peers() && !m.GetLeaving() {
-			before++
-		}
-	}
-	return before < readers
-}
-
-// changed puts what follows from a new document in force.
-func (i *Instance) changed(now time.Time, d *document.Document) {
-	region := d.Region(i.settings.Centre())
-	i.region.Store(&region)
-	i.lender.Apply(now, d)
-}
-
-// spread ends what runs under withdrawn keys and tells peers.
-func (i *Instance) spread() {
-	d := i.keeper.Document()
-	ended := i.sessions.Enforce(func(hash string) bool {
-		_, ok := d.Key(hash)
-		return ok
-	})
-	if ended > 0 {
-		i.log.Info("decision", "kind", "key", "choice", "end streams", "reason", "key withdrawn", "streams", ended)
-	}
-	i.beats.Kick()
-}
-
 func (i *Instance) buildDuties() {
 	i.seats = &sit.Duty{
 		Key: environment.SeatPrefix(i.settings.Environment()) + i.settings.Centre(),
@@ -197,59 +146,6 @@
 	}
 }
 
-// fetch takes a newer document over from a peer.
-func (i *Instance) fetch(from string) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
-	defer cancel()
-	a, err := i.link.Fetch(ctx, from, i.keeper.Revision())
-	if err != nil || len(a.GetEnvelope()) == 0 {
-		return
-	}
-	e, err := i.unpack(a)
-	if err != nil {
-		i.log.Warn("peer sent an unreadable document", "peer", from, "error", err.Error())
-		return
-	}
-	now := i.now()
-	i.keeper.Accept(now, e, from)
-	i.keeper.Confirm(now, e.Revision, time.Duration(a.GetConfirmed())*time.Millisecond)
-}
-
-// unpack returns the envelope of an answer, with its text put together from the
-// one that runs here where only the change came.
-func (i *Instance) unpack(a *peer.Accepted) (envelope.Envelope, error) {
-	e, err := envelope.Decode(a.GetEnvelope())
-	if err != nil || a.GetBase() == 0 {
-		return e, err
-	}
-	own := i.keeper.Envelope()
-	if own.Revision != a.GetBase() {
-		return envelope.Envelope{}, fmt.Errorf("instance: the change is of revision %d, not %d", a.GetBase(), own.Revision)
-	}
-	d := envelope.Delta{Prefix: int(a.GetPrefix()), Suffix: int(a.GetSuffix()), Middle: a.GetMiddle()}
-	e.Text, err = d.Apply(own.Text)
-	return e, err
-}
-
-func (i *Instance) serveFetch(now time.Time, above int64) *peer.Accepted {
-	e := i.keeper.Envelope()
-	if e.Revision <= above {
-		return &peer.Accepted{}
-	}
-	a := &peer.Accepted{Confirmed: i.keeper.Age(now).Milliseconds()}
-	if old := i.keeper.Before(); old.Revision == above && above > 0 {
-		d := e.Change(old.Text)
-		a.Base, a.Prefix, a.Suffix, a.Middle = above, int64(d.Prefix), int64(d.Suffix), d.Middle
-		e.Text = ""
-	}
-	data, err := e.Encode()
-	if err != nil {
-		return &peer.Accepted{}
-	}
-	a.Envelope = data
-	return a
-}
-
 func (i *Instance) ownTargets() []target.Target {
 	d := i.keeper.Document()
 	if d == nil {
@@ -410,91 +306,6 @@
 	return s
 }
 
-// published is what an instance writes of itself for operators' commands.
-type published struct {
-	Peers     string `json:"peers"`
-	Callers   string `json:"callers"`
-	Operators string `json:"operators"`
-	Centre    string `json:"centre"`
-	Run       int64  `json:"run"`
-}
-
-func (i *Instance) publishKey() string {
-	return environment.InstancePrefix(i.settings.Environment()) + strings.ReplaceAll(i.Peers(), ":", "_")
-}
-
-// publish writes the instance's addresses to the store once, and finds others'
-// addresses there to start from.
-func (i *Instance) publish(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		wait := time.NewTimer(0)
-		defer wait.Stop()
-		for done := false; !done; {
-			select {
-			case <-ctx.Done():
-				return
-			case <-wait.C:
-			}
-			done = i.publishOnce(ctx)
-			wait.Reset(mathrand.N(publishTime / 20))
-		}
-	}()
-	return ended
-}
-
-func (i *Instance) publishOnce(ctx context.Context) bool {
-	own, err := json.Marshal(published{
-		Peers: i.Peers(), Callers: i.Callers(), Operators: i.Operators(), Centre: i.settings.Centre(), Run: i.run,
-	})
-	if err != nil {
-		return true
-	}
-	v, err := i.store.Get(ctx, i.publishKey())
-	if err != nil {
-		return false
-	}
-	if _, err := i.store.Put(ctx, i.publishKey(), own, v.Revision); err != nil {
-		return false
-	}
-	others, err := i.store.List(ctx, environment.InstancePrefix(i.settings.Environment()))
-	if err != nil {
-		return false
-	}
-	for _, o := range others {
-		var p published
-		if json.Unmarshal(o.Data, &p) != nil {
-			continue
-		}
-		i.greet(ctx, p.Peers)
-	}
-	return true
-}
-
-// greet exchanges rolls with an instance found in the store.
-func (i *Instance) greet(ctx context.Context, address string) {
-	if _, known := i.roster.Heard(i.now(), address); known || address == i.Peers() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if back, err := i.link.Sync(ctx, address, i.beats.Roll(i.now())); err == nil {
-		i.beats.TakeRoll(i.now(), back)
-	}
-}
-
-// unpublish removes the instance's addresses from the store.
-func (i *Instance) unpublish(ctx context.Context) {
-	v, err := i.store.Get(ctx, i.publishKey())
-	if err != nil || v.Revision == 0 {
-		return
-	}
-	if err := i.store.Delete(ctx, i.publishKey(), v.Revision); err != nil {
-		i.log.Warn("address not removed from the store", "error", err.Error())
-	}
-}
-
 // notReady returns why the instance should get no calls, or "".
 func (i *Instance) notReady() string {
 	if i.leaving.Load() {
--- a/chervilyard/sit/sit.go
+++ b/chervilyard/sit/sit.go
@@ -11,6 +11,7 @@
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/yard/document"
 	"chervilyard.example/yard/lender"
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/seat"
 	"chervilyard.example/yard/store"
 )
@@ -81,12 +82,7 @@
 			if doc := d.Document(); doc != nil {
 				wait = d.step(ctx, doc)
 			}
-			t := time.NewTimer(wait)
-			select {
-			case <-ctx.Done():
-			case <-t.C:
-			}
-			t.Stop()
+			pause.For(ctx, wait)
 		}
 	}()
 	return ended
@@ -133,7 +129,7 @@
 			return err
 		}
 		last = err
-		time.Sleep(rand.N(retryGap))
+		pause.For(ctx, rand.N(retryGap))
 	}
 	return last
 }
--- a/yard/claim/ledger.go
+++ b/yard/claim/ledger.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/store"
 )
 
@@ -165,7 +166,7 @@
 		batch := w.waiting
 		w.mu.Unlock()
 		if err := w.once(ctx, batch); err != nil {
-			sleep(ctx, gap)
+			pause.For(ctx, gap)
 			gap = min(gap*2, retryTop)
 			continue
 		}
@@ -251,12 +252,3 @@
 	}
 	return next, changed
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/yard/seat/seat.go
+++ b/yard/seat/seat.go
@@ -16,7 +16,6 @@
 package seat
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -33,52 +32,6 @@
 // claimMargin is added to each time that a claimant waits.
 const claimMargin = 100 * time.Millisecond
 
-// Part is one part of a seat as the store keeps it.
-type Part struct {
-	Seat   int                `json:"seat"`
-	Class  string             `json:"class"`
-	Holder string             `json:"holder,omitempty"` // peer address; empty for free
-	Run    int64              `json:"run,omitempty"`    // which run of the process at the address
-	Fence  int64              `json:"fence,omitempty"`  // counts changes of holder
-	Beat   int64              `json:"beat,omitempty"`   // counts renewals
-	Epoch  int64              `json:"epoch,omitempty"`  // of the entry when the holder wrote last
-	Lease  time.Duration      `json:"lease,omitempty"`  // that the holder counts on
-	Hold   time.Duration      `json:"hold,omitempty"`   // that the holder counts on
-	Wait   time.Duration      `json:"wait,omitempty"`   // loans of the last holder that still run
-	Drawn  map[string]float64 `json:"drawn,omitempty"`  // levels at release of customers not full, as fractions
-}
-
-// Entry is one data centre's value in the store.
-type Entry struct {
-	Centre  string   `json:"centre"`
-	Parts   []Part   `json:"parts"`
-	Epoch   int64    `json:"epoch"` // rises with each member that joins
-	Members []Member `json:"members"`
-}
-
-// Member is an instance that may claim parts that it knows to have lapsed.
-type Member struct {
-	Address string `json:"address"`
-	Run     int64  `json:"run"`
-	Epoch   int64  `json:"epoch"` // at which it joined
-}
-
-// Decode reads an entry; an empty value is an entry of the data centre
-// without parts.
-func Decode(centre string, value []byte) (Entry, error) {
-	e := Entry{Centre: centre}
-	if len(value) == 0 {
-		return e, nil
-	}
-	if err := json.Unmarshal(value, &e); err != nil {
-		return Entry{}, fmt.Errorf("seat: decode entry of %s: %w", centre, err)
-	}
-	return e, nil
-}
-
-// Encode returns the entry's value in the store.
-func (e Entry) Encode() ([]byte, error) { return json.Marshal(e) }
-
 // Title is a part that this instance holds, and what it may do with it.
 type Title struct {
 	Seat  int
@@ -152,35 +105,6 @@
 	Gone     []string // instances that were silent for long, by address
 }
 
-// PromiseTime is how long a witness's promise lasts for the holder, from when
-// the holder sent the heartbeat.
-const PromiseTime = 5 * time.Second
-
-// Promise notes that this instance answers a heartbeat of the holder, and so
-// promises not to claim its parts for a while.
-func (t *Table) Promise(now time.Time, holder string, drift float64) {
-	if t.promised == nil {
-		t.promised = make(map[string]time.Time)
-	}
-	t.promised[holder] = now.Add(guard(PromiseTime, drift))
-}
-
-// Promised notes the answer to a heartbeat that was sent at the time.
-func (t *Table) Promised(sent time.Time, witness string) {
-	if t.promises == nil {
-		t.promises = make(map[string]time.Time)
-	}
-	if until := sent.Add(PromiseTime); until.After(t.promises[witness]) {
-		t.promises[witness] = until
-	}
-}
-
-// guard is how long this clock has to wait so that another has surely seen the
-// time pass, where each drifts from true time by up to the bound.
-func guard(d time.Duration, drift float64) time.Duration {
-	return d + time.Duration(2*drift*float64(d)) + claimMargin
-}
-
 // Plan returns the entry that the instance wants to write after it has read
 // e, and whether it differs. Sent has to be called before the write goes out,
 // and Confirm after an entry was read or written.
@@ -289,14 +213,6 @@
 	return p.Class == Floating && idle >= guard(max(p.Lease, terms.Lease), terms.Drift) && t.witnesses(now, p, e, terms)
 }
 
-// witnesses reports whether this instance is one whose promise the holder
-// needs, and no promise of it is out. An earlier run may have made one.
-func (t *Table) witnesses(now time.Time, p Part, e *Entry, terms document.Terms) bool {
-	m, ok := e.member(t.Address)
-	known := ok && m.Epoch <= p.Epoch
-	return known && !now.Before(t.promised[p.Holder]) && now.Sub(t.started) >= guard(PromiseTime, terms.Drift)
-}
-
 // planYield frees the floating part of a seat whose kept part is renewed by
 // another instance, and one seat of several when an instance has none.
 func (t *Table) planYield(now time.Time, e *Entry, terms document.Terms, mates Mates) bool {
@@ -445,60 +361,6 @@
 	return t.Titles(now, terms)
 }
 
-// need notes which witnesses a part needs by an entry: in place of those known
-// before, or in addition to them.
-func (t *Table) need(at spot, e Entry, only bool) {
-	if t.members == nil {
-		t.members = make(map[spot]map[string]struct{})
-	}
-	if only || t.members[at] == nil {
-		t.members[at] = make(map[string]struct{})
-	}
-	for _, m := range e.Members {
-		if m.Address != t.Address {
-			t.members[at][m.Address] = struct{}{}
-		}
-	}
-}
-
-// Titles returns the parts that this instance may use, and until when by the
-// renewals and promises that it has. A right that ended comes back only with a
-// later renewal: a promise may come from one that claimed the part meanwhile.
-func (t *Table) Titles(now time.Time, terms document.Terms) []Title {
-	for at, title := range t.titles {
-		if !title.Until.IsZero() && !now.Before(title.Until) {
-			title.lapsed = title.counted
-		}
-		title.counted = title.renewed
-		title.Until = t.until(at, title, terms)
-		t.titles[at] = title
-	}
-	return t.list()
-}
-
-func (t *Table) until(at spot, title Title, terms document.Terms) time.Time {
-	if title.renewed.IsZero() || title.renewed.Equal(title.lapsed) {
-		return time.Time{}
-	}
-	hold := title.renewed.Add(title.hold)
-	if at.class == Kept {
-		return hold
-	}
-	lease := title.renewed.Add(title.lease)
-	if !terms.Witness {
-		return lease
-	}
-	for m := range t.members[at] {
-		if until := t.promises[m]; until.Before(hold) {
-			hold = until
-		}
-	}
-	if hold.Before(lease) {
-		return lease
-	}
-	return hold
-}
-
 func (t *Table) newTitle(now time.Time, p Part, before Entry, terms document.Terms) Title {
 	title := Title{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Fresh: true}
 	last := before.part(p.Seat, p.Class)
@@ -550,49 +412,3 @@
 		t.seen[at] = s
 	}
 }
-
-func (p *Part) take(t *Table, epoch int64, terms document.Terms) {
-	*p = Part{
-		Seat: p.Seat, Class: p.Class, Holder: t.Address, Run: t.Run, Fence: p.Fence + 1, Beat: 1, Epoch: epoch,
-		Lease: terms.Lease, Hold: terms.Hold,
-	}
-}
-
-func (e Entry) clone() Entry {
-	e.Parts = slices.Clone(e.Parts)
-	e.Members = slices.Clone(e.Members)
-	return e
-}
-
-func (e Entry) member(address string) (Member, bool) {
-	i := slices.IndexFunc(e.Members, func(m Member) bool { return m.Address == address })
-	if i < 0 {
-		return Member{}, false
-	}
-	return e.Members[i], true
-}
-
-func (e Entry) holds(address string) bool {
-	return slices.ContainsFunc(e.Parts, func(p Part) bool { return p.Holder == address })
-}
-
-func (e Entry) part(seat int, class string) Part {
-	for _, p := range e.Parts {
-		if p.Seat == seat && p.Class == class {
-			return p
-		}
-	}
-	return Part{}
-}
-
-// fill adds the parts of seats that the entry lacks. Parts of seats that the
-// document no longer has stay, so that their fences keep counting.
-func (e *Entry) fill(seats int) {
-	for seat := range seats {
-		for _, class := range []string{Kept, Floating} {
-			if !slices.ContainsFunc(e.Parts, func(p Part) bool { return p.Seat == seat && p.Class == class }) {
-				e.Parts = append(e.Parts, Part{Seat: seat, Class: class})
-			}
-		}
-	}
-}
