Close three races of stopping and withdrawing

Cause, by reading: a key withdrawn between its look-up and the registration of its call left the call running; an instance that released its seat could claim it again before it ended; each heartbeat with a newer revision began a fetch of its own.

Change: the key is looked up again after the registration, a released duty claims nothing, one fetch is under way at a time.

Result: TestRelease holds the seat's way from one instance to the next with the level that was left.

--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -141,7 +141,7 @@
 	}
 	switch {
 	case revision > i.keeper.Revision():
-		go i.fetch(from.GetAddress())
+		i.fetchOnce(from.GetAddress())
 	case revision == i.keeper.Revision():
 		i.keeper.Confirm(now, revision, confirmed)
 	}
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -84,11 +84,13 @@
 
 	open    atomic.Int64
 	leaving atomic.Bool
-	shut    atomic.Bool
-	region  atomic.Pointer[string]
-	cancel  context.CancelFunc
-	ends    []<-chan struct{}
-	once1   sync.Once
+	// fetching is set while a newer document is on its way from a peer.
+	fetching atomic.Bool
+	shut     atomic.Bool
+	region   atomic.Pointer[string]
+	cancel   context.CancelFunc
+	ends     []<-chan struct{}
+	once1    sync.Once
 }
 
 // Start listens and begins all duties. The context ends the instance at once;
--- a/chervilyard/instance/revision.go
+++ b/chervilyard/instance/revision.go
@@ -57,6 +57,17 @@
 	i.beats.Kick()
 }
 
+// fetchOnce fetches from a peer unless a fetch is under way.
+func (i *Instance) fetchOnce(from string) {
+	if !i.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer i.fetching.Store(false)
+		i.fetch(from)
+	}()
+}
+
 // fetch takes a newer document over from a peer.
 func (i *Instance) fetch(from string) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
--- a/chervilyard/instance/stages.go
+++ b/chervilyard/instance/stages.go
@@ -61,6 +61,9 @@
 	}
 	ctx, end := i.sessions.Begin(ctx, c.KeyHash)
 	defer end()
+	if err := i.stillKnown(c); err != nil {
+		return err
+	}
 	if answered, err := i.inform(c, w); answered || err != nil {
 		return err
 	}
@@ -79,6 +82,18 @@
 	return i.dispatch.Run(ctx, c)
 }
 
+// stillKnown refuses a call whose key was withdrawn after it was looked up and
+// before the call was registered under it.
+func (i *Instance) stillKnown(c *call.Call) error {
+	if c.KeyHash == "" {
+		return nil
+	}
+	if _, ok := i.keeper.Document().Key(c.KeyHash); ok {
+		return nil
+	}
+	return refusal.NotRun(http.StatusUnauthorized, "key_unknown", "the key is not known or was withdrawn")
+}
+
 // dispatchClaimed keeps the answer of a claimed call back until its outcome is
 // recorded. The claim is closed whatever becomes of the call.
 func (i *Instance) dispatchClaimed(ctx context.Context, c *call.Call) error {
--- a/chervilyard/sit/sit.go
+++ b/chervilyard/sit/sit.go
@@ -35,9 +35,10 @@
 	Now      func() time.Time
 	Journal  *journal.Journal
 
-	table sync.Mutex // guards Table
-	mu    sync.Mutex
-	seats []int
+	table    sync.Mutex // guards Table and released
+	released bool
+	mu       sync.Mutex
+	seats    []int
 }
 
 // Seats returns the seats that the instance holds now.
@@ -96,6 +97,9 @@
 	}
 	terms := doc.Terms()
 	err := d.swap(ctx, terms, func(now time.Time, e seat.Entry) (seat.Entry, bool) {
+		if d.released {
+			return e, false // an instance that leaves claims nothing again
+		}
 		return d.Table.Plan(now, e, c.Seats(), terms, d.Mates(now))
 	})
 	if err != nil || len(d.Seats()) == 0 {
@@ -110,6 +114,9 @@
 	if doc == nil {
 		return nil
 	}
+	d.table.Lock()
+	d.released = true
+	d.table.Unlock()
 	now := d.Now()
 	wait := d.Lender.Outstanding(now)
 	drawn := d.Lender.Drawn(now)
--- /dev/null
+++ b/chervilyard/sit/sit_test.go
@@ -0,0 +1,88 @@
+package sit_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"chervilyard.example/chervilyard/journal"
+	"chervilyard.example/chervilyard/sit"
+	"chervilyard.example/yard/document"
+	"chervilyard.example/yard/lender"
+	"chervilyard.example/yard/memory"
+	"chervilyard.example/yard/seat"
+	"chervilyard.example/yard/store"
+)
+
+const text = "[environment]\nname = x\n[region r]\n[centre c]\nregion = r\n[customer k]\nrate = 10\nburst = 100\n"
+
+func duty(t *testing.T, m *memory.Store, address string) *sit.Duty {
+	t.Helper()
+	d, err := document.Parse("x", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &lender.Lender{Address: address, Centre: "c", Region: "r"}
+	l.Apply(time.Now(), d)
+	return &sit.Duty{
+		Key: "seat", Table: &seat.Table{Address: address, Run: 1, Centre: "c"}, Lender: l, Now: time.Now,
+		Document: func() *document.Document { return d },
+		Mates:    func(time.Time) seat.Mates { return seat.Mates{} },
+		Get:      func(_ context.Context, key string) (store.Value, error) { return m.Get(key), nil },
+		Put: func(_ context.Context, key string, data []byte, expected int64) (int64, error) {
+			v, ok := m.Put(key, data, expected)
+			if !ok {
+				return 0, &store.Error{Op: "put", Key: key, Kind: store.Conflict}
+			}
+			return v.Revision, nil
+		},
+		Journal: journal.New(hclog.NewNullLogger()),
+	}
+}
+
+func holder(t *testing.T, m *memory.Store) string {
+	t.Helper()
+	e, err := seat.Decode("c", m.Get("seat").Data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e.Parts[0].Holder
+}
+
+// TestRelease checks that a released seat is not claimed again by the instance
+// that leaves, and goes to another at once with the level that was left.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memory.Store{}
+		ctx, cancel := context.WithCancel(t.Context())
+		first := duty(t, m, "first")
+		ended := first.Run(ctx)
+		time.Sleep(2 * time.Second)
+		if got := holder(t, m); got != "first" {
+			t.Fatalf("%q holds the seat", got)
+		}
+		first.Lender.Admit(time.Now(), "k", 60)
+		if err := first.Release(ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		if got := holder(t, m); got != "" {
+			t.Errorf("%q holds a released seat", got)
+		}
+		second := duty(t, m, "second")
+		secondEnded := second.Run(ctx)
+		time.Sleep(2 * time.Second)
+		if got := holder(t, m); got != "second" {
+			t.Errorf("%q holds the seat", got)
+		}
+		if level := second.Lender.State(time.Now(), "k").Now.Level; level < 39 || level > 61 {
+			t.Errorf("the next holder starts with %v of the 40 that were left", level)
+		}
+		cancel()
+		<-ended
+		<-secondEnded
+	})
+}
