Tell peers at once of seats taken; dev is ready when all know them

Change: taking or losing a seat sends a heartbeat at once; the development environment prints ready when every instance knows every seat.

--- a/chervilstand/dev/dev.go
+++ b/chervilstand/dev/dev.go
@@ -185,8 +185,7 @@
 		Centres[n], callers, peers, operators, d.StoreURL, limits)
 }
 
-// await returns when every instance is ready, knows the others, and holds its
-// seat.
+// await returns when every instance is ready and knows that each holds its seat.
 func (d *Dev) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
@@ -203,7 +202,7 @@
 func (d *Dev) ready() bool {
 	for _, i := range d.Instances {
 		s := i.Status()
-		if s.Ready != "yes" || len(s.Seats) == 0 || s.Members < len(d.Instances) {
+		if s.Ready != "yes" || s.Members < len(d.Instances) || s.Seated < len(d.Instances) {
 			return false
 		}
 	}
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -76,6 +76,7 @@
 		},
 		Lender: i.lender, Document: i.keeper.Document, Mates: i.mates,
 		Get: i.store.Get, Put: i.store.Put, Now: i.now, Journal: i.journal,
+		Changed: func() { i.beats.Kick() },
 	}
 	i.beats = &beat.Duty{
 		Roster: i.roster, Now: i.now, Self: i.self, Reports: i.reports, Confirmed: i.keeper.Age,
--- a/chervilyard/instance/operators.go
+++ b/chervilyard/instance/operators.go
@@ -22,6 +22,7 @@
 	Ready     string          `json:"ready"`     // "yes", or why not
 	Seats     []int           `json:"seats"`
 	Members   int             `json:"members"` // live instances with this one
+	Seated    int             `json:"seated"`  // those of them that are known to hold a seat
 	Open      int64           `json:"open"`    // calls
 	Waiting   int             `json:"waiting"` // calls that wait for a target
 	Targets   []TargetStatus  `json:"targets"`
@@ -76,6 +77,11 @@
 		Address: i.Callers(), Peers: i.Peers(), Centre: i.settings.Centre(), Revision: i.keeper.Revision(),
 		Ready: "yes", Seats: i.seats.Seats(), Members: len(i.members(now)), Open: i.open.Load(), Waiting: i.dispatch.Waiting(),
 	}
+	for _, m := range i.members(now) {
+		if len(m.GetSeats()) > 0 {
+			s.Seated++
+		}
+	}
 	if age := i.keeper.Age(now); age < forgetTime*24 {
 		s.Confirmed = age.Seconds()
 	}
--- a/chervilyard/sit/sit.go
+++ b/chervilyard/sit/sit.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	Put      func(ctx context.Context, key string, data []byte, expected int64) (int64, error)
 	Now      func() time.Time
 	Journal  *journal.Journal
+	// Changed is called when the seats that the instance holds changed.
+	Changed func()
 
 	table    sync.Mutex // guards Table and released
 	released bool
@@ -188,21 +191,31 @@
 // hold gives the lender the parts that may be used, and notes what changed.
 func (d *Duty) hold(now time.Time, titles []seat.Title) {
 	d.Lender.Hold(now, titles)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.seats = d.seats[:0]
+	if d.note(titles) && d.Changed != nil {
+		d.Changed()
+	}
 	for _, t := range titles {
-		if t.Class == seat.Kept || t.Class == seat.Floating {
-			if n := len(d.seats); n == 0 || d.seats[n-1] != t.Seat {
-				d.seats = append(d.seats, t.Seat)
-			}
-		}
 		if t.Fresh {
 			d.Journal.Note(journal.Decision{Time: now, Kind: "seat", Choice: "hold " + t.ID(), Reason: reason(t), Centre: d.Table.Centre})
 		}
 	}
 }
 
+// note keeps the numbers of the seats, and reports whether they changed.
+func (d *Duty) note(titles []seat.Title) bool {
+	var seats []int
+	for _, t := range titles {
+		if !slices.Contains(seats, t.Seat) {
+			seats = append(seats, t.Seat)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := !slices.Equal(seats, d.seats)
+	d.seats = seats
+	return changed
+}
+
 func reason(t seat.Title) string {
 	switch {
 	case t.Fence == 1:
