--- a/chervilstand/slope/roles.go
+++ b/chervilstand/slope/roles.go
@@ -63,6 +63,8 @@
 	row("store: writes", "instances / 5 s, changes, restarts", fmt.Sprintf("%.0f a second, and claims: at most 64 buckets' group commits for each instance with once-only calls", storeWrites), "several hundred a second")
 	row("store: reads", "instances / 5 s, readers of a data centre", fmt.Sprintf("%.0f a second", storeReads), "2000 a second")
 	row("store: waiting watches", "1 for each data centre", fmt.Sprintf("%.0f", watches), "counted as calls when they end, every 30 s")
+	row("writer of a claim bucket", "records of the bucket", fmt.Sprintf("%.2f ms to change a bucket of 1000 records, before it is encoded; one write on its way at a time", m.claimBucket.Line(1000)/1e3), "a megabyte a bucket")
+	row("link between regions", "instances of a region", fmt.Sprintf("%.0f KB/s for a region of %.0f instances: rolls and loans", (rolls+lend)/1e3*Instances/Regions, float64(Instances)/Regions), "140 Mbit/s, shared with calls")
 	row("target: load reports", "a reader and a spare", "1.2 a second", "")
 	return b.String()
 }
