--- a/chervilyard/link/link.go
+++ b/chervilyard/link/link.go
@@ -41,17 +41,28 @@
 	// Sent is told the kind and bytes of each message; it may be nil.
 	Sent func(kind string, bytes int)
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
-	out   chan struct{}
+	once   sync.Once
+	out    chan struct{} // a place for each of the lender's messages on their way
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	closed bool
 }
 
+func (l *Link) init() {
+	l.once.Do(func() {
+		l.conns = make(map[string]*grpc.ClientConn)
+		l.out = make(chan struct{}, letters)
+	})
+}
+
+var errClosed = errors.New("link: closed")
+
 func (l *Link) client(address string) (peer.LinkClient, error) {
+	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conns == nil {
-		l.conns = make(map[string]*grpc.ClientConn)
-		l.out = make(chan struct{}, letters)
+	if l.closed {
+		return nil, errClosed
 	}
 	if c, ok := l.conns[address]; ok {
 		return peer.NewLinkClient(c), nil
@@ -121,6 +132,7 @@
 // Deliver sends the lender's messages without waiting. Those over the bound of
 // messages on their way are dropped, as if lost.
 func (l *Link) Deliver(messages []lender.Letter) {
+	l.init()
 	for _, m := range messages {
 		if !l.enter() {
 			continue
@@ -133,15 +145,8 @@
 }
 
 func (l *Link) enter() bool {
-	l.mu.Lock()
-	if l.out == nil {
-		l.out = make(chan struct{}, letters)
-		l.conns = make(map[string]*grpc.ClientConn)
-	}
-	out := l.out
-	l.mu.Unlock()
 	select {
-	case out <- struct{}{}:
+	case l.out <- struct{}{}:
 		return true
 	default:
 		return false
@@ -285,10 +290,10 @@
 func (l *Link) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closed = true
 	for _, c := range l.conns {
 		_ = c.Close() // nothing is left to send
 	}
-	l.conns = nil
 }
 
 func fromHeaders(list []*peer.Header) http.Header {
