Hand over no more tokens than the giver drops

Cause, by reading the change: a seat that is given up records its level as a fraction of what the instance owns, but the bucket drops it as a fraction of what it holds, borrowed burst included; and when the write is planned again after a conflict, a customer whose only seat was dropped is left out of the record, which stands for full.

Change: the fraction is of the larger of owned and held burst, and 0 where nothing is owned.

--- a/yard/lender/lender.go
+++ b/yard/lender/lender.go
@@ -250,15 +250,18 @@
 }
 
 // Drawn returns the level of each customer that is not full, as a fraction of
-// what its seats hold, for the record that a release leaves.
+// what its seats hold, for the record that a release leaves. It is never more
+// than what the bucket drops with a part: borrowed burst holds its share of the
+// level, and where nothing is owned any more, nothing is left.
 func (l *Lender) Drawn(now time.Time) map[string]float64 {
 	drawn := make(map[string]float64)
 	for name, a := range l.all() {
 		s := a.bucket.Read(now)
-		if s.Own.Burst <= 0 {
-			continue
+		f := 0.0
+		if s.Own.Burst > 0 {
+			f = max(s.Now.Level, 0) / max(s.Own.Burst, s.Now.Burst)
 		}
-		if f := max(s.Now.Level, 0) / s.Own.Burst; f < 1 {
+		if f < 1 {
 			drawn[name] = f
 		}
 	}
