Keep loans in order; remove what nothing used, join what stood twice

Change: loans are a slice with its own small type; one askTokens, one Part.release; Pot knows its customer and tokens, and Wait uses the bucket's.

--- a/chervilstand/slope/parts.go
+++ b/chervilstand/slope/parts.go
@@ -118,8 +118,8 @@
 		panic(err)
 	}
 	l := &lender.Lender{
-		Address: "a", Centre: "c0", Region: "r0", Random: rand.Uint64,
-		Holders: func(string) []lender.Holder { return []lender.Holder{{Address: "b", Centre: "c1", Region: "r1"}} },
+		Address: "a", Centre: "c0", Random: rand.Uint64,
+		Holders: func(string) []lender.Holder { return []lender.Holder{{Address: "b"}} },
 	}
 	l.Apply(now, d)
 	l.Hold(now, titles(now))
--- a/chervilyard/admit/admit.go
+++ b/chervilyard/admit/admit.go
@@ -83,7 +83,7 @@
 			break
 		}
 	}
-	if wait, ok := s.Lender.Wait(s.Now(), c.Customer.Name(), c.Tokens, &pot); ok {
+	if wait, ok := s.Lender.Wait(s.Now(), &pot); ok {
 		pause.For(ctx, wait)
 	}
 	r, ok, letters := s.Lender.Gathered(s.Now(), &pot, true)
--- a/chervilyard/answer/answer.go
+++ b/chervilyard/answer/answer.go
@@ -28,7 +28,6 @@
 	Counted bool
 	Events  int  // events of a stream that carried content
 	Whole   bool // the answer reached its end
-	First   bool // its first byte or event came
 }
 
 // Broken is the error of an answer that its target did not finish.
@@ -80,7 +79,6 @@
 				return done, &Gone{Err: err}
 			}
 		}
-		done.First = true
 		if last {
 			done.Whole = true
 		}
@@ -104,7 +102,7 @@
 		return Relayed{}, &Broken{Err: ended(err)}
 	}
 	r.progress()
-	done := Relayed{Whole: true, First: true}
+	done := Relayed{Whole: true}
 	done.usage(body)
 	if err := r.To.Head(r.Status, r.Header); err != nil {
 		return done, &Gone{Err: err}
@@ -117,7 +115,7 @@
 
 // Copy relays a service's answer as it comes.
 func (r *Relay) Copy() (Relayed, error) {
-	done := Relayed{First: true}
+	var done Relayed
 	if err := r.To.Head(r.Status, r.Header); err != nil {
 		return done, &Gone{Err: err}
 	}
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -204,8 +204,10 @@
 		if part <= 0 {
 			continue
 		}
-		h := lender.Holder{Address: m.GetAddress(), Centre: m.GetCentre(), Region: d.Region(m.GetCentre())}
-		found = append(found, near{holder: h, distance: distance(h.Centre, h.Region, i.settings.Centre(), own)})
+		found = append(found, near{
+			holder:   lender.Holder{Address: m.GetAddress()},
+			distance: distance(m.GetCentre(), d.Region(m.GetCentre()), i.settings.Centre(), own),
+		})
 	}
 	slices.SortStableFunc(found, func(a, b near) int { return cmp.Compare(a.distance, b.distance) })
 	list := make([]lender.Holder, len(found))
--- a/chervilyard/sit/sit_test.go
+++ b/chervilyard/sit/sit_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &lender.Lender{Address: address, Centre: "c", Region: "r"}
+	l := &lender.Lender{Address: address, Centre: "c"}
 	l.Apply(time.Now(), d)
 	return &sit.Duty{
 		Key: "seat", Table: &seat.Table{Address: address, Run: 1, Centre: "c"}, Lender: l, Now: time.Now,
--- a/yard/drill/drill.go
+++ b/yard/drill/drill.go
@@ -205,7 +205,7 @@
 	n.waiting = nil
 	n.titles = nil
 	n.lender = &lender.Lender{
-		Address: n.address, Centre: n.centre, Region: fmt.Sprintf("r%d", n.region),
+		Address: n.address, Centre: n.centre,
 		Holders: func(customer string) []lender.Holder { return d.holders(n, customer) },
 		Random: func() uint64 {
 			d.nextID++
@@ -252,7 +252,7 @@
 		if o == n || gone || !d.reach(n, o) && !fresh || d.part(o, customer) <= 0 {
 			continue
 		}
-		h := lender.Holder{Address: o.address, Centre: o.centre, Region: fmt.Sprintf("r%d", o.region)}
+		h := lender.Holder{Address: o.address}
 		switch {
 		case o.centre == n.centre:
 			near = append(near, h)
--- a/yard/drill/request.go
+++ b/yard/drill/request.go
@@ -104,7 +104,7 @@
 func (d *Drill) linger(a *ask) {
 	n := a.node
 	a.round++ // replies of earlier rounds start nothing more
-	wait, ok := n.lender.Wait(d.clock(n), a.customer, a.tokens, &a.pot)
+	wait, ok := n.lender.Wait(d.clock(n), &a.pot)
 	if !ok {
 		d.conclude(a, true)
 		return
--- a/yard/lender/exchange.go
+++ b/yard/lender/exchange.go
@@ -254,11 +254,7 @@
 	peers := a.choose(now, l.Holders(customer), maxFan, func(h hint) bool { return h.spare.Level > short/maxFan })
 	var letters []Letter
 	for _, p := range peers {
-		ask := loan.Ask{
-			ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Level: short / float64(len(peers))},
-			Term: grantTerm, Urgent: true, Spare: true,
-		}
-		letters = append(letters, a.send(now, p.Address, ask, nil))
+		letters = append(letters, l.askTokens(now, a, customer, p, short/float64(len(peers)), nil))
 	}
 	return letters
 }
--- a/yard/lender/lender.go
+++ b/yard/lender/lender.go
@@ -20,8 +20,6 @@
 // Holder is a peer that may have quota of a customer to lend.
 type Holder struct {
 	Address string // peer address
-	Centre  string
-	Region  string
 }
 
 // Letter is a message to a peer.
@@ -36,7 +34,6 @@
 type Lender struct {
 	Address string // peer address of this instance
 	Centre  string
-	Region  string
 
 	// Holders returns the peers that may hold quota of the customer, nearest first.
 	Holders func(customer string) []Holder
@@ -99,9 +96,6 @@
 	grants   []grant // of peers
 }
 
-// Tokens returns the reserved tokens.
-func (r Reservation) Tokens() float64 { return r.tokens }
-
 // Apply takes a new document in. Parts that grow by it wait until no instance
 // can still use the division of an earlier one.
 func (l *Lender) Apply(now time.Time, d *document.Document) {
--- a/yard/lender/pot.go
+++ b/yard/lender/pot.go
@@ -71,33 +71,33 @@
 	var letters []Letter
 	for _, peer := range peers {
 		p.tried[peer.Address] = true
-		ask := loan.Ask{
-			ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Level: short / float64(len(peers))},
-			Term: grantTerm, Urgent: true,
-		}
-		if len(peers) > 1 {
-			ask.Amount.Level = min(short, 2*short/float64(len(peers)))
-		}
-		letters = append(letters, a.send(now, peer.Address, ask, p))
+		level := min(short, 2*short/float64(len(peers)))
+		letters = append(letters, l.askTokens(now, a, customer, peer, level, p))
 	}
 	return letters
 }
 
+// askTokens asks a peer for tokens: for the request of the pot, or without one
+// for what the peer does not need soon.
+func (l *Lender) askTokens(now time.Time, a *account, customer string, peer Holder, level float64, p *Pot) Letter {
+	ask := loan.Ask{
+		ID: l.Random(), Customer: customer, Borrower: l.Address, Amount: loan.Amount{Level: level},
+		Term: grantTerm, Urgent: true, Spare: p == nil,
+	}
+	return a.send(now, peer.Address, ask, p)
+}
+
 // Wait returns how long a request has to wait until the instance's own rate
 // brings what its pot still misses, or false where that is too long to be worth
 // it: the request is then refused at once.
-func (l *Lender) Wait(now time.Time, customer string, n float64, p *Pot) (time.Duration, bool) {
-	a, ok := l.all()[customer]
+func (l *Lender) Wait(now time.Time, p *Pot) (time.Duration, bool) {
+	a, ok := l.all()[p.customer]
 	if !ok {
 		return 0, false
 	}
-	state := a.bucket.Read(now)
-	missing := n - a.potTokens(now, p) - state.Now.Level
-	if state.Now.Rate <= 0 || n-a.potTokens(now, p) > state.Now.Burst {
-		return 0, false
-	}
-	wait := time.Duration(missing/state.Now.Rate*float64(time.Second)) + time.Millisecond
-	return wait, wait <= waitMost
+	wait, ok := a.bucket.Wait(now, p.tokens-a.potTokens(now, p))
+	wait += time.Millisecond
+	return wait, ok && wait <= waitMost
 }
 
 func (a *account) isDry(now time.Time, n float64) bool {
--- a/yard/loan/loan.go
+++ b/yard/loan/loan.go
@@ -19,11 +19,6 @@
 	return Amount{Rate: a.Rate + b.Rate, Burst: a.Burst + b.Burst, Level: a.Level + b.Level}
 }
 
-// Min returns the smaller of each piece of two amounts.
-func (a Amount) Min(b Amount) Amount {
-	return Amount{Rate: min(a.Rate, b.Rate), Burst: min(a.Burst, b.Burst), Level: min(a.Level, b.Level)}
-}
-
 // Positive returns the amount with its negative pieces as 0.
 func (a Amount) Positive() Amount {
 	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0), Level: max(a.Level, 0)}
--- a/yard/quota/exchange.go
+++ b/yard/quota/exchange.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,7 +15,7 @@
 	defer b.mu.Unlock()
 	b.advance(now)
 	back := b.back(now, ask.Term)
-	if old, ok := b.lent[ask.ID]; ok {
+	if old, ok := b.lent.find(ask.ID); ok {
 		return b.extend(old, back, ask)
 	}
 	if ask.Extend || b.rate <= 0 {
@@ -59,10 +58,7 @@
 }
 
 func (b *Bucket) lend(ask loan.Ask, give loan.Amount, back time.Time) {
-	if b.lent == nil {
-		b.lent = make(map[uint64]loan.Loan)
-	}
-	b.lent[ask.ID] = loan.Loan{ID: ask.ID, Customer: ask.Customer, Peer: ask.Borrower, Amount: give.Parts(b.total), Until: back}
+	b.lent.put(loan.Loan{ID: ask.ID, Customer: ask.Customer, Peer: ask.Borrower, Amount: give.Parts(b.total), Until: back})
 	b.note()
 	b.level -= give.Level
 	b.derive()
@@ -79,8 +75,8 @@
 		return
 	}
 	unused := max(g.Tokens-max(r.Used, 0), 0)
-	if _, locked := b.lent[r.ID]; locked {
-		delete(b.lent, r.ID)
+	if _, locked := b.lent.find(r.ID); locked {
+		b.lent.remove(r.ID)
 		b.derive()
 		b.level = min(b.level+unused, b.burst)
 		b.note()
@@ -112,7 +108,7 @@
 		}
 		if back.After(old.Until) {
 			old.Until = back
-			b.lent[ask.ID] = old
+			b.lent.put(old)
 			b.derive()
 		}
 	}
@@ -127,13 +123,10 @@
 	if !now.Before(l.Until) {
 		return
 	}
-	if b.borrowed == nil {
-		b.borrowed = make(map[uint64]loan.Loan)
-	}
-	if _, ok := b.borrowed[l.ID]; ok {
+	if _, ok := b.borrowed.find(l.ID); ok {
 		return
 	}
-	b.borrowed[l.ID] = l
+	b.borrowed.put(l)
 	b.derive()
 	b.level = min(b.level+l.Amount.Level, b.burst)
 }
@@ -144,12 +137,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	l, ok := b.borrowed[id]
+	l, ok := b.borrowed.find(id)
 	if !ok || !until.After(l.Until) {
 		return
 	}
 	l.Until = until
-	b.borrowed[id] = l
+	b.borrowed.put(l)
 	b.derive()
 }
 
@@ -160,12 +153,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	l, ok := b.borrowed[id]
+	l, ok := b.borrowed.find(id)
 	if !ok {
 		return loan.Return{}, false
 	}
 	before := b.level
-	delete(b.borrowed, id)
+	b.borrowed.remove(id)
 	b.derive()
 	surplus := max(before-max(b.level, 0), 0)
 	return loan.Return{ID: id, Customer: l.Customer, Level: min(surplus, l.Amount.Of(b.total).Burst)}, true
@@ -177,11 +170,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	l, ok := b.lent[r.ID]
+	l, ok := b.lent.find(r.ID)
 	if !ok {
 		return
 	}
-	delete(b.lent, r.ID)
+	b.lent.remove(r.ID)
 	b.derive()
 	b.level = min(b.level+min(max(r.Level, 0), l.Amount.Of(b.total).Burst), b.burst)
 }
@@ -191,12 +184,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	held := make([]loan.Loan, 0, len(b.borrowed))
-	for _, l := range b.borrowed {
-		held = append(held, l)
-	}
-	slices.SortFunc(held, func(a, b loan.Loan) int { return cmp.Compare(a.ID, b.ID) })
-	return held
+	return slices.Clone(b.borrowed)
 }
 
 // Spare returns the rate that the bucket could lend beyond keep, and the tokens
--- a/yard/quota/quota.go
+++ b/yard/quota/quota.go
@@ -33,8 +33,8 @@
 	floor    float64     // fraction of each part that is never lent
 	drift    float64
 	parts    []Part
-	lent     map[uint64]loan.Loan
-	borrowed map[uint64]loan.Loan
+	lent     loans
+	borrowed loans
 	grants   memory // of tokens given to requests at peers
 
 	own     loan.Amount // what the parts give, derived
@@ -218,14 +218,7 @@
 	return false
 }
 
-func (b *Bucket) sum(loans map[uint64]loan.Loan) loan.Amount {
-	var total loan.Amount
-	for _, l := range loans {
-		total.Rate += l.Amount.Rate
-		total.Burst += l.Amount.Burst
-	}
-	return total.Of(b.total)
-}
+func (b *Bucket) sum(l loans) loan.Amount { return l.parts().Of(b.total) }
 
 // advance moves the bucket to now, one change of its parts and loans at a
 // time, so that a process that slept through an expiry refills only up to it.
@@ -260,16 +253,8 @@
 		}
 	}
 	b.parts = kept
-	for id, l := range b.lent {
-		if !now.Before(l.Until) {
-			delete(b.lent, id)
-		}
-	}
-	for id, l := range b.borrowed {
-		if !now.Before(l.Until) {
-			delete(b.borrowed, id)
-		}
-	}
+	b.lent.expire(now)
+	b.borrowed.expire(now)
 }
 
 // derive works out rate, burst and the time of the next change at b.last.
--- a/yard/roster/roster.go
+++ b/yard/roster/roster.go
@@ -130,13 +130,6 @@
 	return live
 }
 
-// Drop forgets a member that says it has stopped.
-func (r *Roster) Drop(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.members, address)
-}
-
 // Heard returns how long ago a member's beat last rose, or false where it is
 // not known.
 func (r *Roster) Heard(now time.Time, address string) (time.Duration, bool) {
--- a/yard/seat/entry.go
+++ b/yard/seat/entry.go
@@ -62,6 +62,11 @@
 	}
 }
 
+// release leaves a part without a holder, with what its next one has to know.
+func (p *Part) release(wait time.Duration, drawn map[string]float64) {
+	*p = Part{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Wait: wait, Drawn: drawn}
+}
+
 func (e Entry) clone() Entry {
 	e.Parts = slices.Clone(e.Parts)
 	e.Members = slices.Clone(e.Members)
--- a/yard/seat/seat.go
+++ b/yard/seat/seat.go
@@ -159,9 +159,9 @@
 	return true
 }
 
-// planClaims takes the parts of the kind that nobody has a right to. An instance without a seat goes
-// first; one with a seat takes more only after a while, so that a free seat
-// waits for a newcomer but does not lie idle.
+// planClaims takes the parts of the kind that nobody has a right to. An
+// instance without a seat goes first; one with a seat takes more only after a
+// while, so that a free seat waits for a newcomer but does not lie idle.
 func (t *Table) planClaims(now time.Time, e *Entry, terms document.Terms, mates Mates, kind func(Part) bool) bool {
 	changed := false
 	seated := e.holds(t.Address)
@@ -261,7 +261,7 @@
 	if t.Handover != nil {
 		wait, drawn = t.Handover()
 	}
-	*p = Part{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Wait: wait, Drawn: drawn}
+	p.release(wait, drawn)
 }
 
 // lostLevels stands in Drawn for every customer when no level was recorded.
@@ -282,7 +282,7 @@
 		if p.Holder != t.Address || p.Run != t.Run {
 			continue
 		}
-		*p = Part{Seat: p.Seat, Class: p.Class, Fence: p.Fence, Wait: wait, Drawn: drawn}
+		p.release(wait, drawn)
 		changed = true
 	}
 	return next, changed
