--- /dev/null
+++ b/chervilyard/edge/edge.go
@@ -0,0 +1,230 @@
+// Package edge runs one instance of the gateway for requests by host and path:
+// it joins the way of a request with what the instance knows of the store, the
+// targets and the other instances.
+package edge
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chervilyard.example/chervilyard/gateway"
+	"chervilyard.example/chervilyard/gossip"
+	"chervilyard.example/chervilyard/journal"
+	"chervilyard.example/chervilyard/meter"
+	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/yard/allowance"
+	"chervilyard.example/yard/catalog"
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/view"
+)
+
+// Config is what an instance is made of.
+type Config struct {
+	Settings Settings
+	Store    Store
+	Wire     gateway.Wire
+	Journal  *journal.Journal
+	Meter    *meter.Meter
+	Now      func() time.Time
+}
+
+// Edge is one running instance. Start makes it; Stop ends it gracefully.
+type Edge struct {
+	settings atomic.Pointer[Settings]
+	store    Store
+	journal  *journal.Journal
+	meter    *meter.Meter
+	now      func() time.Time
+	run      int64
+
+	gateway gateway.Gateway
+	picker  placement.Picker
+	book    allowance.Book
+	budget  retry.Budget
+	pool    pool.Pool
+	table   membership.Table
+	beats   *gossip.Duty
+
+	views    map[string]*view.View
+	fetching map[string]*atomic.Bool
+	decode   map[string]func(now time.Time, s view.Snapshot)
+	catalog  atomic.Pointer[catalog.Catalog]
+	closed   atomic.Pointer[map[string]bool] // evacuated data centres
+	targets  targets
+	rooms    rooms
+
+	leaving  atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	ends     []<-chan struct{}
+	web, hop *http.Server
+	rpc      *grpc.Server
+}
+
+// Start listens and begins all duties.
+func Start(ctx context.Context, c Config) (*Edge, error) {
+	e := &Edge{store: c.Store, journal: c.Journal, meter: c.Meter, now: c.Now, run: int64(rand.Uint64() >> 1)}
+	e.settings.Store(&c.Settings)
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	var listeners []net.Listener
+	for _, address := range []string{c.Settings.Callers, c.Settings.Forward, c.Settings.Peers} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			e.cancel()
+			return nil, fmt.Errorf("edge: listen: %w", err)
+		}
+		listeners = append(listeners, l)
+	}
+	e.buildViews()
+	e.buildBeats()
+	e.buildGateway(c.Wire)
+	e.begin(listeners)
+	return e, nil
+}
+
+// Reload puts other settings in force. Addresses stay as they were at the start.
+func (e *Edge) Reload(s Settings) {
+	e.settings.Store(&s)
+	e.note("settings", "reloaded", "")
+}
+
+// Settings returns the settings in force.
+func (e *Edge) Settings() Settings { return *e.settings.Load() }
+
+func (e *Edge) buildGateway(w gateway.Wire) {
+	s := e.Settings()
+	e.pool.Dialed = func(string) { e.meter.Connect() }
+	g := &e.gateway
+	g.Wire, g.Now, g.Region = w, e.now, s.Region
+	g.Catalog = e.catalog.Load
+	g.Targets = e.usable
+	g.Fleet = e.fleet
+	g.Remotes = e.remotes
+	g.Instances = func(time.Time) int { return e.instances() }
+	g.Retries = s.Retries
+	g.Picker, g.Book, g.Budget, g.Pool, g.Journal = &e.picker, &e.book, &e.budget, &e.pool, e.journal
+	g.Counter = gateway.Counter{Ended: e.meter.Request, Repeat: e.meter.Repeat}
+	g.Draw = rand.Float64
+	g.Leaving = e.leaving.Load
+	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.Open()) })
+	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.journal.Shed()) })
+	e.meter.Gauge("chervil_members", func() float64 { return float64(len(e.table.Live(e.now(), liveTime))) })
+	for name, v := range e.views {
+		e.meter.Gauge(fmt.Sprintf("chervil_view_age_seconds{part=%q}", name), func() float64 {
+			age, _ := v.Age(e.now())
+			return age.Seconds()
+		})
+	}
+}
+
+const (
+	headerTime = 3 * time.Second  // a caller's head; callers that are slower hold a connection for nothing
+	idleTime   = 60 * time.Second // an idle caller's connection; over what operators let callers use
+	maxHeader  = 16 << 10         // bytes of a caller's head
+)
+
+// begin starts the servers and duties.
+func (e *Edge) begin(l []net.Listener) {
+	e.web = &http.Server{Handler: &e.gateway, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+	e.hop = &http.Server{Handler: http.HandlerFunc(e.gateway.ServeHop), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: 4 * maxHeader}
+	e.rpc = gossip.NewServer(e.beats, e.content)
+	e.ends = append(e.ends, e.serve("callers", func() error { return e.web.Serve(l[0]) }),
+		e.serve("forwarded", func() error { return e.hop.Serve(l[1]) }),
+		e.serve("peers", func() error { return e.rpc.Serve(l[2]) }),
+		e.beats.Run(e.ctx),
+		e.announce(e.ctx),
+		e.upkeep(e.ctx))
+	for _, d := range e.readers() {
+		e.ends = append(e.ends, d.Run(e.ctx))
+	}
+	e.note("instance", "started", "listening for callers at "+e.Settings().Callers)
+}
+
+// serve runs a server and closes the returned channel at its end.
+func (e *Edge) serve(name string, run func() error) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := run(); err != nil && !e.leaving.Load() {
+			e.note("server", "ended", name+": "+err.Error())
+		}
+	}()
+	return ended
+}
+
+// upkeep does what is due from time to time.
+func (e *Edge) upkeep(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(upkeepTime)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				now := e.now()
+				e.pool.Sweep(now)
+				e.divide(now)
+				e.refreshTargets(now)
+			}
+		}
+	}()
+	return ended
+}
+
+// divide shares the customers' limits out over the instances that are known.
+func (e *Edge) divide(now time.Time) {
+	c := e.catalog.Load()
+	if c == nil {
+		return
+	}
+	terms := make(map[string]allowance.Terms, len(c.Customers()))
+	for name, one := range c.Customers() {
+		terms[name] = allowance.Terms{Rate: one.Rate(), Burst: one.Burst()}
+	}
+	e.book.Divide(now, terms, e.instances())
+}
+
+// instances returns how many instances share the fleet's limits. Silent ones
+// count for a while, since they may still serve.
+func (e *Edge) instances() int {
+	return 1 + len(e.table.Live(e.now(), shareTime)) + len(e.listed())
+}
+
+// listed returns the members that are known from the store alone.
+func (e *Edge) listed() []membership.Member {
+	var list []membership.Member
+	for _, m := range e.table.All() {
+		if m.Heard.IsZero() {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Ready returns whether the instance should get requests.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.catalog.Load() != nil && e.views[PartTargets].Known()
+}
+
+// Gateway returns the handler of callers' requests.
+func (e *Edge) Gateway() *gateway.Gateway { return &e.gateway }
+
+// usable returns the region's targets of a service that may get work.
+func (e *Edge) usable(_ time.Time, service string) []target.Target { return e.targets.usable(service) }
+
+func (e *Edge) note(kind, choice, reason string) {
+	e.journal.Note(journal.Decision{Time: e.now(), Kind: kind, Choice: choice, Reason: reason, Centre: e.Settings().Centre})
+}
--- /dev/null
+++ b/chervilyard/edge/targets.go
@@ -0,0 +1,154 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/view"
+)
+
+const (
+	// outage is the age of the list of targets at which the store counts as away.
+	outage = 1800 * time.Millisecond
+	// returning is how long targets that are missing after an outage are kept:
+	// their reports lapsed, and come again when they reach the store.
+	returning = 2200 * time.Millisecond
+)
+
+// targets holds the region's targets as last listed.
+type targets struct {
+	mu     sync.Mutex
+	all    map[string]target.Target
+	closed map[string]bool // data centres
+	read   time.Time       // of the last list
+	keep   time.Time       // until when missing targets are kept after an outage
+}
+
+// usable returns the targets of a service that may get work.
+func (t *targets) usable(service string) []target.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []target.Target
+	for _, one := range t.all {
+		if one.Serves(service) && !one.Leaving() && !t.closed[one.Centre()] {
+			list = append(list, one)
+		}
+	}
+	return list
+}
+
+// services returns the services that the targets serve, in order.
+func (t *targets) services() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[string]bool)
+	for _, one := range t.all {
+		for _, name := range one.Routes() {
+			seen[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// takeTargets puts a fresh list of targets in force.
+func (e *Edge) takeTargets(now time.Time, s view.Snapshot) {
+	list, faults := e.store.Targets(s.Items)
+	for _, err := range faults {
+		e.note("target", "entry not readable", err.Error())
+	}
+	fresh := make(map[string]target.Target)
+	var mine []target.Target
+	for _, t := range list {
+		if e.store.Region(t.Centre()) == e.Settings().Region {
+			fresh[t.Name()] = t
+			mine = append(mine, t)
+		}
+	}
+	e.targets.mu.Lock()
+	gap := !e.targets.read.IsZero() && s.AsOf.Sub(e.targets.read) > outage
+	e.targets.read = s.AsOf
+	if gap {
+		e.targets.keep = s.AsOf.Add(returning)
+	}
+	kept := now.Before(e.targets.keep)
+	old := e.targets.all
+	e.targets.all = fresh
+	e.targets.mu.Unlock()
+	for name, t := range old {
+		if _, ok := fresh[name]; ok {
+			continue
+		}
+		if kept && !t.Leaving() {
+			e.targets.mu.Lock()
+			e.targets.all[name] = t
+			e.targets.mu.Unlock()
+			mine = append(mine, t)
+			continue
+		}
+		e.note("target", "gone", name+" at revision "+strconv.FormatInt(s.Revision, 10))
+	}
+	for _, t := range mine {
+		if was, ok := old[t.Name()]; !ok || was.Leaving() != t.Leaving() || was.Run() != t.Run() {
+			e.note("target", state(t), t.Name()+" at revision "+strconv.FormatInt(s.Revision, 10))
+		}
+	}
+	e.picker.Learn(now, s.AsOf, mine)
+}
+
+func state(t target.Target) string {
+	if t.Leaving() {
+		return "leaving"
+	}
+	return "listed"
+}
+
+// refreshTargets drops what was kept after an outage and notes that the list is
+// still true.
+func (e *Edge) refreshTargets(now time.Time) {
+	s := e.views[PartTargets].Snapshot()
+	e.targets.mu.Lock()
+	over := !e.targets.keep.IsZero() && now.After(e.targets.keep)
+	if over {
+		e.targets.keep = time.Time{}
+	}
+	gap := !e.targets.read.IsZero() && s.AsOf.Sub(e.targets.read) > outage
+	if s.AsOf.After(e.targets.read) && !gap {
+		e.targets.read = s.AsOf
+	}
+	e.targets.mu.Unlock()
+	if over || gap {
+		e.takeTargets(now, s)
+	}
+}
+
+// close notes which data centres are evacuated.
+func (e *Edge) close(now time.Time, closed map[string]bool) {
+	e.targets.mu.Lock()
+	was := e.targets.closed
+	e.targets.closed = closed
+	var cold []string
+	for _, t := range e.targets.all {
+		if was[t.Centre()] && !closed[t.Centre()] {
+			cold = append(cold, t.Name())
+		}
+	}
+	e.targets.mu.Unlock()
+	for centre := range closed {
+		if !was[centre] {
+			e.note("centre", "evacuated", centre)
+		}
+	}
+	for centre := range was {
+		if !closed[centre] {
+			e.note("centre", "taken back", centre)
+		}
+	}
+	// The list of targets may be older than the end of the evacuation.
+	e.picker.Chill(now, cold, e.Settings().Heartbeat+listAge)
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/chervilyard/gateway/dispatch.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/refusal"
+)
+
+const (
+	// grace is how long past the deadline a target's own answer to its end of
+	// time is awaited.
+	grace = 120 * time.Millisecond
+	// maxUnsent is how often a request is chosen a place for that it could not
+	// be sent to.
+	maxUnsent = 4
+	// maxWait is the part of the time that is left that a request may be
+	// expected to wait for its first byte; a longer wait is refused at once.
+	maxWait = 0.7
+	// patienceGoal and patienceWait say how long a repeatable request waits for
+	// the first byte before it is tried elsewhere: parts of the objective, and
+	// times the expected wait.
+	patienceGoal = 0.75
+	patienceWait = 4
+)
+
+const codeGone = "caller_gone"
+
+// errPatience ends an attempt that took too long to begin its answer.
+var errPatience = errors.New("no first byte within the expected time")
+
+// dispatch brings the request to an answer, or returns why there is none.
+func (g *Gateway) dispatch(ctx context.Context, x *exchange) error {
+	for unsent := 0; unsent < maxUnsent; unsent++ {
+		now := g.Now()
+		if left := x.deadline.Sub(now); left <= 0 {
+			return g.overdue(ctx, x)
+		}
+		place, err := g.place(now, x)
+		if err != nil {
+			return err
+		}
+		again, err := g.attempt(ctx, x, place)
+		if !again {
+			return err
+		}
+	}
+	return g.unplaced(x)
+}
+
+// place is where an attempt goes: a target, or an instance of another region.
+type place struct {
+	ticket *placement.Ticket
+	remote *Remote
+}
+
+// place chooses the target of the region, or another region where the request
+// would be answered earlier.
+func (g *Gateway) place(now time.Time, x *exchange) (place, error) {
+	r := g.request(x)
+	fleet := g.Fleet(now)
+	var candidates = g.Targets(now, x.service)
+	if !x.permits(g.Region) {
+		candidates = nil
+	}
+	near, ok := g.Picker.Wait(now, candidates, r, fleet)
+	if !x.hop {
+		for _, remote := range g.Remotes(now, x.service, x.permits) {
+			if x.triedPlace(remote.Member.Name) || ok && remote.Wait >= near {
+				continue
+			}
+			if remote.Wait.Seconds() < maxWait*x.deadline.Sub(now).Seconds() {
+				return place{remote: &remote}, nil
+			}
+		}
+	}
+	if !ok {
+		return place{}, g.unplaced(x)
+	}
+	if near.Seconds() > maxWait*x.deadline.Sub(now).Seconds() {
+		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near/2)
+	}
+	ticket := g.Picker.Choose(now, candidates, r, fleet)
+	if ticket == nil {
+		return place{}, g.unplaced(x)
+	}
+	return place{ticket: ticket}, nil
+}
+
+func (x *exchange) triedPlace(name string) bool {
+	for _, one := range x.tried {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gateway) request(x *exchange) placement.Request {
+	return placement.Request{
+		Service: x.catalog.Service(x.service), Prompt: x.ask.Prompt, Output: x.ask.Output,
+		Parts: x.ask.Parts, Tried: x.tried,
+	}
+}
+
+// attempt sends the request to one place. It returns true where another may be
+// tried.
+func (g *Gateway) attempt(ctx context.Context, x *exchange, p place) (bool, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	now := g.Now()
+	if len(x.tried) == 0 {
+		g.Budget.First(now, g.Retries, x.service)
+	}
+	var patience *time.Timer
+	if d := g.patience(x, p); d > 0 {
+		patience = time.AfterFunc(d, func() { cancel(errPatience) })
+		defer patience.Stop()
+	}
+	a := &try{x: x, place: p, patience: patience}
+	x.tried = append(x.tried, p.name())
+	x.chosen = p.name()
+	x.sends++
+	resp, err := g.send(ctx, a)
+	if err != nil {
+		return g.failed(ctx, a, err)
+	}
+	return g.answer(ctx, a, resp)
+}
+
+// try is one attempt at one place.
+type try struct {
+	x        *exchange
+	place    place
+	patience *time.Timer
+}
+
+func (p place) name() string {
+	if p.remote != nil {
+		return p.remote.Member.Name
+	}
+	return p.ticket.Target().Name()
+}
+
+// mayRepeat draws on the fleet's budget for repeats.
+func (g *Gateway) mayRepeat(now time.Time, x *exchange) bool {
+	return g.Budget.Repeat(now, g.Retries, x.service, g.Instances(now))
+}
+
+// patience returns how long the place may take to begin its answer, 0 for no bound.
+func (g *Gateway) patience(x *exchange, p place) time.Duration {
+	if !idempotent(x.route) || x.route.Goal() <= 0 || x.sends+1 >= x.route.Attempts() {
+		return 0
+	}
+	var expected time.Duration
+	if p.remote != nil {
+		expected = p.remote.Wait
+	} else {
+		expected = p.ticket.Expected()
+	}
+	return max(time.Duration(patienceGoal*float64(x.route.Goal())), patienceWait*expected)
+}
+
+// send sends the request to the place and returns the head of the answer.
+func (g *Gateway) send(ctx context.Context, a *try) (*pool.Response, error) {
+	x := a.x
+	left := x.deadline.Sub(g.Now())
+	header := x.ask.Header.Clone()
+	if a.place.remote != nil {
+		x.hopHeader(header, left)
+		return g.Pool.Do(ctx, a.place.remote.Member.Forward, &pool.Request{
+			Method: x.method, Target: x.target, Host: x.host, Header: header, Body: x.body,
+		})
+	}
+	t := a.place.ticket.Target()
+	g.Wire.Dress(header, Order{Target: t.Name(), Left: left, Customer: x.customer.Name(), After: x.ask.After})
+	return g.Pool.Do(ctx, t.Address(), &pool.Request{
+		Method: x.method, Target: x.target, Host: x.host, Header: header, Body: x.body,
+		Fresh: !idempotent(x.route) && !x.route.Stream(),
+		Owns:  func(h http.Header) bool { owner := g.Wire.Owner(h); return owner == "" || owner == x.ask.ID },
+	})
+}
+
+// failed draws the conclusions from an attempt without an answer.
+func (g *Gateway) failed(ctx context.Context, a *try, err error) (bool, error) {
+	x := a.x
+	now := g.Now()
+	var f *pool.Failure
+	sent := !errors.As(err, &f) || f.Sent
+	cause := context.Cause(ctx)
+	x.notes = err.Error()
+	switch {
+	case errors.Is(cause, errPatience):
+		a.end(now, placement.Silent)
+	case ctx.Err() != nil && !now.Before(x.deadline):
+		a.end(now, placement.Silent)
+		return false, g.overdue(ctx, x)
+	case ctx.Err() != nil:
+		a.end(now, placement.Abandoned)
+		return false, gone(cause)
+	default:
+		a.end(now, placement.Unreachable)
+	}
+	if !sent {
+		x.sends--
+		return true, nil
+	}
+	if !idempotent(x.route) || x.sends >= x.route.Attempts() || !g.mayRepeat(now, x) {
+		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").Because(err)
+	}
+	g.repeated(x, "no answer")
+	return true, nil
+}
+
+// end counts the attempt out at its target.
+func (a *try) end(now time.Time, o placement.Outcome) {
+	if a.place.ticket != nil {
+		a.place.ticket.End(now, o)
+	}
+}
+
+func (a *try) first(now time.Time) {
+	if a.patience != nil {
+		a.patience.Stop()
+	}
+	if a.x.first.IsZero() {
+		a.x.first = now
+	}
+	if a.place.ticket != nil {
+		a.place.ticket.First(now)
+	}
+}
+
+func (g *Gateway) repeated(x *exchange, reason string) {
+	if g.Counter.Repeat != nil {
+		g.Counter.Repeat(x.service, reason)
+	}
+}
+
+// refuse returns a refusal that is true to what was sent so far.
+func (g *Gateway) refuse(x *exchange, code, message string, after time.Duration) error {
+	if x.sends == 0 {
+		return refusal.NotRun(http.StatusServiceUnavailable, code, message).After(max(after, soon))
+	}
+	return refusal.Unknown(http.StatusBadGateway, code, message)
+}
+
+// unplaced refuses a request for which no target may be used.
+func (g *Gateway) unplaced(x *exchange) error {
+	return g.refuse(x, "targets_none", "no target may take the request now", soon)
+}
+
+// overdue ends a request whose time is over.
+func (g *Gateway) overdue(ctx context.Context, x *exchange) error {
+	if x.sends == 0 {
+		return refusal.NotRun(http.StatusServiceUnavailable, "late", "the time was over before a target was found").After(soon)
+	}
+	return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "the target did not answer in time").Because(context.Cause(ctx))
+}
+
+func gone(cause error) error {
+	return &refusal.Refusal{Status: 499, Code: codeGone, Message: "the caller left", Run: refusal.RunUnknown, Cause: cause}
+}
--- /dev/null
+++ b/chervilyard/gossip/gossip.go
@@ -0,0 +1,321 @@
+// Package gossip exchanges heartbeats with other instances: who runs, what is
+// open at the region's targets, tokens, and which content of the store each
+// knows.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"chervilyard.example/chervilyard/journal"
+	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/membership"
+)
+
+const (
+	// interval between heartbeats: loads older than two of them mislead the
+	// choice of targets.
+	interval = 200 * time.Millisecond
+	// near and far bound how many instances of the own region, and of each
+	// other, get a heartbeat in an interval.
+	near = 4
+	far  = 1
+	// callTime of a heartbeat in the region, and farTime to another.
+	callTime = 400 * time.Millisecond
+	farTime  = 900 * time.Millisecond
+	// quiet is the silence after which a member counts as lost in the log.
+	quiet = 2 * time.Second
+	// forget is how long a silent member is remembered: a partition should end
+	// before, so that both sides find each other again.
+	forget = 10 * time.Minute
+	// dialTime bounds the making of a connection.
+	dialTime = time.Second
+	// maxMessage bounds a message in bytes: the largest value of the store and more.
+	maxMessage = 4 << 20
+)
+
+// Duty sends heartbeats. Its fields are set before Run.
+type Duty struct {
+	Self    func(now time.Time) membership.Member
+	Table   *membership.Table
+	Now     func() time.Time
+	Journal *journal.Journal
+	// Seeds are addresses to try while no member is known.
+	Seeds func() []string
+	// Say returns what a heartbeat to the member carries beside the members.
+	Say func(now time.Time, to membership.Member) *fleet.Heartbeat
+	// Heard takes in what a member said.
+	Heard func(now time.Time, from membership.Member, h *fleet.Heartbeat)
+	// Give hands over tokens of a customer; what it returns is gone here.
+	Give func(now time.Time, customer string, want float64) float64
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+	busy  map[string]bool
+	trips map[string]time.Duration
+	lost  map[string]bool
+}
+
+// Run sends heartbeats until the context ends and closes the returned channel then.
+func (d *Duty) Run(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			d.round(ctx)
+			select {
+			case <-ctx.Done():
+				d.close()
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return ended
+}
+
+// round sends one interval's heartbeats.
+func (d *Duty) round(ctx context.Context) {
+	now := d.Now()
+	self := d.Self(now)
+	d.Table.Forget(now, forget)
+	members := d.Table.All()
+	d.noteSilent(now, members)
+	for _, m := range d.choose(self, members) {
+		d.beat(ctx, m)
+	}
+	if len(members) == 0 {
+		for _, address := range d.Seeds() {
+			if address != self.Peers {
+				d.beat(ctx, membership.Member{Peers: address, Region: self.Region})
+			}
+		}
+	}
+}
+
+// choose returns this interval's receivers.
+func (d *Duty) choose(self membership.Member, members []membership.Member) []membership.Member {
+	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+	counts := make(map[string]int)
+	var list []membership.Member
+	for _, m := range members {
+		most := far
+		if m.Region == self.Region {
+			most = near
+		}
+		if m.Name == self.Name || counts[m.Region] >= most {
+			continue
+		}
+		counts[m.Region]++
+		list = append(list, m)
+	}
+	return list
+}
+
+// Beat sends heartbeats to all members at once, to say that something changed.
+func (d *Duty) Beat(ctx context.Context) {
+	for _, m := range d.Table.Live(d.Now(), quiet) {
+		d.beat(ctx, m)
+	}
+}
+
+// beat exchanges one heartbeat without waiting for it; a member that has not
+// answered the last one is left alone.
+func (d *Duty) beat(ctx context.Context, m membership.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.busy == nil {
+		d.busy = make(map[string]bool)
+	}
+	if d.busy[m.Peers] {
+		return
+	}
+	d.busy[m.Peers] = true
+	go func() {
+		defer d.free(m.Peers)
+		d.exchange(ctx, m)
+	}()
+}
+
+func (d *Duty) free(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.busy, address)
+}
+
+func (d *Duty) exchange(ctx context.Context, m membership.Member) {
+	conn, err := d.conn(m.Peers)
+	if err != nil {
+		return
+	}
+	now := d.Now()
+	limit := callTime
+	if m.Region != d.Self(now).Region {
+		limit = farTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, d.Heartbeat(now, m))
+	if err != nil {
+		return // the silence is logged once it has lasted
+	}
+	then := d.Now()
+	d.trip(m.Name, then.Sub(now))
+	d.Take(then, reply)
+}
+
+// Heartbeat returns what this instance says to a member.
+func (d *Duty) Heartbeat(now time.Time, to membership.Member) *fleet.Heartbeat {
+	h := d.Say(now, to)
+	self := d.Self(now)
+	self.Heard = now
+	h.Name = self.Name
+	h.Members = append(h.Members, message(now, self))
+	for _, m := range d.Table.Live(now, forget) {
+		h.Members = append(h.Members, message(now, m))
+	}
+	return h
+}
+
+// Take takes in a heartbeat.
+func (d *Duty) Take(now time.Time, h *fleet.Heartbeat) {
+	self := d.Self(now)
+	var from membership.Member
+	for _, one := range h.GetMembers() {
+		m := member(now, one)
+		if m.Name == h.GetName() {
+			from = m
+		}
+		if m.Name == self.Name {
+			continue
+		}
+		if d.Table.Hear(m) {
+			d.Journal.Note(journal.Decision{Time: now, Kind: "member", Choice: "joined", Target: m.Name, Centre: m.Centre, Reason: "told by " + h.GetName()})
+		}
+	}
+	d.Heard(now, from, h)
+}
+
+// grant adds the tokens that the sender of a heartbeat gets.
+func (d *Duty) grant(now time.Time, asked, reply *fleet.Heartbeat) {
+	for _, want := range asked.GetWants() {
+		if n := d.Give(now, want.GetCustomer(), want.GetAmount()); n > 0 {
+			reply.Grants = append(reply.Grants, &fleet.Tokens{Customer: want.GetCustomer(), Amount: n})
+		}
+	}
+}
+
+// noteSilent logs members that fall silent or come back.
+func (d *Duty) noteSilent(now time.Time, members []membership.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lost == nil {
+		d.lost = make(map[string]bool)
+	}
+	for _, m := range members {
+		silent := now.Sub(m.Heard) > quiet
+		if silent == d.lost[m.Name] || m.Heard.IsZero() {
+			continue
+		}
+		d.lost[m.Name] = silent
+		choice := "regained"
+		if silent {
+			choice = "lost"
+		}
+		d.Journal.Note(journal.Decision{Time: now, Kind: "dependency", Choice: choice, Target: m.Name, Centre: m.Centre, Reason: "heartbeats"})
+	}
+}
+
+// Trip returns how long a heartbeat to the member and back takes.
+func (d *Duty) Trip(name string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.trips[name]
+}
+
+func (d *Duty) trip(name string, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.trips == nil {
+		d.trips = make(map[string]time.Duration)
+	}
+	if old, ok := d.trips[name]; ok {
+		took = old + (took-old)/8
+	}
+	d.trips[name] = took
+}
+
+// conn returns a connection to another instance.
+func (d *Duty) conn(address string) (*grpc.ClientConn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", a)
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: interval, Multiplier: 1.5, MaxDelay: time.Second, Jitter: 0.2},
+			MinConnectTimeout: dialTime,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: time.Second}),
+		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
+		grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
+	)
+	if err != nil {
+		return nil, err
+	}
+	if d.conns == nil {
+		d.conns = make(map[string]*grpc.ClientConn)
+	}
+	d.conns[address] = c
+	return c, nil
+}
+
+// Read fetches what a member knows of a part of the store.
+func (d *Duty) Read(ctx context.Context, m membership.Member, part string) (*fleet.Content, error) {
+	conn, err := d.conn(m.Peers)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*farTime)
+	defer cancel()
+	return fleet.NewFleetClient(conn).Read(ctx, &fleet.Part{Name: part})
+}
+
+func (d *Duty) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		_ = c.Close() // nothing is sent any more
+	}
+}
+
+func message(now time.Time, m membership.Member) *fleet.Member {
+	return &fleet.Member{
+		Name: m.Name, Run: m.Run, Region: m.Region, Centre: m.Centre, Callers: m.Callers, Forward: m.Forward,
+		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Age: now.Sub(m.Heard).Milliseconds(),
+	}
+}
+
+func member(now time.Time, m *fleet.Member) membership.Member {
+	return membership.Member{
+		Name: m.GetName(), Run: m.GetRun(), Region: m.GetRegion(), Centre: m.GetCentre(), Callers: m.GetCallers(),
+		Forward: m.GetForward(), Peers: m.GetPeers(), Leaving: m.GetLeaving(), Ready: m.GetReady(),
+		Heard: now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
+	}
+}
--- a/chervilyard/journal/journal.go
+++ b/chervilyard/journal/journal.go
@@ -38,6 +38,7 @@
 // concurrent use.
 type Journal struct {
 	log   hclog.Logger
+	kept  int
 	queue *ring.Ring[Decision]
 
 	mu     sync.Mutex
@@ -46,8 +47,11 @@
 }
 
 // New returns a journal that writes to the logger.
-func New(log hclog.Logger) *Journal {
-	return &Journal{log: log, queue: ring.New[Decision](ringSize)}
+func New(log hclog.Logger) *Journal { return Keeping(log, kept) }
+
+// Keeping returns a journal that keeps the last n decisions to be explained.
+func Keeping(log hclog.Logger, n int) *Journal {
+	return &Journal{log: log, kept: max(n, 1), queue: ring.New[Decision](ringSize)}
 }
 
 // Note hands a decision over; where the writer is behind, it is shed and counted.
@@ -113,12 +117,12 @@
 func (j *Journal) keep(d Decision) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if len(j.recent) < kept {
+	if len(j.recent) < j.kept {
 		j.recent = append(j.recent, d)
 		return
 	}
 	j.recent[j.at] = d
-	j.at = (j.at + 1) % kept
+	j.at = (j.at + 1) % j.kept
 }
 
 // Explain returns the decisions on a request that are still kept, oldest first.
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// Request counts a request that was passed on by host and path.
+func (m *Meter) Request(route, code string, status int, took, first time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_requests_total{route=%q,code=%q,status="%d"}`, route, code, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`chervil_request_seconds{route=%q}`, route)).Update(took.Seconds())
+	if first > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`chervil_request_first_byte_seconds{route=%q}`, route)).Update(first.Seconds())
+	}
+}
+
+// Repeat counts a request that was sent again.
+func (m *Meter) Repeat(service, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_repeats_total{service=%q,reason=%q}`, service, reason)).Inc()
+}
+
+// Connect counts a new connection to a target or an instance.
+func (m *Meter) Connect() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
+
 // Refused counts a call refused for its customer's quota.
 func (m *Meter) Refused(customer string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_quota_refused_total{customer=%q}`, customer)).Inc()
--- /dev/null
+++ b/yard/fleet/doc.go
@@ -0,0 +1,3 @@
+// Package fleet holds the messages that instances exchange about themselves,
+// generated from fleet.proto by protoc with protoc-gen-go and protoc-gen-go-grpc.
+package fleet
--- /dev/null
+++ b/yard/placement/placement.go
@@ -0,0 +1,370 @@
+// Package placement chooses the target of a request: the one that is expected
+// to answer first, from what this instance and its peers have open there, what
+// the target has likely cached, and how it answered of late.
+package placement
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"chervilyard.example/yard/pace"
+	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/target"
+)
+
+const (
+	// cached is how long a prompt part is taken to stay in a target's memory
+	// after its last use.
+	cached = 12 * time.Second
+	// ejectFirst and ejectMost bound the time for which a failing target is
+	// left out; it doubles with each failure in a row.
+	ejectFirst = 300 * time.Millisecond
+	ejectMost  = 5 * time.Second
+	// learning is the weight of the newest sample in moving averages.
+	learning = 0.1
+	// failurePenalty is how many typical answer times a certain failure costs.
+	failurePenalty = 4
+	// peerNews is how long the loads that a peer told are counted.
+	peerNews = 1500 * time.Millisecond
+	// firstGuess of milliseconds to read one prompt token and of an answer's
+	// time, replaced by the first samples.
+	guessPerToken = 0.01
+	guessAnswer   = 50.0
+)
+
+// Part is one part of a prompt, shared by requests with the same identifier.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Service service.Service
+	Prompt  int // tokens
+	Output  int // tokens at most
+	Parts   []Part
+	Tried   []string // targets to leave out
+}
+
+// Fleet is how the instances that send to the same targets share a cold
+// target's pace.
+type Fleet struct {
+	Size  int // instances of the region
+	Rank  int // of this one among them
+	Over  float64
+	Fixed float64
+}
+
+// Load is what one instance has open at a target.
+type Load struct {
+	Target  string
+	Open    int
+	Waiting int // prompt tokens of requests without a first event
+	Memory  int // prompt and output tokens of open requests
+	Failing bool
+}
+
+// Picker holds what is known of the region's targets. The zero value is ready
+// to use. It is safe for concurrent use.
+type Picker struct {
+	mu      sync.Mutex
+	targets map[string]*state
+	peers   map[string]peerLoads
+	reading map[string]float64 // milliseconds a prompt token, by service
+	answers map[string]float64 // milliseconds an answer, by service
+	prompts map[string]float64 // tokens of a prompt, by service
+}
+
+type peerLoads struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+type state struct {
+	run       int64
+	open      int
+	waiting   int
+	memory    int
+	failures  int // in a row
+	ejected   time.Time
+	failRate  float64
+	answer    float64 // milliseconds, moving average; 0 where not known
+	coldUntil time.Time
+	suspect   bool // may have started anew since the last report
+	window    pace.Window
+	parts     map[string]time.Time
+}
+
+// Learn takes in a fresh list of targets, read at the given time: how long each
+// stays cold, and which started anew.
+func (p *Picker) Learn(now, read time.Time, targets []target.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		listed[t.Name()] = true
+		s := p.state(t.Name())
+		if s.run != t.Run() {
+			*s = state{run: t.Run(), open: s.open, waiting: s.waiting, memory: s.memory, window: s.window}
+		}
+		if t.Cold() > 0 {
+			s.coldUntil = read.Add(t.Cold())
+		}
+		if s.suspect && now.After(s.ejected) && t.Cold() == 0 {
+			s.suspect = false
+		}
+	}
+	for name, s := range p.targets {
+		if !listed[name] && s.open == 0 {
+			delete(p.targets, name)
+		}
+	}
+}
+
+// Chill treats the targets as cold for the given time, unless a report says
+// otherwise later.
+func (p *Picker) Chill(now time.Time, names []string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range names {
+		if s := p.state(name); s.coldUntil.Before(now.Add(d)) {
+			s.coldUntil = now.Add(d)
+		}
+	}
+}
+
+// Hear takes in what a peer has open at the region's targets.
+func (p *Picker) Hear(now time.Time, peer string, loads []Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers == nil {
+		p.peers = make(map[string]peerLoads)
+	}
+	byTarget := make(map[string]Load, len(loads))
+	for _, l := range loads {
+		byTarget[l.Target] = l
+	}
+	p.peers[peer] = peerLoads{at: now, loads: byTarget}
+}
+
+// Loads returns what this instance has open, for its peers.
+func (p *Picker) Loads(now time.Time) []Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Load
+	for name, s := range p.targets {
+		failing := now.Before(s.ejected)
+		if s.open > 0 || failing {
+			list = append(list, Load{Target: name, Open: s.open, Waiting: s.waiting, Memory: s.memory, Failing: failing})
+		}
+	}
+	slices.SortFunc(list, func(a, b Load) int {
+		if a.Target < b.Target {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Choose returns a ticket for the target that is expected to answer first, or
+// nil where none may be used now.
+func (p *Picker) Choose(now time.Time, candidates []target.Target, r Request, fleet Fleet) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *target.Target
+	bestWait := math.Inf(1)
+	for i := range candidates {
+		t := &candidates[i]
+		if slices.Contains(r.Tried, t.Name()) || !p.usable(now, t, r, fleet) {
+			continue
+		}
+		if wait := p.wait(now, t, r); wait < bestWait {
+			best, bestWait = t, wait
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return p.issue(now, *best, r, bestWait, fleet)
+}
+
+// Wait returns how long the request would wait for its first byte at the best
+// of the candidates, and false where none may be used now.
+func (p *Picker) Wait(now time.Time, candidates []target.Target, r Request, fleet Fleet) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := math.Inf(1)
+	for i := range candidates {
+		t := &candidates[i]
+		if !slices.Contains(r.Tried, t.Name()) && p.usable(now, t, r, fleet) {
+			best = min(best, p.wait(now, t, r))
+		}
+	}
+	if math.IsInf(best, 1) {
+		return 0, false
+	}
+	return milliseconds(best), true
+}
+
+// Room returns how long a typical request of the service would wait, and false
+// where no target may be used now.
+func (p *Picker) Room(now time.Time, candidates []target.Target, s service.Service, fleet Fleet) (time.Duration, bool) {
+	p.mu.Lock()
+	prompt := int(p.prompts[s.Name()])
+	p.mu.Unlock()
+	return p.Wait(now, candidates, Request{Service: s, Prompt: prompt}, fleet)
+}
+
+// usable reports whether the target may get a request now.
+func (p *Picker) usable(now time.Time, t *target.Target, r Request, fleet Fleet) bool {
+	s := p.state(t.Name())
+	if now.Before(s.ejected) {
+		return false
+	}
+	if s.failures > 0 && s.open > 0 {
+		return false // one request shows whether it is back
+	}
+	if memory := r.Service.Memory(); memory > 0 && r.Prompt+r.Output > memory {
+		return false
+	}
+	if !p.cold(now, s) {
+		return true
+	}
+	return s.window.Free(now, p.coldLimit(r, fleet))
+}
+
+func (p *Picker) cold(now time.Time, s *state) bool { return s.suspect || now.Before(s.coldUntil) }
+
+func (p *Picker) coldLimit(r Request, fleet Fleet) int {
+	if r.Service.ColdPace() <= 0 {
+		return math.MaxInt32
+	}
+	return pace.Limit(r.Service.ColdPace()*fleet.Over+fleet.Fixed, fleet.Size, fleet.Rank)
+}
+
+// wait returns the milliseconds until the target would give its first byte.
+func (p *Picker) wait(now time.Time, t *target.Target, r Request) float64 {
+	s := p.state(t.Name())
+	open, waiting, memory := p.total(now, t.Name(), s)
+	answer := p.answer(r.Service.Name())
+	own := answer
+	if s.answer > 0 {
+		own = s.answer
+	}
+	slots := max(t.Capacity(), 1)
+	queued := 0.0
+	if open >= slots {
+		queued = float64(open-slots+1) / float64(slots) * own
+	}
+	if limit := r.Service.Memory(); limit > 0 && memory+r.Prompt+r.Output > limit {
+		queued = max(queued, own*float64(memory+r.Prompt+r.Output-limit)/float64(limit))
+	}
+	wait := queued + own*s.failRate*failurePenalty
+	if r.Prompt == 0 {
+		return wait + own*(1+0.5*float64(open)/float64(slots))
+	}
+	perToken := p.perToken(r.Service.Name())
+	fresh := r.Prompt - p.hit(now, s, r.Parts)
+	crowd := float64(open) / float64(slots) * float64(max(r.Prompt, 1)) * 0.5
+	return wait + (float64(waiting+fresh)+crowd)*perToken
+}
+
+// total returns what all instances have open at the target.
+func (p *Picker) total(now time.Time, name string, s *state) (open, waiting, memory int) {
+	open, waiting, memory = s.open, s.waiting, s.memory
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) > peerNews {
+			continue
+		}
+		l := peer.loads[name]
+		open += l.Open
+		waiting += l.Waiting
+		memory += l.Memory
+	}
+	return open, waiting, memory
+}
+
+// hit returns how many of the prompt's tokens the target likely holds.
+func (p *Picker) hit(now time.Time, s *state, parts []Part) int {
+	tokens := 0
+	for _, part := range parts {
+		used, ok := s.parts[part.ID]
+		if !ok || now.Sub(used) > cached {
+			return tokens
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+func (p *Picker) perToken(service string) float64 {
+	if v := p.reading[service]; v > 0 {
+		return v
+	}
+	return guessPerToken
+}
+
+func (p *Picker) answer(service string) float64 {
+	if v := p.answers[service]; v > 0 {
+		return v
+	}
+	return guessAnswer
+}
+
+// issue counts the request at the target.
+func (p *Picker) issue(now time.Time, t target.Target, r Request, wait float64, fleet Fleet) *Ticket {
+	s := p.state(t.Name())
+	if p.cold(now, s) {
+		s.window.Take(now, p.coldLimit(r, fleet))
+	}
+	k := &Ticket{
+		picker: p, target: t, service: r.Service.Name(), sent: now, expected: milliseconds(wait),
+		fresh: max(r.Prompt-p.hit(now, s, r.Parts), 0), memory: r.Prompt + r.Output, model: r.Prompt > 0,
+	}
+	_, k.ahead, _ = p.total(now, t.Name(), s)
+	if p.prompts == nil {
+		p.prompts = make(map[string]float64)
+	}
+	p.prompts[k.service] = average(p.prompts[k.service], float64(r.Prompt))
+	s.open++
+	s.waiting += k.fresh
+	s.memory += k.memory
+	for _, part := range r.Parts {
+		if s.parts == nil {
+			s.parts = make(map[string]time.Time)
+		}
+		s.parts[part.ID] = now
+	}
+	if len(s.parts) > maxParts {
+		forget(s.parts, now)
+	}
+	return k
+}
+
+const maxParts = 4096 // prompt parts remembered for one target
+
+func forget(parts map[string]time.Time, now time.Time) {
+	for id, used := range parts {
+		if now.Sub(used) > cached {
+			delete(parts, id)
+		}
+	}
+}
+
+func (p *Picker) state(name string) *state {
+	if p.targets == nil {
+		p.targets = make(map[string]*state)
+	}
+	s := p.targets[name]
+	if s == nil {
+		s = &state{}
+		p.targets[name] = s
+	}
+	return s
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/yard/placement/ticket.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"time"
+
+	"chervilyard.example/yard/target"
+)
+
+// Outcome is how a request ended at its target.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	Answered    Outcome = iota // the target answered in full, whatever the status
+	Failed                     // the target's own failure status
+	Unreachable                // no connection, a reset, or bytes that are no answer
+	Full                       // the target refused for want of room and ran nothing
+	Replaced                   // another target has its address
+	Abandoned                  // the caller left, or its time was over
+	Silent                     // nothing came until the time was over
+)
+
+// Ticket is one request at its target. It is used by one goroutine at a time.
+type Ticket struct {
+	picker   *Picker
+	target   target.Target
+	service  string
+	sent     time.Time
+	expected time.Duration
+	fresh    int
+	ahead    int
+	memory   int
+	model    bool
+	begun    bool
+	ended    bool
+}
+
+// Target returns the target that was chosen.
+func (k *Ticket) Target() target.Target { return k.target }
+
+// Expected returns how long the first byte was expected to take.
+func (k *Ticket) Expected() time.Duration { return k.expected }
+
+// First notes the first byte of an answer.
+func (k *Ticket) First(now time.Time) {
+	if k.begun {
+		return
+	}
+	k.begun = true
+	k.picker.mu.Lock()
+	defer k.picker.mu.Unlock()
+	s := k.picker.state(k.target.Name())
+	s.waiting -= k.fresh
+	if !k.model || k.ahead+k.fresh <= 0 {
+		return
+	}
+	if k.picker.reading == nil {
+		k.picker.reading = make(map[string]float64)
+	}
+	sample := now.Sub(k.sent).Seconds() * 1000 / float64(k.ahead+k.fresh)
+	k.picker.reading[k.service] = average(k.picker.reading[k.service], sample)
+}
+
+// End counts the request out.
+func (k *Ticket) End(now time.Time, o Outcome) {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	k.picker.mu.Lock()
+	defer k.picker.mu.Unlock()
+	s := k.picker.state(k.target.Name())
+	s.open--
+	s.memory -= k.memory
+	if !k.begun {
+		s.waiting -= k.fresh
+	}
+	k.judge(now, s, o)
+}
+
+// judge draws the conclusions for the target's health.
+func (k *Ticket) judge(now time.Time, s *state, o Outcome) {
+	switch o {
+	case Answered:
+		s.failures = 0
+		s.failRate -= s.failRate * learning
+		took := now.Sub(k.sent).Seconds() * 1000
+		s.answer = average(s.answer, took)
+		if k.picker.answers == nil {
+			k.picker.answers = make(map[string]float64)
+		}
+		k.picker.answers[k.service] = average(k.picker.answers[k.service], took)
+	case Failed:
+		s.failures = 0
+		s.failRate += (1 - s.failRate) * learning
+	case Unreachable, Silent:
+		s.failRate += (1 - s.failRate) * learning
+		k.eject(now, s)
+		s.suspect = o == Unreachable || s.suspect
+	case Replaced:
+		k.eject(now, s)
+	case Full:
+		// It stays usable: others end there every moment.
+	case Abandoned:
+	}
+}
+
+// eject leaves the target out for a time that doubles with each failure.
+func (k *Ticket) eject(now time.Time, s *state) {
+	if now.Before(s.ejected) {
+		return // requests sent before the ejection fail together
+	}
+	d := min(ejectFirst<<min(s.failures, 8), ejectMost)
+	s.failures++
+	s.ejected = now.Add(d)
+}
+
+func average(old, sample float64) float64 {
+	if old <= 0 {
+		return sample
+	}
+	return old + (sample-old)*learning
+}
--- a/yard/route/route.go
+++ b/yard/route/route.go
@@ -29,6 +29,7 @@
 	open       string
 	limit      int
 	density    float64
+	forwarding Forwarding
 }
 
 // Option sets one property of a Route.
--- a/yard/target/target.go
+++ b/yard/target/target.go
@@ -1,7 +1,10 @@
 // Package target is one back end: a model engine or a plain service.
 package target
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Target is one back end in a data centre.
 type Target struct {
@@ -12,6 +15,10 @@
 	capacity int
 	price    float64
 	leaving  bool
+	run      int64
+	cold     time.Duration
+	remains  time.Duration
+	bounded  bool
 }
 
 // New returns a target at an IP:PORT in the data centre that serves the named
@@ -44,3 +51,31 @@
 
 // Routes returns a copy of the names of the routes that it serves.
 func (t Target) Routes() []string { return slices.Clone(t.serves) }
+
+// InRun returns the target with the identifier of its present run, which
+// changes when it starts anew under the same name.
+func (t Target) InRun(run int64) Target {
+	t.run = run
+	return t
+}
+
+// Run returns the identifier of the target's present run, 0 where not known.
+func (t Target) Run() int64 { return t.run }
+
+// WithCold returns the target with the time for which it stays cold.
+func (t Target) WithCold(left time.Duration) Target {
+	t.cold = left
+	return t
+}
+
+// Cold returns how long the target stays cold, as of its last report.
+func (t Target) Cold() time.Duration { return t.cold }
+
+// EndingIn returns a leaving target that ends after the given time whatever it runs.
+func (t Target) EndingIn(d time.Duration) Target {
+	t.remains, t.bounded = d, true
+	return t
+}
+
+// Ends returns how long a leaving target still runs, where that is bounded.
+func (t Target) Ends() (time.Duration, bool) { return t.remains, t.bounded }
