Gather tokens before a refusal by quota; keep shared prompt parts at one target

Ruled out: a failed read repeated at the same target fails again, so a repeat now goes to another region where the first went to one.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -55,13 +55,14 @@
 	table   membership.Table
 	beats   *gossip.Duty
 
-	views    map[string]*view.View
-	fetching map[string]*atomic.Bool
-	decode   map[string]func(now time.Time, s view.Snapshot)
-	catalog  atomic.Pointer[catalog.Catalog]
-	closed   atomic.Pointer[map[string]bool] // evacuated data centres
-	targets  targets
-	rooms    rooms
+	views     map[string]*view.View
+	fetching  map[string]*atomic.Bool
+	decode    map[string]func(now time.Time, s view.Snapshot)
+	catalog   atomic.Pointer[catalog.Catalog]
+	closed    atomic.Pointer[map[string]bool] // evacuated data centres
+	targets   targets
+	rooms     rooms
+	gathering gathering
 
 	leaving  atomic.Bool
 	ctx      context.Context
@@ -114,6 +115,7 @@
 	g.Retries = s.Retries
 	g.Picker, g.Book, g.Budget, g.Pool, g.Journal = &e.picker, &e.book, &e.budget, &e.pool, e.journal
 	g.Counter = gateway.Counter{Ended: e.meter.Request, Repeat: e.meter.Repeat}
+	g.Gather = e.gather
 	g.Draw = rand.Float64
 	g.Leaving = e.leaving.Load
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.Open()) })
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -77,6 +77,12 @@
 }
 
 func (e *Edge) heard(now time.Time, from membership.Member, h *fleet.Heartbeat) {
+	for _, g := range h.GetGrants() {
+		e.book.Add(now, g.GetCustomer(), g.GetAmount())
+	}
+	if len(h.GetMembers()) == 0 {
+		return // an answer to a wish
+	}
 	if from.Region == e.Settings().Region {
 		loads := make([]placement.Load, 0, len(h.GetLoads()))
 		for _, l := range h.GetLoads() {
@@ -88,9 +94,6 @@
 	} else {
 		e.rooms.take(now, h)
 	}
-	for _, g := range h.GetGrants() {
-		e.book.Add(now, g.GetCustomer(), g.GetAmount())
-	}
 	for _, d := range h.GetDigests() {
 		e.compare(now, from, d)
 	}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/target"
 )
 
 const (
@@ -44,6 +46,11 @@
 		if err != nil {
 			return err
 		}
+		if place.remote == nil {
+			if place.ticket = g.Picker.Choose(now, place.near, g.request(x), g.Fleet(now)); place.ticket == nil {
+				return g.unplaced(x)
+			}
+		}
 		again, err := g.attempt(ctx, x, place)
 		if !again {
 			return err
@@ -54,50 +61,44 @@
 
 // place is where an attempt goes: a target, or an instance of another region.
 type place struct {
-	ticket *placement.Ticket
+	near   []target.Target // candidates of this region, where remote is nil
 	remote *Remote
+	ticket *placement.Ticket // for the target that was chosen among them
 }
 
-// place chooses the target of the region, or another region where the request
-// would be answered earlier.
+// place decides between the targets of the region and another region where the
+// request would be answered earlier.
 func (g *Gateway) place(now time.Time, x *exchange) (place, error) {
-	r := g.request(x)
-	fleet := g.Fleet(now)
-	var candidates = g.Targets(now, x.service)
-	if !x.permits(g.Region) {
-		candidates = nil
+	var candidates []target.Target
+	if x.permits(g.Region) {
+		candidates = g.Targets(now, x.service)
 	}
-	near, ok := g.Picker.Wait(now, candidates, r, fleet)
-	if !x.hop {
-		for _, remote := range g.Remotes(now, x.service, x.permits) {
-			if x.triedPlace(remote.Member.Name) || ok && remote.Wait >= near {
-				continue
-			}
-			if remote.Wait.Seconds() < maxWait*x.deadline.Sub(now).Seconds() {
-				return place{remote: &remote}, nil
-			}
-		}
+	limit := time.Duration(maxWait * float64(x.deadline.Sub(now)))
+	near, ok := g.Picker.Wait(now, candidates, g.request(x), g.Fleet(now))
+	if remote := g.better(now, x, near, ok); remote != nil && remote.Wait < limit {
+		return place{remote: remote}, nil
 	}
-	if !ok {
+	switch {
+	case !ok:
 		return place{}, g.unplaced(x)
-	}
-	if near.Seconds() > maxWait*x.deadline.Sub(now).Seconds() {
+	case near > limit:
 		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near/2)
 	}
-	ticket := g.Picker.Choose(now, candidates, r, fleet)
-	if ticket == nil {
-		return place{}, g.unplaced(x)
-	}
-	return place{ticket: ticket}, nil
+	return place{near: candidates}, nil
 }
 
-func (x *exchange) triedPlace(name string) bool {
-	for _, one := range x.tried {
-		if one == name {
-			return true
+// better returns an instance of another region that would answer earlier than
+// the targets of this one, or nil.
+func (g *Gateway) better(now time.Time, x *exchange, near time.Duration, ok bool) *Remote {
+	if x.hop {
+		return nil
+	}
+	for _, remote := range g.Remotes(now, x.service, x.permits) {
+		if !slices.Contains(x.tried, remote.Member.Region) && (!ok || remote.Wait < near) {
+			return &remote
 		}
 	}
-	return false
+	return nil
 }
 
 func (g *Gateway) request(x *exchange) placement.Request {
@@ -123,8 +124,14 @@
 	}
 	a := &try{x: x, place: p, patience: patience}
 	x.tried = append(x.tried, p.name())
+	if p.remote != nil {
+		// The same targets would get it again there.
+		x.tried = append(x.tried, p.remote.Member.Region)
+	}
 	x.chosen = p.name()
-	x.sends++
+	if p.ticket != nil {
+		x.sends++
+	}
 	resp, err := g.send(ctx, a)
 	if err != nil {
 		return g.failed(ctx, a, err)
@@ -153,16 +160,10 @@
 
 // patience returns how long the place may take to begin its answer, 0 for no bound.
 func (g *Gateway) patience(x *exchange, p place) time.Duration {
-	if !idempotent(x.route) || x.route.Goal() <= 0 || x.sends+1 >= x.route.Attempts() {
+	if !idempotent(x.route) || x.route.Goal() <= 0 || x.sends+1 >= x.attempts || p.remote != nil {
 		return 0
 	}
-	var expected time.Duration
-	if p.remote != nil {
-		expected = p.remote.Wait
-	} else {
-		expected = p.ticket.Expected()
-	}
-	return max(time.Duration(patienceGoal*float64(x.route.Goal())), patienceWait*expected)
+	return max(time.Duration(patienceGoal*float64(x.route.Goal())), patienceWait*p.ticket.Expected())
 }
 
 // send sends the request to the place and returns the head of the answer.
@@ -206,10 +207,15 @@
 		a.end(now, placement.Unreachable)
 	}
 	if !sent {
-		x.sends--
+		if a.place.ticket != nil {
+			x.sends--
+		}
 		return true, nil
 	}
-	if !idempotent(x.route) || x.sends >= x.route.Attempts() || !g.mayRepeat(now, x) {
+	if a.place.remote != nil {
+		x.sends++ // it may have run there
+	}
+	if !idempotent(x.route) || x.sends >= x.attempts || !g.mayRepeat(now, x) {
 		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").Because(err)
 	}
 	g.repeated(x, "no answer")
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -79,10 +80,13 @@
 	Retries   retry.Terms
 	Picker    *placement.Picker
 	Book      *allowance.Book
-	Budget    *retry.Budget
-	Pool      *pool.Pool
-	Journal   *journal.Journal
-	Counter   Counter
+	// Gather takes a request's tokens with the help of other instances, and
+	// reports whether there were enough before the context ended.
+	Gather  func(ctx context.Context, customer string, tokens float64) bool
+	Budget  *retry.Budget
+	Pool    *pool.Pool
+	Journal *journal.Journal
+	Counter Counter
 	// Draw returns a uniform number from [0, 1).
 	Draw func() float64
 	// Leaving reports whether the instance is stopping.
--- a/chervilyard/gateway/hop.go
+++ b/chervilyard/gateway/hop.go
@@ -19,14 +19,16 @@
 	headerCustomer = "Chervil-Customer"
 	headerLeft     = "Chervil-Left" // milliseconds until the deadline
 	headerAfter    = "Chervil-After"
-	headerRun      = "Chervil-Run"    // of a refusal: "no", "yes" or "unknown"
-	headerTarget   = "Chervil-Target" // that answered
+	headerAttempts = "Chervil-Attempts" // targets that the request may still be sent to
+	headerSends    = "Chervil-Sends"    // targets that may have run it, in an answer
+	headerRun      = "Chervil-Run"      // of a refusal: "no", "yes" or "unknown"
 )
 
 // hopHeader tells the receiving instance what was decided here.
 func (x *exchange) hopHeader(h http.Header, left time.Duration) {
 	h.Set(headerRoute, x.route.Name())
 	h.Set(headerService, x.service)
+	h.Set(headerAttempts, strconv.Itoa(1)) // this instance decides about the next
 	h.Set(headerLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	if name := x.customer.Name(); name != "" {
 		h.Set(headerCustomer, name)
@@ -80,12 +82,25 @@
 	if err != nil {
 		return refusal.NotRun(http.StatusBadRequest, "hop_malformed", "the time left cannot be read").Because(err)
 	}
+	if x.attempts, err = strconv.Atoi(hop.Get(headerAttempts)); err != nil || x.attempts < 1 {
+		return refusal.NotRun(http.StatusBadRequest, "hop_malformed", "the attempts left cannot be read").Because(err)
+	}
 	x.deadline = x.arrived.Add(time.Duration(left) * time.Millisecond)
 	x.service = hop.Get(headerService)
 	x.ask.After = hop.Get(headerAfter)
 	return nil
 }
 
+// countThere takes in how many targets an instance of another region sent the
+// request to; one that does not say may have sent it.
+func (x *exchange) countThere(h http.Header) {
+	n, err := strconv.Atoi(h.Get(headerSends))
+	if err != nil {
+		n = 1
+	}
+	x.sends += n
+}
+
 func dropHop(h http.Header) {
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/event"
@@ -29,10 +30,10 @@
 	defer resp.Close()
 	x := a.x
 	if a.place.remote != nil {
+		x.countThere(resp.Header)
 		if run := resp.Header.Get(headerRun); run != "" {
 			return g.refusedThere(a, resp, run)
 		}
-		resp.Header.Del(headerTarget)
 	}
 	v := g.Wire.Judge(resp.Status, resp.Header)
 	success := resp.Status >= 200 && resp.Status < 300
@@ -53,7 +54,9 @@
 
 // notRun goes on after a target that ran nothing.
 func (g *Gateway) notRun(a *try, reason string) (bool, error) {
-	a.x.sends--
+	if a.place.ticket != nil {
+		a.x.sends--
+	}
 	a.x.notes = reason
 	if !g.mayRepeat(g.Now(), a.x) {
 		return false, g.refuse(a.x, "retries_spent", "the budget for repeats is spent", soon)
@@ -67,8 +70,7 @@
 	if run == refusal.RunNo {
 		return g.notRun(a, "refused in region "+a.place.remote.Member.Region)
 	}
-	code := "remote_failed"
-	return false, refusal.Unknown(resp.Status, code, "the other region gave no answer")
+	return false, refusal.Unknown(resp.Status, "remote_failed", "the other region gave no answer")
 }
 
 // whole relays an answer that is read in full before it is passed on.
@@ -89,7 +91,7 @@
 		outcome = placement.Failed
 	}
 	a.end(now, outcome)
-	if failure && resp.Status != http.StatusGatewayTimeout && idempotent(x.route) && x.sends < x.route.Attempts() && g.another(x) {
+	if failure && resp.Status != http.StatusGatewayTimeout && idempotent(x.route) && x.sends < x.attempts && g.another(x) {
 		g.repeated(x, "the target failed")
 		x.notes = "status " + strconv.Itoa(resp.Status)
 		return true, nil
@@ -106,11 +108,10 @@
 	if x.route.Goal() > 0 && now.Sub(x.arrived) > x.route.Goal() {
 		return false
 	}
-	if !x.permits(g.Region) {
+	if _, err := g.place(now, x); err != nil {
 		return false
 	}
-	_, ok := g.Picker.Wait(now, g.Targets(now, x.service), g.request(x), g.Fleet(now))
-	return ok && g.mayRepeat(now, x)
+	return g.mayRepeat(now, x)
 }
 
 // long relays a body that is too long to be held.
@@ -202,7 +203,7 @@
 	x.status = resp.Status
 	h := x.w.Header()
 	for name, values := range resp.Header {
-		if !perConnection(name) {
+		if !perConnection(name) && !strings.HasPrefix(name, headerPrefix) {
 			h[name] = values
 		}
 	}
@@ -213,6 +214,9 @@
 	if length >= 0 && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if x.hop {
+		h.Set(headerSends, strconv.Itoa(x.sends))
+	}
 	x.w.WriteHeader(resp.Status)
 }
 
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 const (
 	// maxTime bounds requests where neither caller nor route does.
 	maxTime = time.Minute
+	// gatherPart of the objective is spent at most on gathering tokens: a way to
+	// another region and back at the usual objectives.
+	gatherPart = 0.25
 	// soon is when to come back after a passing shortage.
 	soon = 250 * time.Millisecond
 	// unready is when to come back to an instance that knows no configuration.
@@ -55,13 +59,14 @@
 	hop      bool // forwarded by another instance
 	charged  float64
 
-	sends   int // that may have run
-	tried   []string
-	started bool // a byte of the answer went to the caller
-	first   time.Time
-	chosen  string // the last target or instance
-	status  int
-	notes   string // why it went on after a failure
+	attempts int // targets that the request may be sent to
+	sends    int // targets that may have run it
+	tried    []string
+	started  bool // a byte of the answer went to the caller
+	first    time.Time
+	chosen   string // the last target or instance
+	status   int
+	notes    string // why it went on after a failure
 }
 
 // ServeHTTP serves a caller's request.
@@ -112,6 +117,7 @@
 // admit reads the body, bounds the time and takes the customer's tokens.
 func (g *Gateway) admit(x *exchange, r *http.Request) error {
 	x.deadline = x.arrived.Add(bound(x.ask.Deadline, x.route.Deadline()))
+	x.attempts = x.route.Attempts()
 	x.service = x.route.Pick(g.Draw())
 	if x.service == "" {
 		return refusal.NotRun(http.StatusServiceUnavailable, "service_none", "the route has no service").After(time.Second)
@@ -127,7 +133,7 @@
 		tokens = x.catalog.Charge(x.customer.Name())
 	}
 	now := g.Now()
-	if !g.Book.Take(now, x.customer.Name(), tokens) {
+	if !g.Book.Take(now, x.customer.Name(), tokens) && !g.gathered(r.Context(), x, tokens) {
 		wait := max(g.Book.Wait(now, x.customer.Name(), tokens), soon)
 		return refusal.NotRun(http.StatusTooManyRequests, "quota", "the customer's rate is used up").After(wait)
 	}
@@ -135,6 +141,18 @@
 	return nil
 }
 
+// gathered waits for tokens that other instances can spare, as long as that
+// leaves most of the objective, and reports whether they were enough.
+func (g *Gateway) gathered(ctx context.Context, x *exchange, tokens float64) bool {
+	limit := x.deadline.Sub(x.arrived)
+	if goal := x.route.Goal(); goal > 0 {
+		limit = min(limit, goal)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(gatherPart*float64(limit)))
+	defer cancel()
+	return g.Gather(ctx, x.customer.Name(), tokens)
+}
+
 // bound returns the shorter of two times, where 0 is none.
 func bound(caller, route time.Duration) time.Duration {
 	d := maxTime
@@ -184,6 +202,7 @@
 	}
 	if x.hop {
 		x.w.Header().Set(headerRun, r.Run)
+		x.w.Header().Set(headerSends, strconv.Itoa(x.sends))
 	}
 	g.Wire.Refuse(x.w, r)
 }
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -28,6 +28,11 @@
 	// other, get a heartbeat in an interval.
 	near = 4
 	far  = 1
+	// farEvery and listEvery are the intervals between heartbeats to other
+	// regions, and between heartbeats that list all members: the links between
+	// regions are narrow.
+	farEvery  = 2
+	listEvery = 5
 	// callTime of a heartbeat in the region, and farTime to another.
 	callTime = 400 * time.Millisecond
 	farTime  = 900 * time.Millisecond
@@ -58,6 +63,7 @@
 	Give func(now time.Time, customer string, want float64) float64
 
 	mu    sync.Mutex
+	beats int // intervals so far
 	conns map[string]*grpc.ClientConn
 	busy  map[string]bool
 	trips map[string]time.Duration
@@ -89,6 +95,9 @@
 	now := d.Now()
 	self := d.Self(now)
 	d.Table.Forget(now, forget)
+	d.mu.Lock()
+	d.beats++
+	d.mu.Unlock()
 	members := d.Table.All()
 	d.noteSilent(now, members)
 	for _, m := range d.choose(self, members) {
@@ -106,6 +115,9 @@
 // choose returns this interval's receivers.
 func (d *Duty) choose(self membership.Member, members []membership.Member) []membership.Member {
 	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+	d.mu.Lock()
+	distant := d.beats%farEvery == 0
+	d.mu.Unlock()
 	counts := make(map[string]int)
 	var list []membership.Member
 	for _, m := range members {
@@ -113,7 +125,7 @@
 		if m.Region == self.Region {
 			most = near
 		}
-		if m.Name == self.Name || counts[m.Region] >= most {
+		if m.Name == self.Name || m.Region != self.Region && !distant || counts[m.Region] >= most {
 			continue
 		}
 		counts[m.Region]++
@@ -174,6 +186,38 @@
 	d.Take(then, reply)
 }
 
+// Ask asks members for tokens of a customer at once and waits for their answers.
+func (d *Duty) Ask(ctx context.Context, members []membership.Member, customer string, amount float64) {
+	var wg sync.WaitGroup
+	for _, m := range members {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d.ask(ctx, m, customer, amount/float64(len(members)))
+		}()
+	}
+	wg.Wait()
+}
+
+func (d *Duty) ask(ctx context.Context, m membership.Member, customer string, amount float64) {
+	conn, err := d.conn(m.Peers)
+	if err != nil {
+		return // the heartbeats log what they cannot reach
+	}
+	self := d.Self(d.Now())
+	// The answer is taken in even after the asker stopped waiting: its tokens
+	// are gone at the giver.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), farTime)
+	defer cancel()
+	reply, err := fleet.NewFleetClient(conn).Ask(ctx, &fleet.Wish{
+		Name: self.Name, Wants: []*fleet.Tokens{{Customer: customer, Amount: amount}},
+	})
+	if err != nil {
+		return
+	}
+	d.Heard(d.Now(), m, &fleet.Heartbeat{Name: m.Name, Grants: reply.GetGrants()})
+}
+
 // Heartbeat returns what this instance says to a member.
 func (d *Duty) Heartbeat(now time.Time, to membership.Member) *fleet.Heartbeat {
 	h := d.Say(now, to)
@@ -181,12 +225,22 @@
 	self.Heard = now
 	h.Name = self.Name
 	h.Members = append(h.Members, message(now, self))
-	for _, m := range d.Table.Live(now, forget) {
-		h.Members = append(h.Members, message(now, m))
+	if d.listing(to) {
+		for _, m := range d.Table.Live(now, forget) {
+			h.Members = append(h.Members, message(now, m))
+		}
 	}
 	return h
 }
 
+// listing reports whether a heartbeat to the member lists all members: to one
+// that was not heard yet, and from time to time.
+func (d *Duty) listing(to membership.Member) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return to.Heard.IsZero() || d.beats%listEvery == 0
+}
+
 // Take takes in a heartbeat.
 func (d *Duty) Take(now time.Time, h *fleet.Heartbeat) {
 	self := d.Self(now)
@@ -206,13 +260,15 @@
 	d.Heard(now, from, h)
 }
 
-// grant adds the tokens that the sender of a heartbeat gets.
-func (d *Duty) grant(now time.Time, asked, reply *fleet.Heartbeat) {
-	for _, want := range asked.GetWants() {
+// grant hands over tokens that are asked for.
+func (d *Duty) grant(now time.Time, wants []*fleet.Tokens) []*fleet.Tokens {
+	var grants []*fleet.Tokens
+	for _, want := range wants {
 		if n := d.Give(now, want.GetCustomer(), want.GetAmount()); n > 0 {
-			reply.Grants = append(reply.Grants, &fleet.Tokens{Customer: want.GetCustomer(), Amount: n})
+			grants = append(grants, &fleet.Tokens{Customer: want.GetCustomer(), Amount: n})
 		}
 	}
+	return grants
 }
 
 // noteSilent logs members that fall silent or come back.
--- a/chervilyard/gossip/server.go
+++ b/chervilyard/gossip/server.go
@@ -40,10 +40,15 @@
 		}
 	}
 	reply := s.Duty.Heartbeat(now, to)
-	s.Duty.grant(now, h, reply)
+	reply.Grants = s.Duty.grant(now, h.GetWants())
 	return reply, nil
 }
 
+// Ask hands over tokens.
+func (s *Server) Ask(_ context.Context, w *fleet.Wish) (*fleet.Grant, error) {
+	return &fleet.Grant{Grants: s.Duty.grant(s.Duty.Now(), w.GetWants())}, nil
+}
+
 // Read returns what is known of a part of the store.
 func (s *Server) Read(_ context.Context, p *fleet.Part) (*fleet.Content, error) {
 	return s.Content(s.Duty.Now(), p.GetName()), nil
--- a/yard/allowance/allowance.go
+++ b/yard/allowance/allowance.go
@@ -127,6 +127,19 @@
 	return wants
 }
 
+// Lack returns the tokens that a request of so many tokens, and what is
+// expected besides, would need in addition to what is there.
+func (b *Book) Lack(now time.Time, customer string, tokens float64) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[customer]
+	if a == nil || a.open {
+		return 0
+	}
+	a.advance(now)
+	return max(min(max(tokens, a.need()), a.size)-a.level, 0)
+}
+
 // Give hands over at most so many tokens, and only what the instance will not
 // need itself. The tokens are gone from its bucket when Give returns.
 func (b *Book) Give(now time.Time, customer string, want float64) float64 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilyard.example/yard/pace"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
@@ -175,21 +177,11 @@
 func (p *Picker) Choose(now time.Time, candidates []target.Target, r Request, fleet Fleet) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *target.Target
-	bestWait := math.Inf(1)
-	for i := range candidates {
-		t := &candidates[i]
-		if slices.Contains(r.Tried, t.Name()) || !p.usable(now, t, r, fleet) {
-			continue
-		}
-		if wait := p.wait(now, t, r); wait < bestWait {
-			best, bestWait = t, wait
-		}
-	}
+	best, wait := p.best(now, candidates, r, fleet)
 	if best == nil {
 		return nil
 	}
-	return p.issue(now, *best, r, bestWait, fleet)
+	return p.issue(now, *best, r, wait, fleet)
 }
 
 // Wait returns how long the request would wait for its first byte at the best
@@ -197,17 +189,44 @@
 func (p *Picker) Wait(now time.Time, candidates []target.Target, r Request, fleet Fleet) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := math.Inf(1)
+	best, wait := p.best(now, candidates, r, fleet)
+	if best == nil {
+		return 0, false
+	}
+	return milliseconds(wait), true
+}
+
+// best returns the candidate with the shortest wait, which is in milliseconds.
+func (p *Picker) best(now time.Time, candidates []target.Target, r Request, fleet Fleet) (*target.Target, float64) {
+	var best *target.Target
+	least := math.Inf(1)
+	home := homeOf(candidates, r.Parts)
 	for i := range candidates {
 		t := &candidates[i]
-		if !slices.Contains(r.Tried, t.Name()) && p.usable(now, t, r, fleet) {
-			best = min(best, p.wait(now, t, r))
+		if slices.Contains(r.Tried, t.Name()) || !p.usable(now, t, r, fleet) {
+			continue
+		}
+		if wait := p.wait(now, t, r, t.Name() == home); wait < least {
+			best, least = t, wait
 		}
 	}
-	if math.IsInf(best, 1) {
-		return 0, false
+	return best, least
+}
+
+// homeOf returns the target that all instances prefer for a prompt's shared
+// parts, by rendezvous hashing, so that each part is read at few targets.
+func homeOf(candidates []target.Target, parts []Part) string {
+	if len(parts) < 2 {
+		return ""
+	}
+	key := parts[len(parts)-2].ID // the last part is the request's own
+	home, top := "", uint64(0)
+	for _, t := range candidates {
+		if h := xxhash.Sum64String(key + "\x00" + t.Name()); home == "" || h > top {
+			home, top = t.Name(), h
+		}
 	}
-	return milliseconds(best), true
+	return home
 }
 
 // Room returns how long a typical request of the service would wait, and false
@@ -247,7 +266,7 @@
 }
 
 // wait returns the milliseconds until the target would give its first byte.
-func (p *Picker) wait(now time.Time, t *target.Target, r Request) float64 {
+func (p *Picker) wait(now time.Time, t *target.Target, r Request, home bool) float64 {
 	s := p.state(t.Name())
 	open, waiting, memory := p.total(now, t.Name(), s)
 	answer := p.answer(r.Service.Name())
@@ -268,7 +287,7 @@
 		return wait + own*(1+0.5*float64(open)/float64(slots))
 	}
 	perToken := p.perToken(r.Service.Name())
-	fresh := r.Prompt - p.hit(now, s, r.Parts)
+	fresh := r.Prompt - p.hit(now, s, r.Parts, home)
 	crowd := float64(open) / float64(slots) * float64(max(r.Prompt, 1)) * 0.5
 	return wait + (float64(waiting+fresh)+crowd)*perToken
 }
@@ -288,12 +307,14 @@
 	return open, waiting, memory
 }
 
-// hit returns how many of the prompt's tokens the target likely holds.
-func (p *Picker) hit(now time.Time, s *state, parts []Part) int {
+// hit returns how many of the prompt's tokens the target likely holds: what this
+// instance sent there of late, or at the home of the shared parts what the other
+// instances did.
+func (p *Picker) hit(now time.Time, s *state, parts []Part, home bool) int {
 	tokens := 0
-	for _, part := range parts {
+	for i, part := range parts {
 		used, ok := s.parts[part.ID]
-		if !ok || now.Sub(used) > cached {
+		if recent := ok && now.Sub(used) <= cached; !recent && !(home && i < len(parts)-1) {
 			return tokens
 		}
 		tokens += part.Tokens
@@ -323,7 +344,7 @@
 	}
 	k := &Ticket{
 		picker: p, target: t, service: r.Service.Name(), sent: now, expected: milliseconds(wait),
-		fresh: max(r.Prompt-p.hit(now, s, r.Parts), 0), memory: r.Prompt + r.Output, model: r.Prompt > 0,
+		fresh: max(r.Prompt-p.hit(now, s, r.Parts, false), 0), memory: r.Prompt + r.Output, model: r.Prompt > 0,
 	}
 	_, k.ahead, _ = p.total(now, t.Name(), s)
 	if p.prompts == nil {
