Let news age on its way; count a forwarded send when it is made

Each hop made the news one way younger, so among instances that told it to each other it never grew old, and no second instance read when the first was refused by the store. Ages now count from when a heartbeat was written at the latest.

Ruled out: slow readers of the second rank (their threshold of 2.1 s was never reached).

Also: regions are compared by their queues and the request's own time is a line over its tokens, since a whole prompt was compared with a typical one; heartbeats in the region every 50 ms.

--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -76,7 +76,7 @@
 	return list
 }
 
-func (e *Edge) heard(now time.Time, from membership.Member, h *fleet.Heartbeat) {
+func (e *Edge) heard(now, written time.Time, from membership.Member, h *fleet.Heartbeat) {
 	for _, g := range h.GetGrants() {
 		e.book.Add(now, g.GetCustomer(), g.GetAmount())
 	}
@@ -95,7 +95,7 @@
 		e.rooms.take(now, h)
 	}
 	for _, d := range h.GetDigests() {
-		e.compare(now, from, d)
+		e.compare(now, written, from, d)
 	}
 }
 
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"chervilyard.example/chervilyard/gossip"
 	"chervilyard.example/chervilyard/reader"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/fleet"
@@ -163,19 +164,19 @@
 			continue
 		}
 		if s := v.Snapshot(); !s.AsOf.IsZero() {
-			list = append(list, &fleet.Digest{Part: part, Revision: s.Revision, Digest: s.Digest, Age: now.Sub(s.AsOf).Milliseconds()})
+			list = append(list, &fleet.Digest{Part: part, Revision: s.Revision, Digest: s.Digest, Age: gossip.Age(now, s.AsOf)})
 		}
 	}
 	return list
 }
 
 // compare takes in what a member knows of a part, and fetches it where it is news.
-func (e *Edge) compare(now time.Time, from membership.Member, d *fleet.Digest) {
+func (e *Edge) compare(now, written time.Time, from membership.Member, d *fleet.Digest) {
 	v := e.views[d.GetPart()]
 	if v == nil || from.Peers == "" {
 		return
 	}
-	asOf := now.Add(-time.Duration(d.GetAge()) * time.Millisecond)
+	asOf := written.Add(-time.Duration(d.GetAge()) * time.Millisecond)
 	if v.Confirm(d.GetRevision(), d.GetDigest(), asOf) {
 		return
 	}
@@ -220,7 +221,7 @@
 		return &fleet.Content{}
 	}
 	s := v.Snapshot()
-	c := &fleet.Content{Digest: &fleet.Digest{Part: part, Revision: s.Revision, Digest: s.Digest, Age: now.Sub(s.AsOf).Milliseconds()}}
+	c := &fleet.Content{Digest: &fleet.Digest{Part: part, Revision: s.Revision, Digest: s.Digest, Age: gossip.Age(now, s.AsOf)}}
 	for _, it := range s.Items {
 		c.Items = append(c.Items, &fleet.Item{Key: it.Key, Value: it.Value, Revision: it.Revision})
 	}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -93,7 +93,9 @@
 	if x.hop {
 		return nil
 	}
+	own := g.Picker.Own(g.request(x))
 	for _, remote := range g.Remotes(now, x.service, x.permits) {
+		remote.Wait += own
 		if !slices.Contains(x.tried, remote.Member.Region) && (!ok || remote.Wait < near) {
 			return &remote
 		}
@@ -129,9 +131,7 @@
 		x.tried = append(x.tried, p.remote.Member.Region)
 	}
 	x.chosen = p.name()
-	if p.ticket != nil {
-		x.sends++
-	}
+	x.sends++
 	resp, err := g.send(ctx, a)
 	if err != nil {
 		return g.failed(ctx, a, err)
@@ -207,14 +207,9 @@
 		a.end(now, placement.Unreachable)
 	}
 	if !sent {
-		if a.place.ticket != nil {
-			x.sends--
-		}
+		x.sends--
 		return true, nil
 	}
-	if a.place.remote != nil {
-		x.sends++ // it may have run there
-	}
 	if !idempotent(x.route) || x.sends >= x.attempts || !g.mayRepeat(now, x) {
 		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").Because(err)
 	}
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -98,7 +98,7 @@
 // Remote is an instance of another region.
 type Remote struct {
 	Member membership.Member
-	Wait   time.Duration // until the first byte there, with the way
+	Wait   time.Duration // for the requests before it there, and the way
 }
 
 // Open returns how many requests are being served.
--- a/chervilyard/gateway/hop.go
+++ b/chervilyard/gateway/hop.go
@@ -92,13 +92,11 @@
 }
 
 // countThere takes in how many targets an instance of another region sent the
-// request to; one that does not say may have sent it.
+// request to, in place of the one send that was counted when it was forwarded.
 func (x *exchange) countThere(h http.Header) {
-	n, err := strconv.Atoi(h.Get(headerSends))
-	if err != nil {
-		n = 1
+	if n, err := strconv.Atoi(h.Get(headerSends)); err == nil {
+		x.sends += n - 1
 	}
-	x.sends += n
 }
 
 func dropHop(h http.Header) {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -109,9 +109,14 @@
 		return false
 	}
 	if _, err := g.place(now, x); err != nil {
+		x.notes = "not repeated: " + err.Error()
 		return false
 	}
-	return g.mayRepeat(now, x)
+	if !g.mayRepeat(now, x) {
+		x.notes = "not repeated: the budget for repeats is spent"
+		return false
+	}
+	return true
 }
 
 // long relays a body that is too long to be held.
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// interval between heartbeats: loads older than two of them mislead the
-	// choice of targets.
-	interval = 200 * time.Millisecond
+	// interval between heartbeats in the region: loads that are older than a few
+	// requests mislead the choice of targets.
+	interval = 50 * time.Millisecond
 	// near and far bound how many instances of the own region, and of each
 	// other, get a heartbeat in an interval.
 	near = 4
@@ -31,8 +31,8 @@
 	// farEvery and listEvery are the intervals between heartbeats to other
 	// regions, and between heartbeats that list all members: the links between
 	// regions are narrow.
-	farEvery  = 2
-	listEvery = 5
+	farEvery  = 8
+	listEvery = 20
 	// callTime of a heartbeat in the region, and farTime to another.
 	callTime = 400 * time.Millisecond
 	farTime  = 900 * time.Millisecond
@@ -41,6 +41,8 @@
 	// forget is how long a silent member is remembered: a partition should end
 	// before, so that both sides find each other again.
 	forget = 10 * time.Minute
+	// firstRedial is the pause after a first failed connection.
+	firstRedial = 200 * time.Millisecond
 	// dialTime bounds the making of a connection.
 	dialTime = time.Second
 	// maxMessage bounds a message in bytes: the largest value of the store and more.
@@ -57,8 +59,8 @@
 	Seeds func() []string
 	// Say returns what a heartbeat to the member carries beside the members.
 	Say func(now time.Time, to membership.Member) *fleet.Heartbeat
-	// Heard takes in what a member said.
-	Heard func(now time.Time, from membership.Member, h *fleet.Heartbeat)
+	// Heard takes in what a member said, which was written at the given time or later.
+	Heard func(now, written time.Time, from membership.Member, h *fleet.Heartbeat)
 	// Give hands over tokens of a customer; what it returns is gone here.
 	Give func(now time.Time, customer string, want float64) float64
 
@@ -183,7 +185,7 @@
 	}
 	then := d.Now()
 	d.trip(m.Name, then.Sub(now))
-	d.Take(then, reply)
+	d.take(then, now, reply)
 }
 
 // Ask asks members for tokens of a customer at once and waits for their answers.
@@ -215,7 +217,8 @@
 	if err != nil {
 		return
 	}
-	d.Heard(d.Now(), m, &fleet.Heartbeat{Name: m.Name, Grants: reply.GetGrants()})
+	now := d.Now()
+	d.Heard(now, now, m, &fleet.Heartbeat{Name: m.Name, Grants: reply.GetGrants()})
 }
 
 // Heartbeat returns what this instance says to a member.
@@ -241,12 +244,24 @@
 	return to.Heard.IsZero() || d.beats%listEvery == 0
 }
 
-// Take takes in a heartbeat.
+// Take takes in a heartbeat that another instance began. Its way took at most
+// as long as a heartbeat there and back does.
 func (d *Duty) Take(now time.Time, h *fleet.Heartbeat) {
+	way := d.Trip(h.GetName())
+	if way == 0 {
+		way = farTime
+	}
+	d.take(now, now.Add(-way), h)
+}
+
+// take takes in a heartbeat that was written at the given time or later. Ages
+// count from then: if each hop made news a little younger, it would never grow
+// old among instances that tell it to each other.
+func (d *Duty) take(now, written time.Time, h *fleet.Heartbeat) {
 	self := d.Self(now)
 	var from membership.Member
 	for _, one := range h.GetMembers() {
-		m := member(now, one)
+		m := member(written, one)
 		if m.Name == h.GetName() {
 			from = m
 		}
@@ -257,7 +272,7 @@
 			d.Journal.Note(journal.Decision{Time: now, Kind: "member", Choice: "joined", Target: m.Name, Centre: m.Centre, Reason: "told by " + h.GetName()})
 		}
 	}
-	d.Heard(now, from, h)
+	d.Heard(now, written, from, h)
 }
 
 // grant hands over tokens that are asked for.
@@ -325,7 +340,7 @@
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: interval, Multiplier: 1.5, MaxDelay: time.Second, Jitter: 0.2},
+			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 1.5, MaxDelay: time.Second, Jitter: 0.2},
 			MinConnectTimeout: dialTime,
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: time.Second}),
@@ -364,10 +379,16 @@
 func message(now time.Time, m membership.Member) *fleet.Member {
 	return &fleet.Member{
 		Name: m.Name, Run: m.Run, Region: m.Region, Centre: m.Centre, Callers: m.Callers, Forward: m.Forward,
-		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Age: now.Sub(m.Heard).Milliseconds(),
+		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Age: Age(now, m.Heard),
 	}
 }
 
+// Age returns the milliseconds since a time, rounded up so that no news gets
+// younger on its way.
+func Age(now, then time.Time) int64 {
+	return int64((now.Sub(then) + time.Millisecond - 1) / time.Millisecond)
+}
+
 func member(now time.Time, m *fleet.Member) membership.Member {
 	return membership.Member{
 		Name: m.GetName(), Run: m.GetRun(), Region: m.GetRegion(), Centre: m.GetCentre(), Callers: m.GetCallers(),
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -28,6 +28,8 @@
 	learning = 0.1
 	// failurePenalty is how many typical answer times a certain failure costs.
 	failurePenalty = 4
+	// crowded is how much longer a target takes when all its slots are in use.
+	crowded = 0.5
 	// peerNews is how long the loads that a peer told are counted.
 	peerNews = 1500 * time.Millisecond
 	// firstGuess of milliseconds to read one prompt token and of an answer's
@@ -75,9 +77,8 @@
 	mu      sync.Mutex
 	targets map[string]*state
 	peers   map[string]peerLoads
-	reading map[string]float64 // milliseconds a prompt token, by service
+	reading map[string]*line   // milliseconds to the first byte by prompt tokens, by service
 	answers map[string]float64 // milliseconds an answer, by service
-	prompts map[string]float64 // tokens of a prompt, by service
 }
 
 type peerLoads struct {
@@ -229,13 +230,30 @@
 	return home
 }
 
-// Room returns how long a typical request of the service would wait, and false
-// where no target may be used now.
+// Room returns how long a request of the service would wait for those before
+// it, and false where no target may be used now.
 func (p *Picker) Room(now time.Time, candidates []target.Target, s service.Service, fleet Fleet) (time.Duration, bool) {
 	p.mu.Lock()
-	prompt := int(p.prompts[s.Name()])
-	p.mu.Unlock()
-	return p.Wait(now, candidates, Request{Service: s, Prompt: prompt}, fleet)
+	defer p.mu.Unlock()
+	least := math.Inf(1)
+	r := Request{Service: s}
+	for i := range candidates {
+		if t := &candidates[i]; p.usable(now, t, r, fleet) {
+			least = min(least, p.queue(now, t, r))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0, false
+	}
+	return milliseconds(least), true
+}
+
+// Own returns how long the request itself would take to its first byte at a
+// target that holds nothing of its prompt.
+func (p *Picker) Own(r Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return milliseconds(p.own(r, r.Prompt))
 }
 
 // usable reports whether the target may get a request now.
@@ -267,29 +285,43 @@
 
 // wait returns the milliseconds until the target would give its first byte.
 func (p *Picker) wait(now time.Time, t *target.Target, r Request, home bool) float64 {
+	s := p.state(t.Name())
+	return p.queue(now, t, r) + p.own(r, r.Prompt-p.hit(now, s, r.Parts, home))
+}
+
+// own returns the milliseconds that the request itself takes to its first byte
+// where so many of its prompt's tokens have to be read.
+func (p *Picker) own(r Request, fresh int) float64 {
+	if r.Service.Slots() == 0 {
+		return p.answer(r.Service.Name())
+	}
+	base, perToken := p.line(r.Service.Name())
+	return base + float64(fresh)*perToken
+}
+
+// queue returns the milliseconds that a request would wait for those before it.
+func (p *Picker) queue(now time.Time, t *target.Target, r Request) float64 {
 	s := p.state(t.Name())
 	open, waiting, memory := p.total(now, t.Name(), s)
 	answer := p.answer(r.Service.Name())
-	own := answer
 	if s.answer > 0 {
-		own = s.answer
+		answer = s.answer
 	}
 	slots := max(t.Capacity(), 1)
 	queued := 0.0
 	if open >= slots {
-		queued = float64(open-slots+1) / float64(slots) * own
+		queued = float64(open-slots+1) / float64(slots) * answer
 	}
 	if limit := r.Service.Memory(); limit > 0 && memory+r.Prompt+r.Output > limit {
-		queued = max(queued, own*float64(memory+r.Prompt+r.Output-limit)/float64(limit))
+		queued = max(queued, answer*float64(memory+r.Prompt+r.Output-limit)/float64(limit))
 	}
-	wait := queued + own*s.failRate*failurePenalty
-	if r.Prompt == 0 {
-		return wait + own*(1+0.5*float64(open)/float64(slots))
+	crowd := crowded * float64(open) / float64(slots)
+	queued += answer * s.failRate * failurePenalty
+	if r.Service.Slots() == 0 {
+		return queued + answer*crowd
 	}
-	perToken := p.perToken(r.Service.Name())
-	fresh := r.Prompt - p.hit(now, s, r.Parts, home)
-	crowd := float64(open) / float64(slots) * float64(max(r.Prompt, 1)) * 0.5
-	return wait + (float64(waiting+fresh)+crowd)*perToken
+	base, perToken := p.line(r.Service.Name())
+	return queued + (float64(waiting)+crowd*float64(r.Prompt))*perToken + crowd*base
 }
 
 // total returns what all instances have open at the target.
@@ -322,11 +354,13 @@
 	return tokens
 }
 
-func (p *Picker) perToken(service string) float64 {
-	if v := p.reading[service]; v > 0 {
-		return v
+// line returns the milliseconds of an empty prompt and of each prompt token.
+func (p *Picker) line(service string) (base, perToken float64) {
+	l := p.reading[service]
+	if l == nil {
+		return guessAnswer, guessPerToken
 	}
-	return guessPerToken
+	return l.at(guessAnswer, guessPerToken)
 }
 
 func (p *Picker) answer(service string) float64 {
@@ -347,10 +381,6 @@
 		fresh: max(r.Prompt-p.hit(now, s, r.Parts, false), 0), memory: r.Prompt + r.Output, model: r.Prompt > 0,
 	}
 	_, k.ahead, _ = p.total(now, t.Name(), s)
-	if p.prompts == nil {
-		p.prompts = make(map[string]float64)
-	}
-	p.prompts[k.service] = average(p.prompts[k.service], float64(r.Prompt))
 	s.open++
 	s.waiting += k.fresh
 	s.memory += k.memory
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -55,10 +55,14 @@
 		return
 	}
 	if k.picker.reading == nil {
-		k.picker.reading = make(map[string]float64)
+		k.picker.reading = make(map[string]*line)
 	}
-	sample := now.Sub(k.sent).Seconds() * 1000 / float64(k.ahead+k.fresh)
-	k.picker.reading[k.service] = average(k.picker.reading[k.service], sample)
+	l := k.picker.reading[k.service]
+	if l == nil {
+		l = &line{}
+		k.picker.reading[k.service] = l
+	}
+	l.add(float64(k.ahead+k.fresh), now.Sub(k.sent).Seconds()*1000)
 }
 
 // End counts the request out.
--- /dev/null
+++ b/yard/view/view_test.go
@@ -0,0 +1,68 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"chervilyard.example/yard/view"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func items(keys ...string) []view.Item {
+	var list []view.Item
+	for _, k := range keys {
+		list = append(list, view.Item{Key: k, Value: []byte(k)})
+	}
+	return list
+}
+
+func digest(list []view.Item) uint64 {
+	return view.Digest(list, func(it view.Item) string { return string(it.Value) })
+}
+
+func TestOlderNeverReplacesNewer(t *testing.T) {
+	var v view.View
+	young, old := items("a"), items("b")
+	if !v.Learn(view.Snapshot{Revision: 7, Digest: digest(young), Items: young, AsOf: start}) {
+		t.Fatal("the first snapshot changed nothing")
+	}
+	if v.Learn(view.Snapshot{Revision: 6, Digest: digest(old), Items: old, AsOf: start.Add(time.Hour)}) {
+		t.Error("an older revision changed the view")
+	}
+	if s := v.Snapshot(); s.Revision != 7 || s.Items[0].Key != "a" {
+		t.Errorf("the view holds %v", s)
+	}
+}
+
+func TestConfirmRenewsTheAge(t *testing.T) {
+	var v view.View
+	list := items("a")
+	v.Learn(view.Snapshot{Revision: 7, Digest: digest(list), Items: list, AsOf: start})
+	if v.Confirm(9, 1, start.Add(time.Second)) {
+		t.Error("another content was confirmed")
+	}
+	if !v.Confirm(9, digest(list), start.Add(time.Second)) {
+		t.Error("the same content was not confirmed")
+	}
+	if age, _ := v.Age(start.Add(3 * time.Second)); age != 2*time.Second {
+		t.Errorf("the age is %v", age)
+	}
+	if v.Learn(view.Snapshot{Revision: 8, Digest: 1, Items: items("b"), AsOf: start.Add(5 * time.Second)}) {
+		t.Error("a revision before the confirmed one changed the view")
+	}
+}
+
+func TestApplyRemovesAndReplaces(t *testing.T) {
+	got := view.Apply(items("a", "b"), []view.Item{{Key: "a"}, {Key: "b", Value: []byte("2")}, {Key: "c", Value: []byte{}}})
+	if len(got) != 2 || got[0].Key != "b" || string(got[0].Value) != "2" || got[1].Key != "c" {
+		t.Errorf("the items are %v", got)
+	}
+}
+
+func TestUnknownHasNoAge(t *testing.T) {
+	var v view.View
+	if _, ok := v.Age(start); ok || v.Known() || v.Confirm(1, 0, start) {
+		t.Error("an empty view claims to know something")
+	}
+}
