--- /dev/null
+++ b/chervilyard/edge/store_test.go
@@ -0,0 +1,239 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"chervilyard.example/chervilyard/edge"
+	"chervilyard.example/chervilyard/gateway"
+	"chervilyard.example/yard/catalog"
+	"chervilyard.example/yard/customer"
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/route"
+	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/view"
+)
+
+var (
+	errRefused = errors.New("the store refuses this instance")
+	errEnded   = errors.New("no such lease")
+)
+
+// memory is a store in memory that refuses chosen instances.
+type memory struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]view.Item // by part and name
+	refused  map[string]bool      // instances
+	down     bool
+	changed  chan struct{}
+	leases   int64
+	calls    int
+}
+
+func newMemory() *memory {
+	return &memory{items: make(map[string]view.Item), refused: make(map[string]bool), changed: make(chan struct{})}
+}
+
+// put writes a value, or removes the key where it is nil.
+func (m *memory) put(key string, value any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	if value == nil {
+		m.items[key] = view.Item{Key: key, Revision: m.revision}
+	} else {
+		text, err := json.Marshal(value)
+		if err != nil {
+			panic(err)
+		}
+		m.items[key] = view.Item{Key: key, Value: text, Revision: m.revision}
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memory) refuse(names ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.refused)
+	for _, n := range names {
+		m.refused[n] = true
+	}
+}
+
+func (m *memory) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memory) part(part string, after int64) ([]view.Item, int64, chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []view.Item
+	for key, it := range m.items {
+		if strings.HasPrefix(key, part+"/") && it.Revision > after && (it.Value != nil || after > 0) {
+			list = append(list, it)
+		}
+	}
+	return list, m.revision, m.changed
+}
+
+func (m *memory) open(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.down || m.refused[name] {
+		return errRefused
+	}
+	return nil
+}
+
+// document is the configuration that the tests write.
+type document struct {
+	Version int64
+	Rate    float64 // of customer c, in tokens a second; the burst is the same
+	Keys    []string
+}
+
+type entry struct {
+	Address, Centre string
+	Leaving         bool
+	Beat            int
+}
+
+func (m *memory) store(name string) edge.Store {
+	return edge.Store{
+		List: func(_ context.Context, part string) (view.Snapshot, error) {
+			if err := m.open(name); err != nil {
+				return view.Snapshot{}, err
+			}
+			items, revision, _ := m.part(part, 0)
+			return view.Snapshot{Revision: revision, Items: items}, nil
+		},
+		Watch: func(ctx context.Context, part string, after int64, wait time.Duration) ([]view.Item, int64, error) {
+			limit := time.After(wait)
+			for {
+				if err := m.open(name); err != nil {
+					return nil, 0, err
+				}
+				items, revision, changed := m.part(part, after)
+				if len(items) > 0 {
+					return items, revision, nil
+				}
+				select {
+				case <-changed:
+				case <-limit:
+					return nil, revision, nil
+				case <-ctx.Done():
+					return nil, 0, ctx.Err()
+				}
+			}
+		},
+		Grant: func(context.Context, time.Duration) (int64, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.leases++
+			return m.leases, nil
+		},
+		Renew: func(context.Context, int64) error { return m.open(name) },
+		End:   func(context.Context, int64) error { return errEnded },
+		Announce: func(_ context.Context, one membership.Member, _ int64) error {
+			if err := m.open(name); err != nil {
+				return err
+			}
+			m.put("members/"+one.Name, one)
+			return nil
+		},
+		Catalog: readCatalog,
+		Closed: func(items []view.Item) map[string]bool {
+			closed := make(map[string]bool)
+			for _, it := range items {
+				if centre, ok := strings.CutPrefix(it.Key, "configuration/closed/"); ok {
+					closed[centre] = true
+				}
+			}
+			return closed
+		},
+		Targets: readTargets,
+		Members: func(items []view.Item) []membership.Member {
+			var list []membership.Member
+			for _, it := range items {
+				var one membership.Member
+				if json.Unmarshal(it.Value, &one) == nil {
+					list = append(list, one)
+				}
+			}
+			return list
+		},
+		Region: func(centre string) string { return strings.TrimSuffix(centre, "-a") },
+		Summary: func(part string, it view.Item) string {
+			var e entry
+			if part == edge.PartTargets && json.Unmarshal(it.Value, &e) == nil {
+				return e.Address + strconv.FormatBool(e.Leaving)
+			}
+			return string(it.Value)
+		},
+	}
+}
+
+func readCatalog(items []view.Item) (*catalog.Catalog, error) {
+	for _, it := range items {
+		if it.Key != "configuration/document" {
+			continue
+		}
+		var d document
+		if err := json.Unmarshal(it.Value, &d); err != nil {
+			return nil, err
+		}
+		keys := make(map[string]string)
+		for _, k := range d.Keys {
+			keys[k] = "c"
+		}
+		return catalog.New(catalog.Draft{
+			Version: d.Version, Keys: keys, Charges: map[string]float64{"c": 1},
+			Services:  []service.Service{service.New("s")},
+			Customers: []customer.Customer{customer.New("c", d.Rate, d.Rate, 1, "")},
+			Routes: []route.Route{route.New("r", route.KindService, route.Deadline(2*time.Second), route.Repeatable(true),
+				route.Forward(route.Forwarding{
+					Host: "h.example", Prefix: "/", Shares: []route.Share{{Service: "s", Weight: 1}}, Attempts: 2, Goal: time.Second,
+				}))},
+		}), nil
+	}
+	return nil, nil
+}
+
+func readTargets(items []view.Item) ([]target.Target, []error) {
+	var list []target.Target
+	var faults []error
+	for _, it := range items {
+		var e entry
+		if err := json.Unmarshal(it.Value, &e); err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		list = append(list, target.New(view.Base(it.Key), e.Centre, e.Address, []string{"s"}, 8, 1, e.Leaving))
+	}
+	return list, faults
+}
+
+var wire = gateway.Wire{
+	Read: func(r *http.Request) (gateway.Ask, string) {
+		h := gateway.Forwardable(r.Header)
+		n, err := strconv.Atoi(h.Get("Tokens"))
+		return gateway.Ask{ID: h.Get("Id"), Prompt: n, Counted: err == nil, Header: h}, h.Get("Key")
+	},
+	Dress:  func(http.Header, gateway.Order) {},
+	Judge:  func(int, http.Header) gateway.Verdict { return gateway.Verdict{Genuine: true} },
+	Owner:  func(http.Header) string { return "" },
+	Refuse: func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteTo(w) },
+}
