--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -73,7 +73,7 @@
 	if x.permits(g.Region) {
 		candidates = g.Targets(now, x.service)
 	}
-	limit := time.Duration(maxWait * float64(x.deadline.Sub(now)))
+	limit := g.limit(now, x)
 	near, ok := g.Picker.Wait(now, candidates, g.request(x), g.Fleet(now))
 	if remote := g.better(now, x, near, ok); remote != nil && remote.Wait < limit {
 		return place{remote: remote}, nil
@@ -87,6 +87,17 @@
 	return place{near: candidates}, nil
 }
 
+// limit returns the longest wait that a request may be expected to have. Where
+// more come than can be served, a queue as long as the objective keeps the
+// targets just as busy as a longer one, and those that are admitted are on time.
+func (g *Gateway) limit(now time.Time, x *exchange) time.Duration {
+	d := time.Duration(maxWait * float64(x.deadline.Sub(now)))
+	if goal := x.route.Goal(); goal > 0 {
+		d = min(d, goal)
+	}
+	return d
+}
+
 // better returns an instance of another region that would answer earlier than
 // the targets of this one, or nil.
 func (g *Gateway) better(now time.Time, x *exchange, near time.Duration, ok bool) *Remote {
