--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -28,6 +28,9 @@
 	learning = 0.1
 	// failurePenalty is how many typical answer times a certain failure costs.
 	failurePenalty = 4
+	// affinity is how many times the reading that a hit saves may be spent on
+	// waiting for it: what is read again delays others there, too.
+	affinity = 3
 	// crowded is how much longer a target takes when all its slots are in use.
 	crowded = 0.5
 	// peerNews is how long the loads that a peer told are counted.
@@ -200,20 +203,28 @@
 // best returns the candidate with the shortest wait, which is in milliseconds.
 func (p *Picker) best(now time.Time, candidates []target.Target, r Request, fleet Fleet) (*target.Target, float64) {
 	var best *target.Target
-	least := math.Inf(1)
+	least, leastCost := math.Inf(1), math.Inf(1)
 	home := homeOf(candidates, r.Parts)
 	for i := range candidates {
 		t := &candidates[i]
 		if slices.Contains(r.Tried, t.Name()) || !p.usable(now, t, r, fleet) {
 			continue
 		}
-		if wait := p.wait(now, t, r, t.Name() == home); wait < least {
-			best, least = t, wait
+		hit := p.hit(now, p.state(t.Name()), r.Parts, t.Name() == home)
+		wait := p.queue(now, t, r) + p.own(r, r.Prompt-hit)
+		if cost := wait - p.saved(r, hit)*affinity; cost < leastCost {
+			best, least, leastCost = t, wait, cost
 		}
 	}
 	return best, least
 }
 
+// saved returns the milliseconds of reading that a hit saves the target.
+func (p *Picker) saved(r Request, hit int) float64 {
+	_, perToken := p.line(r.Service.Name())
+	return float64(hit) * perToken
+}
+
 // homeOf returns the target that all instances prefer for a prompt's shared
 // parts, by rendezvous hashing, so that each part is read at few targets.
 func homeOf(candidates []target.Target, parts []Part) string {
@@ -283,12 +294,6 @@
 	return pace.Limit(r.Service.ColdPace()*fleet.Over+fleet.Fixed, fleet.Size, fleet.Rank)
 }
 
-// wait returns the milliseconds until the target would give its first byte.
-func (p *Picker) wait(now time.Time, t *target.Target, r Request, home bool) float64 {
-	s := p.state(t.Name())
-	return p.queue(now, t, r) + p.own(r, r.Prompt-p.hit(now, s, r.Parts, home))
-}
-
 // own returns the milliseconds that the request itself takes to its first byte
 // where so many of its prompt's tokens have to be read.
 func (p *Picker) own(r Request, fresh int) float64 {
