--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -59,7 +59,6 @@
 	fetching  map[string]*atomic.Bool
 	decode    map[string]func(now time.Time, s view.Snapshot)
 	catalog   atomic.Pointer[catalog.Catalog]
-	closed    atomic.Pointer[map[string]bool] // evacuated data centres
 	targets   targets
 	rooms     rooms
 	gathering gathering
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -68,11 +68,10 @@
 }
 
 // target runs a target and lists it.
-func (f *fleet) target(name, centre string, h http.HandlerFunc) *httptest.Server {
+func (f *fleet) target(name, centre string, h http.HandlerFunc) {
 	s := httptest.NewServer(h)
 	f.t.Cleanup(s.Close)
 	f.store.put("targets/"+name, entry{Address: s.Listener.Addr().String(), Centre: centre})
-	return s
 }
 
 func say(text string) http.HandlerFunc {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -143,6 +143,7 @@
 	}
 	x.chosen, x.expected = p.name(), p.wait()
 	x.sends++
+	x.offers++
 	resp, err := g.send(ctx, a)
 	if err != nil {
 		return g.failed(ctx, a, err)
@@ -172,8 +173,12 @@
 	return p.ticket.Expected()
 }
 
-// mayRepeat draws on the fleet's budget for repeats.
+// mayRepeat draws on the fleet's budget for repeats. Where nothing reached a
+// target so far, the next send is not a repeat.
 func (g *Gateway) mayRepeat(now time.Time, x *exchange) bool {
+	if x.offers == 0 {
+		return true
+	}
 	return g.Budget.Repeat(now, g.Retries, x.service, g.Instances(now))
 }
 
@@ -227,6 +232,7 @@
 	}
 	if !sent {
 		x.sends--
+		x.offers--
 		return true, nil
 	}
 	if !idempotent(x.route) || x.sends >= x.attempts || !g.mayRepeat(now, x) {
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -109,8 +109,5 @@
 	return x.route.Permits(region, "") && x.customer.Permits(region)
 }
 
-// priority returns the urgency of the request.
-func (x *exchange) priority() int { return x.customer.Priority(x.route.Priority()) }
-
 // idempotent reports whether the request may run more than once.
 func idempotent(r route.Route) bool { return r.Idempotent() }
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -230,6 +230,18 @@
 	}
 }
 
+// A region that refuses without having reached a target costs no repeat.
+func TestRefusalThereCostsNoRepeat(t *testing.T) {
+	e := newEngine(t, "e", "ok x")
+	empty, full := newNode(t, "empty", nil), newNode(t, "full", []*engine{e})
+	near := newNode(t, "near", nil, empty, full)
+	for n := range 20 { // far more than the budget for repeats allows
+		if status, body, _ := call(t, near, get("/order/x")); status != http.StatusOK {
+			t.Fatalf("request %d: answer %d %s", n, status, body)
+		}
+	}
+}
+
 // Requests and bodies of a customer that is bound to regions go nowhere else.
 func TestBoundCustomer(t *testing.T) {
 	nearEngine, farEngine := newEngine(t, "n", "ok near"), newEngine(t, "f", "ok far")
--- a/chervilyard/gateway/hop.go
+++ b/chervilyard/gateway/hop.go
@@ -21,6 +21,7 @@
 	headerAfter    = "Chervil-After"
 	headerAttempts = "Chervil-Attempts" // targets that the request may still be sent to
 	headerSends    = "Chervil-Sends"    // targets that may have run it, in an answer
+	headerOffers   = "Chervil-Offers"   // targets that it reached, in an answer
 	headerRun      = "Chervil-Run"      // of a refusal: "no", "yes" or "unknown"
 )
 
@@ -97,6 +98,15 @@
 	if n, err := strconv.Atoi(h.Get(headerSends)); err == nil {
 		x.sends += n - 1
 	}
+	if n, err := strconv.Atoi(h.Get(headerOffers)); err == nil {
+		x.offers += n - 1
+	}
+}
+
+// counted tells the forwarding instance what this one sent.
+func (x *exchange) counted(h http.Header) {
+	h.Set(headerSends, strconv.Itoa(x.sends))
+	h.Set(headerOffers, strconv.Itoa(x.offers))
 }
 
 func dropHop(h http.Header) {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -237,7 +237,7 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	if x.hop {
-		h.Set(headerSends, strconv.Itoa(x.sends))
+		x.counted(h)
 	}
 	x.w.WriteHeader(resp.Status)
 }
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -61,6 +60,7 @@
 
 	attempts int // targets that the request may be sent to
 	sends    int // targets that may have run it
+	offers   int // targets that it reached, whether they ran it or not
 	tried    []string
 	started  bool // a byte of the answer went to the caller
 	first    time.Time
@@ -205,7 +205,7 @@
 	}
 	if x.hop {
 		x.w.Header().Set(headerRun, r.Run)
-		x.w.Header().Set(headerSends, strconv.Itoa(x.sends))
+		x.counted(x.w.Header())
 	}
 	g.Wire.Refuse(x.w, r)
 }
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -118,7 +118,7 @@
 func (c *conn) read(r *Request) (*Response, error) {
 	for range maxStrays + 1 {
 		c.limit.N = maxHead
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller reads the body to its end or closes the connection
 		if err != nil {
 			return nil, err
 		}
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -390,7 +390,9 @@
 	tokens := 0
 	for i, part := range parts {
 		used, ok := s.parts[part.ID]
-		if recent := ok && now.Sub(used) <= cached; !recent && !(home && i < len(parts)-1) {
+		recent := ok && now.Sub(used) <= cached
+		shared := home && i < len(parts)-1
+		if !recent && !shared {
 			return tokens
 		}
 		tokens += part.Tokens
