Let a first byte clear a target's failures; judge speed by known lines alone

Change: the first byte clears failures; broken answers raise the failure rate and the suspicion of a cold start only, until a report that is newer; speed is judged for engines, once the line has samples.

--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -41,6 +41,18 @@
 	return list
 }
 
+// known returns all targets of the region. How long they stay cold is left out:
+// it was told when the list last changed.
+func (t *targets) known() []target.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []target.Target
+	for _, one := range t.all {
+		list = append(list, one.WithCold(0))
+	}
+	return list
+}
+
 // services returns the services that the targets serve, in order.
 func (t *targets) services() []string {
 	t.mu.Lock()
@@ -96,7 +108,7 @@
 			e.note("target", state(t), t.Name()+" at revision "+strconv.FormatInt(s.Revision, 10))
 		}
 	}
-	e.picker.Learn(now, s.AsOf, mine)
+	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, mine)
 }
 
 func state(t target.Target) string {
@@ -122,7 +134,9 @@
 	e.targets.mu.Unlock()
 	if over || gap {
 		e.takeTargets(now, s)
+		return
 	}
+	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, e.targets.known())
 }
 
 // close notes which data centres are evacuated.
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -227,6 +227,8 @@
 	case ctx.Err() != nil:
 		a.end(now, placement.Abandoned)
 		return false, gone(cause)
+	case !x.last.IsZero():
+		a.end(now, placement.Broken)
 	default:
 		a.end(now, placement.Unreachable)
 	}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -198,7 +198,7 @@
 		a.end(now, placement.Abandoned)
 		return gone(context.Cause(ctx))
 	}
-	a.end(now, placement.Unreachable)
+	a.end(now, placement.Broken)
 	return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the target's answer broke off").Because(err)
 }
 
--- a/yard/placement/line.go
+++ b/yard/placement/line.go
@@ -20,14 +20,19 @@
 // at returns the intercept and the slope, or the guesses before the samples
 // tell them apart.
 func (l *line) at(intercept, slope float64) (float64, float64) {
-	const enough = 5 // samples
-	spread := l.n*l.xx - l.x*l.x
-	if l.n < enough || spread <= 1e-6*l.xx*l.n {
+	if !l.known() {
 		return intercept, slope
 	}
+	spread := l.n*l.xx - l.x*l.x
 	b := (l.n*l.xy - l.x*l.y) / spread
 	if b <= 0 {
 		return max(l.y/l.n, 0), slope
 	}
 	return max((l.y-b*l.x)/l.n, 0), b
 }
+
+// known reports whether there are samples enough, of different sizes.
+func (l *line) known() bool {
+	const enough = 5 // samples
+	return l.n >= enough && l.n*l.xx-l.x*l.x > 1e-6*l.xx*l.n
+}
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -26,7 +26,8 @@
 	ejectMost  = 5 * time.Second
 	// learning is the weight of the newest sample in moving averages.
 	learning = 0.1
-	// failurePenalty is how many typical answer times a certain failure costs.
+	// failurePenalty is how many times the typical wait for a first byte a
+	// certain failure costs.
 	failurePenalty = 4
 	// affinity is how many times the reading that a hit saves may be spent on
 	// waiting for it: what is read again delays others there, too.
@@ -101,6 +102,7 @@
 type state struct {
 	run       int64
 	open      int
+	asked     int // open without a first byte
 	waiting   int
 	memory    int
 	failures  int // in a row
@@ -108,7 +110,7 @@
 	failRate  float64
 	answer    float64 // milliseconds, moving average; 0 where not known
 	coldUntil time.Time
-	suspect   bool // may have started anew since the last report
+	suspect   time.Time // when it may have started anew; zero where it did not
 	window    pace.Window
 	parts     map[string]time.Time
 	speed     float64   // time to the first byte against the service's line; 0 where not known
@@ -132,9 +134,10 @@
 	return s.speed
 }
 
-// Learn takes in a fresh list of targets, read at the given time: how long each
-// stays cold, and which started anew.
-func (p *Picker) Learn(now, read time.Time, targets []target.Target) {
+// Learn takes in a fresh list of targets, read at the given time and written by
+// each of them within a report's interval before: how long each stays cold, and
+// which started anew.
+func (p *Picker) Learn(read time.Time, report time.Duration, targets []target.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(targets))
@@ -142,13 +145,13 @@
 		listed[t.Name()] = true
 		s := p.state(t.Name())
 		if s.run != t.Run() {
-			*s = state{run: t.Run(), open: s.open, waiting: s.waiting, memory: s.memory, window: s.window}
+			*s = state{run: t.Run(), open: s.open, asked: s.asked, waiting: s.waiting, memory: s.memory, window: s.window}
 		}
 		if t.Cold() > 0 {
 			s.coldUntil = read.Add(t.Cold())
 		}
-		if s.suspect && now.After(s.ejected) && t.Cold() == 0 {
-			s.suspect = false
+		if !s.suspect.IsZero() && read.Sub(s.suspect) > report {
+			s.suspect = time.Time{}
 		}
 	}
 	for name, s := range p.targets {
@@ -311,7 +314,7 @@
 	if now.Before(s.ejected) {
 		return false
 	}
-	if s.failures > 0 && s.open > 0 {
+	if s.failures > 0 && s.asked > 0 {
 		return false // one request shows whether it is back
 	}
 	if memory := r.Service.Memory(); memory > 0 && r.Prompt+r.Output > memory {
@@ -323,7 +326,7 @@
 	return s.window.Free(now, p.coldLimit(r, fleet))
 }
 
-func (p *Picker) cold(now time.Time, s *state) bool { return s.suspect || now.Before(s.coldUntil) }
+func (p *Picker) cold(now time.Time, s *state) bool { return !s.suspect.IsZero() || now.Before(s.coldUntil) }
 
 func (p *Picker) coldLimit(r Request, fleet Fleet) int {
 	if r.Service.ColdPace() <= 0 {
@@ -359,11 +362,11 @@
 		queued = max(queued, answer*float64(memory+r.Prompt+r.Output-limit)/float64(limit))
 	}
 	crowd := crowded * float64(open) / float64(slots)
-	queued += answer * s.failRate * failurePenalty
 	if r.Service.Slots() == 0 {
-		return queued + answer*crowd
+		return queued + answer*(crowd+s.failRate*failurePenalty)
 	}
 	base, perToken := p.line(r.Service.Name())
+	queued += base * s.failRate * failurePenalty
 	queued += p.halted(now, s, r.Service.Name())
 	return queued + ((float64(waiting)+crowd*float64(r.Prompt))*perToken+crowd*base)*s.pace()
 }
@@ -424,13 +427,14 @@
 	}
 	k := &Ticket{
 		picker: p, target: t, service: r.Service.Name(), sent: now, expected: milliseconds(wait),
-		fresh: max(r.Prompt-p.hit(now, s, r.Parts, false), 0), memory: r.Prompt + r.Output, model: r.Prompt > 0,
+		fresh: max(r.Prompt-p.hit(now, s, r.Parts, false), 0), memory: r.Prompt + r.Output, model: r.Service.Slots() > 0,
 	}
 	if r.Gap > 0 {
 		p.learnGap(k.service, r.Gap)
 	}
 	_, k.ahead, _ = p.total(now, t.Name(), s)
 	s.open++
+	s.asked++
 	s.waiting += k.fresh
 	s.memory += k.memory
 	for _, part := range r.Parts {
--- /dev/null
+++ b/yard/placement/placement_test.go
@@ -0,0 +1,174 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/script"
+	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/target"
+)
+
+var (
+	engines = service.New("m").WithCold(3*time.Second, 4).WithEngine(8, 100_000)
+	plain   = service.New("p")
+	fleet   = placement.Fleet{Size: 1, Over: 1.5, Fixed: 3}
+)
+
+var outcomes = map[string]placement.Outcome{
+	"answered": placement.Answered, "failed": placement.Failed, "unreachable": placement.Unreachable,
+	"broken": placement.Broken, "full": placement.Full, "silent": placement.Silent, "left": placement.Abandoned,
+}
+
+// run plays one script:
+//
+//	list A B=cold:2s     the list of targets, as read now
+//	send K 500 x,y -> A  a request with its prompt's tokens and parts, and where it goes
+//	send K 500           the same, wherever it goes
+//	sends 20 500 -> 9    how many of 20 requests find a target
+//	first K, end K OUTCOME, pause K 200ms
+//	peer P A 3 900       what a peer has open and waiting at a target
+type player struct {
+	t       *testing.T
+	picker  placement.Picker
+	targets []target.Target
+	tickets map[string]*placement.Ticket
+}
+
+func TestScripts(t *testing.T) {
+	script.Each(t, func(t *testing.T, steps []script.Step) {
+		p := &player{t: t, tickets: make(map[string]*placement.Ticket)}
+		for _, s := range steps {
+			p.step(s)
+		}
+	})
+}
+
+func (p *player) step(s script.Step) {
+	switch s.Words[0] {
+	case "list":
+		p.list(s)
+	case "send":
+		got := p.send(s, s.Words[1], s.Words[2:])
+		if i := slices.Index(s.Words, "->"); i > 0 && got != s.Words[i+1] {
+			p.t.Errorf("line %d: the request goes to %s, want %s", s.Line, got, s.Words[i+1])
+		}
+	case "sends":
+		found := 0
+		for n := range int(s.Number(p.t, 1)) {
+			if p.send(s, fmt.Sprint("many", n), s.Words[2:]) != "none" {
+				found++
+			}
+		}
+		if want := int(s.Number(p.t, 4)); found != want {
+			p.t.Errorf("line %d: %d requests find a target, want %d", s.Line, found, want)
+		}
+	case "first":
+		p.tickets[s.Words[1]].First(s.At)
+	case "end":
+		p.tickets[s.Words[1]].End(s.At, outcomes[s.Words[2]])
+	case "pause":
+		p.tickets[s.Words[1]].Pause(s.At, s.Time(p.t, 2))
+	case "peer":
+		p.picker.Hear(s.At, s.Words[1], []placement.Load{{Target: s.Words[2], Open: int(s.Number(p.t, 3)), Waiting: int(s.Number(p.t, 4))}})
+	default:
+		p.t.Fatalf("line %d: %q is not a step", s.Line, s.Words[0])
+	}
+}
+
+func (p *player) list(s script.Step) {
+	p.targets = nil
+	for _, word := range s.Words[1:] {
+		name, state, _ := strings.Cut(word, "=")
+		one := target.New(name, "c", "", []string{"m"}, 8, 1, false)
+		if left, ok := strings.CutPrefix(state, "cold:"); ok {
+			d, err := time.ParseDuration(left)
+			if err != nil {
+				p.t.Fatalf("line %d: %v", s.Line, err)
+			}
+			one = one.WithCold(d)
+		}
+		if run, ok := strings.CutPrefix(state, "run:"); ok {
+			one = one.InRun(int64(run[0]))
+		}
+		p.targets = append(p.targets, one)
+	}
+	p.picker.Learn(s.At, time.Second, p.targets)
+}
+
+func (p *player) send(s script.Step, label string, words []string) string {
+	r := placement.Request{Service: engines, Output: 10, Gap: 300 * time.Millisecond}
+	if _, err := fmt.Sscan(words[0], &r.Prompt); err != nil {
+		p.t.Fatalf("line %d: %v", s.Line, err)
+	}
+	if len(words) > 1 && words[1] != "->" {
+		for id := range strings.SplitSeq(words[1], ",") {
+			r.Parts = append(r.Parts, placement.Part{ID: id, Tokens: r.Prompt / (strings.Count(words[1], ",") + 1)})
+		}
+	}
+	k := p.picker.Choose(s.At, p.targets, r, fleet)
+	if k == nil {
+		return "none"
+	}
+	p.tickets[label] = k
+	return k.Target().Name()
+}
+
+// A customer's first requests must not make a plain service look slow: their
+// tokens say nothing about it.
+func TestTokensDoNotSlowPlainServices(t *testing.T) {
+	var p placement.Picker
+	now := time.Unix(0, 0)
+	list := []target.Target{target.New("a", "c", "", []string{"p"}, 8, 1, false)}
+	r := placement.Request{Service: plain, Prompt: 200}
+	for range 3 {
+		k := p.Choose(now, list, r, fleet)
+		now = now.Add(300 * time.Millisecond)
+		k.First(now)
+		k.End(now, placement.Answered)
+	}
+	if wait, ok := p.Wait(now, list, r, fleet); !ok || wait > 400*time.Millisecond {
+		t.Errorf("an idle target that answers in 300 ms is expected to take %v", wait)
+	}
+}
+
+// Whatever ends in whatever order, what is counted at a target returns to nothing.
+func TestCountsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p placement.Picker
+		now := time.Unix(0, 0)
+		list := []target.Target{target.New("a", "c", "", []string{"m"}, 8, 1, false), target.New("b", "c", "", []string{"m"}, 8, 1, false)}
+		var open []*placement.Ticket
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "send") {
+				if k := p.Choose(now, list, placement.Request{Service: engines, Prompt: rapid.IntRange(0, 9000).Draw(t, "prompt")}, fleet); k != nil {
+					open = append(open, k)
+				}
+				continue
+			}
+			if len(open) == 0 {
+				continue
+			}
+			i := rapid.IntRange(0, len(open)-1).Draw(t, "ticket")
+			if rapid.Bool().Draw(t, "first") {
+				open[i].First(now)
+			} else {
+				open[i].End(now, placement.Outcome(rapid.IntRange(0, int(placement.Silent)).Draw(t, "outcome")))
+				open = slices.Delete(open, i, i+1)
+			}
+		}
+		for _, k := range open {
+			k.End(now, placement.Answered)
+		}
+		for _, l := range p.Loads(now.Add(time.Hour)) {
+			t.Fatalf("left at %s: %d open, %d waiting, %d in memory", l.Target, l.Open, l.Waiting, l.Memory)
+		}
+	})
+}
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -14,6 +14,7 @@
 	Answered    Outcome = iota // the target answered in full, whatever the status
 	Failed                     // the target's own failure status
 	Unreachable                // no connection, a reset, or bytes that are no answer
+	Broken                     // the answer broke off after its first byte
 	Full                       // the target refused for want of room and ran nothing
 	Replaced                   // another target has its address
 	Abandoned                  // the caller left, or its time was over
@@ -51,6 +52,8 @@
 	defer k.picker.mu.Unlock()
 	s := k.picker.state(k.target.Name())
 	s.waiting -= k.fresh
+	s.asked--
+	s.failures = 0
 	if !k.model || k.ahead+k.fresh <= 0 {
 		return
 	}
@@ -64,7 +67,7 @@
 	}
 	took := now.Sub(k.sent).Seconds() * 1000
 	base, perToken := l.at(guessAnswer, guessPerToken)
-	if usual := base + float64(k.ahead+k.fresh)*perToken; usual > 0 {
+	if usual := base + float64(k.ahead+k.fresh)*perToken; l.known() && usual > 0 {
 		s.speed = min(max(average(s.speed, took/usual), 1/speedMost), speedMost)
 	}
 	l.add(float64(k.ahead+k.fresh), took)
@@ -96,6 +99,7 @@
 	s.memory -= k.memory
 	if !k.begun {
 		s.waiting -= k.fresh
+		s.asked--
 	}
 	k.judge(now, s, o)
 }
@@ -118,7 +122,14 @@
 	case Unreachable, Silent:
 		s.failRate += (1 - s.failRate) * learning
 		k.eject(now, s)
-		s.suspect = o == Unreachable || s.suspect
+		if o == Unreachable {
+			s.suspect = now
+		}
+	case Broken:
+		// The target may have crashed, or the connection alone broke: the next
+		// request shows it.
+		s.failRate += (1 - s.failRate) * learning
+		s.suspect = now
 	case Replaced:
 		k.eject(now, s)
 	case Full:
