Tell in the log what a refusal rested on; bound its lines; test the adapter

A refusal by quota names the bucket's level, its size and its share of the rate; one for want of targets names why each may not be used; each line has the age of the configuration and of the list of targets. The log writes at most 2,000 lines a second and counts the rest.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -110,6 +110,11 @@
 	g.Targets = e.usable
 	g.Fleet = e.fleet
 	g.Remotes = e.remotes
+	g.Ages = func(now time.Time) (time.Duration, time.Duration) {
+		configuration, _ := e.views[PartConfiguration].Age(now)
+		targets, _ := e.views[PartTargets].Age(now)
+		return configuration, targets
+	}
 	g.Instances = func(time.Time) int { return e.instances() }
 	g.Retries = s.Retries
 	g.Picker, g.Book, g.Budget, g.Pool, g.Journal = &e.picker, &e.book, &e.budget, &e.pool, e.journal
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -165,7 +165,7 @@
 			return closed
 		},
 		Targets: readTargets,
-		Members: func(items []view.Item) []membership.Member {
+		Members: func(items []view.Item) ([]membership.Member, []error) {
 			var list []membership.Member
 			for _, it := range items {
 				var one membership.Member
@@ -173,7 +173,7 @@
 					list = append(list, one)
 				}
 			}
-			return list
+			return list, nil
 		},
 		Region: func(centre string) string { return strings.TrimSuffix(centre, "-a") },
 		Summary: func(part string, it view.Item) string {
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -61,7 +61,7 @@
 	Catalog func(items []view.Item) (*catalog.Catalog, error)
 	Closed  func(items []view.Item) map[string]bool // evacuated data centres
 	Targets func(items []view.Item) ([]target.Target, []error)
-	Members func(items []view.Item) []membership.Member
+	Members func(items []view.Item) ([]membership.Member, []error)
 	// Region returns the region of a data centre.
 	Region func(centre string) string
 	// Summary is what matters of an item, without what each report changes.
@@ -149,7 +149,11 @@
 }
 
 func (e *Edge) takeMembers(_ time.Time, s view.Snapshot) {
-	for _, m := range e.store.Members(s.Items) {
+	members, faults := e.store.Members(s.Items)
+	for _, err := range faults {
+		e.note("member", "entry not readable", err.Error())
+	}
+	for _, m := range members {
 		if m.Name != e.Settings().Name {
 			e.table.List(m)
 		}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -80,8 +81,10 @@
 	}
 	switch {
 	case !ok:
+		x.notes = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, g.request(x), g.Fleet(now)))
 		return place{}, g.unplaced(x)
 	case near > limit:
+		x.notes = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), near.Round(time.Millisecond), limit.Round(time.Millisecond))
 		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near/2)
 	}
 	return place{near: candidates}, nil
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -75,6 +75,8 @@
 	// Remotes returns instances of other regions that may serve the request,
 	// best first, with the time that it would wait there.
 	Remotes func(now time.Time, service string, permits func(region string) bool) []Remote
+	// Ages returns how old what is known of the configuration and of the targets is.
+	Ages func(now time.Time) (configuration, targets time.Duration)
 	// Instances returns how many instances share what is bounded for all.
 	Instances func(now time.Time) int
 	Retries   retry.Terms
--- a/chervilyard/gateway/note.go
+++ b/chervilyard/gateway/note.go
@@ -24,7 +24,7 @@
 			d.Reason += ": " + r.Cause.Error()
 		}
 	}
-	d.Reason = strings.Join(nonEmpty(d.Reason, x.notes, x.inputs()), "; ")
+	d.Reason = strings.Join(nonEmpty(d.Reason, x.notes, x.inputs(), g.ages(now)), "; ")
 	g.Journal.Note(d)
 	if g.Counter.Ended != nil {
 		var first time.Duration
@@ -35,6 +35,15 @@
 	}
 }
 
+// ages tells how old the beliefs are that a decision rested on.
+func (g *Gateway) ages(now time.Time) string {
+	if g.Ages == nil {
+		return ""
+	}
+	configuration, targets := g.Ages(now)
+	return "configuration_age=" + configuration.Round(time.Millisecond).String() + " targets_age=" + targets.Round(time.Millisecond).String()
+}
+
 // inputs tells what the decision rested on.
 func (x *exchange) inputs() string {
 	parts := []string{"tried=" + strings.Join(x.tried, ","), "sends=" + strconv.Itoa(x.sends)}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -137,6 +138,8 @@
 	}
 	now := g.Now()
 	if !g.Book.Take(now, x.customer.Name(), tokens) && !g.gathered(r.Context(), x, tokens) {
+		level, rate, size := g.Book.State(now, x.customer.Name())
+		x.notes = fmt.Sprintf("need=%.0f level=%.0f of %.0f, %.0f a second here", tokens, level, size, rate)
 		wait := max(g.Book.Wait(now, x.customer.Name(), tokens), soon)
 		return refusal.NotRun(http.StatusTooManyRequests, "quota", "the customer's rate is used up").After(wait)
 	}
--- a/chervilyard/journal/journal.go
+++ b/chervilyard/journal/journal.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,6 +16,7 @@
 const (
 	ringSize = 8192
 	kept     = 20000 // decisions that can be explained
+	maxLines = 2000  // written in a second; a log that grows faster than disks are read explains nothing
 )
 
 // Decision is one routing, admission or placement decision. It never holds a
@@ -41,6 +43,10 @@
 	kept  int
 	queue *ring.Ring[Decision]
 
+	second time.Time // that lines are counted in
+	lines  int
+	cut    atomic.Int64 // decisions over maxLines
+
 	mu     sync.Mutex
 	recent []Decision
 	at     int
@@ -58,7 +64,7 @@
 func (j *Journal) Note(d Decision) { j.queue.Put(d) }
 
 // Shed returns how many decisions were not written.
-func (j *Journal) Shed() int64 { return j.queue.Shed() }
+func (j *Journal) Shed() int64 { return j.queue.Shed() + j.cut.Load() }
 
 // Run writes decisions until the context ends, then what is left, and closes
 // the returned channel.
@@ -92,6 +98,13 @@
 
 func (j *Journal) write(d Decision) {
 	j.keep(d)
+	if d.Time.Sub(j.second) >= time.Second || d.Time.Before(j.second) {
+		j.second, j.lines = d.Time, 0
+	}
+	if j.lines++; j.lines > maxLines {
+		j.cut.Add(1)
+		return
+	}
 	args := []any{"kind", d.Kind, "choice", d.Choice, "reason", d.Reason}
 	for _, f := range []struct{ name, value string }{
 		{"request", d.Request},
--- a/yard/allowance/allowance.go
+++ b/yard/allowance/allowance.go
@@ -174,6 +174,19 @@
 	return time.Duration(lack / a.rate * float64(time.Second))
 }
 
+// State returns what a customer's bucket holds, how many tokens a second flow
+// in, and how many fit.
+func (b *Book) State(now time.Time, customer string) (level, rate, size float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[customer]
+	if a == nil {
+		return 0, 0, 0
+	}
+	a.advance(now)
+	return a.level, a.rate, a.size
+}
+
 // need returns the tokens that the demand of late will take within the horizon
 // beyond what flows in.
 func (a *account) need() float64 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -308,6 +310,28 @@
 	return milliseconds(p.own(r, r.Prompt))
 }
 
+// Explain tells why each of the candidates that may get no request now may not.
+func (p *Picker) Explain(now time.Time, candidates []target.Target, r Request, fleet Fleet) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for i := range candidates {
+		t := &candidates[i]
+		s := p.state(t.Name())
+		switch {
+		case slices.Contains(r.Tried, t.Name()):
+			list = append(list, t.Name()+" tried")
+		case now.Before(s.ejected):
+			list = append(list, t.Name()+" failed "+strconv.Itoa(s.failures)+" times")
+		case !p.usable(now, t, r, fleet) && p.cold(now, s):
+			list = append(list, t.Name()+" cold")
+		case !p.usable(now, t, r, fleet):
+			list = append(list, t.Name()+" not proved or too small")
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
 // usable reports whether the target may get a request now.
 func (p *Picker) usable(now time.Time, t *target.Target, r Request, fleet Fleet) bool {
 	s := p.state(t.Name())
@@ -326,7 +350,9 @@
 	return s.window.Free(now, p.coldLimit(r, fleet))
 }
 
-func (p *Picker) cold(now time.Time, s *state) bool { return !s.suspect.IsZero() || now.Before(s.coldUntil) }
+func (p *Picker) cold(now time.Time, s *state) bool {
+	return !s.suspect.IsZero() || now.Before(s.coldUntil)
+}
 
 func (p *Picker) coldLimit(r Request, fleet Fleet) int {
 	if r.Service.ColdPace() <= 0 {
