Send callers of a region without instances where most of their host is served

The directory then wanted a region where every route of the host may be served; a route without requests forbade that everywhere, so it named all instances.

Ruled out: a late directory answer (the instances' own lines show three leaving at once).

Change: package entrance picks by the part of the host's traffic that a region may serve. Test: entrance script rolling.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -60,6 +60,7 @@
 	decode    map[string]func(now time.Time, s view.Snapshot)
 	catalog   atomic.Pointer[catalog.Catalog]
 	targets   targets
+	traffic   traffic
 	rooms     rooms
 	gathering gathering
 
@@ -118,7 +119,10 @@
 	g.Instances = func(time.Time) int { return e.instances() }
 	g.Retries = s.Retries
 	g.Picker, g.Book, g.Budget, g.Pool, g.Journal = &e.picker, &e.book, &e.budget, &e.pool, e.journal
-	g.Counter = gateway.Counter{Ended: e.meter.Request, Repeat: e.meter.Repeat}
+	g.Counter = gateway.Counter{Repeat: e.meter.Repeat, Ended: func(route, code string, status int, took, first time.Duration) {
+		e.traffic.note(e.now(), route)
+		e.meter.Request(route, code, status, took, first)
+	}}
 	g.Gather = e.gather
 	g.Draw = rand.Float64
 	g.Leaving = e.leaving.Load
--- /dev/null
+++ b/yard/entrance/entrance_test.go
@@ -0,0 +1,51 @@
+package entrance_test
+
+import (
+	"strings"
+	"testing"
+
+	"chervilyard.example/yard/entrance"
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/script"
+)
+
+// Steps: "member NAME CENTRE [leaving|starting]" and "pick CENTRE east=0.2 -> NAMES".
+func TestScripts(t *testing.T) {
+	region := func(centre string) string { return centre[:strings.IndexByte(centre, '-')] }
+	script.Each(t, func(t *testing.T, steps []script.Step) {
+		members := make(map[string]membership.Member)
+		var order []string
+		for _, s := range steps {
+			switch s.Words[0] {
+			case "member":
+				if _, ok := members[s.Words[1]]; !ok {
+					order = append(order, s.Words[1])
+				}
+				m := membership.Member{Name: s.Words[1], Centre: s.Words[2], Region: region(s.Words[2]), Ready: true}
+				if len(s.Words) > 3 {
+					m.Leaving, m.Ready = s.Words[3] == "leaving", s.Words[3] == "leaving"
+				}
+				members[m.Name] = m
+			case "pick":
+				share := make(map[string]float64)
+				at := 2
+				for ; s.Words[at] != "->"; at++ {
+					name, value, _ := strings.Cut(s.Words[at], "=")
+					step := script.Step{Line: s.Line, Words: []string{value}}
+					share[name] = step.Number(t, 0)
+				}
+				var list []membership.Member
+				for _, name := range order {
+					list = append(list, members[name])
+				}
+				var got []string
+				for _, m := range entrance.Pick(list, entrance.Caller{Region: region(s.Words[1]), Centre: s.Words[1]}, func(r string) float64 { return share[r] }) {
+					got = append(got, m.Name)
+				}
+				if want := s.Words[at+1:]; strings.Join(got, " ") != strings.Join(want, " ") {
+					t.Errorf("line %d: picked %v, want %v", s.Line, got, want)
+				}
+			}
+		}
+	})
+}
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -33,7 +33,7 @@
 	failurePenalty = 4
 	// affinity is how many times the reading that a hit saves may be spent on
 	// waiting for it: what is read again delays others there, too.
-	affinity = 3
+	affinity = 6
 	// crowded is how much longer a target takes when all its slots are in use.
 	crowded = 0.5
 	// pauseHalf is the time in which a target's longest pause fades by half.
