Try a repeatable request elsewhere when another region holds it in silence; log a lost own entry

Cause (found reading the code): patience for a first byte was given to targets of the own region alone, so a forwarded read whose connection went silent waited for its whole time. Test: TestForwardedReadIsRepeated.

--- a/chervilyard/edge/announce.go
+++ b/chervilyard/edge/announce.go
@@ -18,11 +18,17 @@
 	go func() {
 		defer close(ended)
 		var lease int64
+		lost := false
 		for ctx.Err() == nil {
 			pause := renewTime
-			if err := e.keepEntry(ctx, &lease); err != nil {
+			err := e.keepEntry(ctx, &lease)
+			if err != nil {
 				pause = announceWait
 			}
+			if failed := err != nil; failed != lost && ctx.Err() == nil {
+				lost = failed
+				e.noteEntry(err)
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(pause):
@@ -58,3 +64,12 @@
 	*lease = fresh
 	return nil
 }
+
+// noteEntry logs that the instance's entry cannot be kept, or can again.
+func (e *Edge) noteEntry(err error) {
+	if err != nil {
+		e.note("dependency", "lost", "store, own entry: "+err.Error())
+		return
+	}
+	e.note("dependency", "regained", "store, own entry")
+}
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -139,8 +139,8 @@
 	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, e.targets.known())
 }
 
-// close notes which data centres are evacuated.
-func (e *Edge) close(now time.Time, closed map[string]bool) {
+// evacuate puts in force which data centres get no work.
+func (e *Edge) evacuate(now time.Time, closed map[string]bool) {
 	e.targets.mu.Lock()
 	was := e.targets.closed
 	e.targets.closed = closed
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -133,7 +133,7 @@
 
 func (e *Edge) takeConfiguration(now time.Time, s view.Snapshot) {
 	closed := e.store.Closed(s.Items)
-	e.close(now, closed)
+	e.evacuate(now, closed)
 	c, err := e.store.Catalog(s.Items)
 	if err != nil {
 		e.note("configuration", "refused", err.Error())
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -187,10 +187,10 @@
 
 // patience returns how long the place may take to begin its answer, 0 for no bound.
 func (g *Gateway) patience(x *exchange, p place) time.Duration {
-	if !idempotent(x.route) || x.route.Goal() <= 0 || x.sends+1 >= x.attempts || p.remote != nil {
+	if !idempotent(x.route) || x.route.Goal() <= 0 || x.sends+1 >= x.attempts {
 		return 0
 	}
-	return max(time.Duration(patienceGoal*float64(x.route.Goal())), patienceWait*p.ticket.Expected())
+	return max(time.Duration(patienceGoal*float64(x.route.Goal())), patienceWait*p.wait())
 }
 
 // send sends the request to the place and returns the head of the answer.
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -230,6 +230,18 @@
 	}
 }
 
+// A repeatable request that another region holds in silence is tried elsewhere.
+func TestForwardedReadIsRepeated(t *testing.T) {
+	silent, ok := newEngine(t, "silent", "silent"), newEngine(t, "ok", "ok done")
+	near := newNode(t, "near", nil, newNode(t, "mute", []*engine{silent}), newNode(t, "sound", []*engine{ok}))
+	if status, body, _ := call(t, near, get("/read/x")); status != http.StatusOK || body != "done" {
+		t.Errorf("answer %d %s", status, body)
+	}
+	if n := len(silent.requests()); n != 1 {
+		t.Errorf("the silent region got the request %d times", n)
+	}
+}
+
 // A region that refuses without having reached a target costs no repeat.
 func TestRefusalThereCostsNoRepeat(t *testing.T) {
 	e := newEngine(t, "e", "ok x")
