Ask a target after a failure whether it started anew

Ruled out: to drop the suspicion, since an engine that crashed and came back under its name is cold before its report says so.

Change: a health check right after the failure clears the suspicion or tells how long the target is cold. A request takes tokens that flowed in while it asked others for them. Test: placement script probe.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -63,6 +63,7 @@
 	traffic   traffic
 	rooms     rooms
 	gathering gathering
+	probes    probes
 
 	leaving  atomic.Bool
 	ctx      context.Context
@@ -124,6 +125,7 @@
 		e.meter.Request(route, code, status, took, first)
 	}}
 	g.Gather = e.gather
+	g.Suspect = e.suspect
 	g.Draw = rand.Float64
 	g.Leaving = e.leaving.Load
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.Open()) })
--- a/chervilyard/edge/gather.go
+++ b/chervilyard/edge/gather.go
@@ -32,12 +32,13 @@
 // then of other regions'.
 func (e *Edge) gather(ctx context.Context, customer string, tokens float64) bool {
 	for _, ask := range []func() []membership.Member{e.nearMembers, e.farMembers} {
-		if !e.ask(ctx, customer, tokens, ask()) {
-			return false
-		}
+		asked := e.ask(ctx, customer, tokens, ask())
 		if e.book.Take(e.now(), customer, tokens) {
 			return true
 		}
+		if !asked {
+			return false
+		}
 	}
 	return false
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -223,17 +223,17 @@
 	x.notes = err.Error()
 	switch {
 	case errors.Is(cause, errPatience):
-		a.end(now, placement.Silent)
+		g.end(a, now, placement.Silent)
 	case ctx.Err() != nil && !now.Before(x.deadline):
-		a.end(now, placement.Silent)
+		g.end(a, now, placement.Silent)
 		return false, g.overdue(ctx, x)
 	case ctx.Err() != nil:
-		a.end(now, placement.Abandoned)
+		g.end(a, now, placement.Abandoned)
 		return false, gone(cause)
 	case !x.last.IsZero():
-		a.end(now, placement.Broken)
+		g.end(a, now, placement.Broken)
 	default:
-		a.end(now, placement.Unreachable)
+		g.end(a, now, placement.Unreachable)
 	}
 	if !sent {
 		x.sends--
@@ -248,9 +248,13 @@
 }
 
 // end counts the attempt out at its target.
-func (a *try) end(now time.Time, o placement.Outcome) {
-	if a.place.ticket != nil {
-		a.place.ticket.End(now, o)
+func (g *Gateway) end(a *try, now time.Time, o placement.Outcome) {
+	if a.place.ticket == nil {
+		return
+	}
+	a.place.ticket.End(now, o)
+	if g.Suspect != nil && (o == placement.Unreachable || o == placement.Broken) {
+		g.Suspect(a.place.ticket.Target())
 	}
 }
 
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -53,6 +53,9 @@
 	Judge  func(status int, h http.Header) Verdict
 	Owner  func(h http.Header) string // the request that an answer belongs to, "" where it does not say
 	Refuse func(w http.ResponseWriter, r *refusal.Refusal)
+	// Health reads the answer to a health check: which target gave it, how long
+	// it stays cold, and whether it is sound.
+	Health func(status int, h http.Header) (name string, cold time.Duration, sound bool)
 }
 
 // Counter counts what happens; each field may be nil.
@@ -89,6 +92,8 @@
 	Pool    *pool.Pool
 	Journal *journal.Journal
 	Counter Counter
+	// Suspect is told of a target that may have started anew; it may be nil.
+	Suspect func(t target.Target)
 	// Draw returns a uniform number from [0, 1).
 	Draw func() float64
 	// Leaving reports whether the instance is stopping.
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -42,10 +42,10 @@
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case v.Replaced:
-		a.end(g.Now(), placement.Replaced)
+		g.end(a, g.Now(), placement.Replaced)
 		return g.notRun(a, "another target has the address")
 	case v.NotRun:
-		a.end(g.Now(), placement.Full)
+		g.end(a, g.Now(), placement.Full)
 		return g.notRun(a, "the target has no room")
 	case success && !v.Genuine:
 		return g.failed(ctx, a, &pool.Failure{Op: "judge", Address: a.place.name(), Sent: true, Err: errNoAnswer})
@@ -93,7 +93,7 @@
 	if failure {
 		outcome = placement.Failed
 	}
-	a.end(now, outcome)
+	g.end(a, now, outcome)
 	if failure && resp.Status != http.StatusGatewayTimeout && idempotent(x.route) && x.sends < x.attempts && g.another(x) {
 		g.repeated(x, "the target failed")
 		x.notes = "status " + strconv.Itoa(resp.Status)
@@ -130,7 +130,7 @@
 	if _, err := io.Copy(x.w, resp); err != nil {
 		return g.broken(ctx, a, err)
 	}
-	a.end(g.Now(), placement.Answered)
+	g.end(a, g.Now(), placement.Answered)
 	return nil
 }
 
@@ -165,7 +165,7 @@
 	if !x.started {
 		x.head(resp, -1)
 	}
-	a.end(g.Now(), placement.Answered)
+	g.end(a, g.Now(), placement.Answered)
 	return false, nil
 }
 
@@ -195,10 +195,10 @@
 func (g *Gateway) broken(ctx context.Context, a *try, err error) error {
 	now := g.Now()
 	if ctx.Err() != nil && now.Before(a.x.deadline) {
-		a.end(now, placement.Abandoned)
+		g.end(a, now, placement.Abandoned)
 		return gone(context.Cause(ctx))
 	}
-	a.end(now, placement.Broken)
+	g.end(a, now, placement.Broken)
 	return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the target's answer broke off").Because(err)
 }
 
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -163,6 +163,21 @@
 	}
 }
 
+// Proved takes in what a target said after a failure: it runs, and stays cold
+// for the given time. A later failure than the question keeps its suspicion.
+func (p *Picker) Proved(asked, now time.Time, name string, cold time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(name)
+	if s.suspect.After(asked) {
+		return
+	}
+	s.suspect = time.Time{}
+	if cold > 0 {
+		s.coldUntil = now.Add(cold)
+	}
+}
+
 // Chill treats the targets as cold for the given time, unless a report says
 // otherwise later.
 func (p *Picker) Chill(now time.Time, names []string, d time.Duration) {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -33,6 +33,7 @@
 //	send K 500           the same, wherever it goes
 //	sends 20 500 -> 9    how many of 20 requests find a target
 //	first K, end K OUTCOME, pause K 200ms
+//	proved A 0s          a health check after a failure says how long it is cold
 //	peer P A 3 900       what a peer has open and waiting at a target
 type player struct {
 	t       *testing.T
@@ -75,6 +76,8 @@
 		p.tickets[s.Words[1]].End(s.At, outcomes[s.Words[2]])
 	case "pause":
 		p.tickets[s.Words[1]].Pause(s.At, s.Time(p.t, 2))
+	case "proved":
+		p.picker.Proved(s.At, s.At, s.Words[1], s.Time(p.t, 2))
 	case "peer":
 		p.picker.Hear(s.At, s.Words[1], []placement.Load{{Target: s.Words[2], Open: int(s.Number(p.t, 3)), Waiting: int(s.Number(p.t, 4))}})
 	default:
--- a/yard/service/service.go
+++ b/yard/service/service.go
@@ -11,6 +11,7 @@
 	coldPace float64
 	slots    int
 	memory   int
+	health   string
 }
 
 // New returns a service.
@@ -30,6 +31,15 @@
 	return s
 }
 
+// WithHealth returns the service with the path of its targets' health checks.
+func (s Service) WithHealth(path string) Service {
+	s.health = path
+	return s
+}
+
+// Health returns the path of the targets' health checks, "" where there is none.
+func (s Service) Health() string { return s.health }
+
 // Name returns the service's name.
 func (s Service) Name() string { return s.name }
 
