--- a/chervilstand/pages_test.go
+++ b/chervilstand/pages_test.go
@@ -13,7 +13,7 @@
 func sources(t *testing.T, tests bool) string {
 	t.Helper()
 	var all strings.Builder
-	for _, module := range []string{"yard", "chervilyard", "chervilctl", "chervilstand"} {
+	for _, module := range []string{"yard", "chervilyard", "chervilctl", "chervilstand", "platform"} {
 		err := filepath.WalkDir(filepath.Join("..", module), func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") != tests {
 				return err
@@ -63,15 +63,15 @@
 // TestMetricsAreDocumented checks the metrics of code and page both ways.
 func TestMetricsAreDocumented(t *testing.T) {
 	inCode := names("[\"`](chervil_[a-z_]+)", sources(t, false))
-	inPage := names("`(chervil_[a-z_]+)`", page(t, "docs/OPERATING.md"))
+	inPage := names("`(chervil_[a-z_]+)`", page(t, "docs/OPERATIONS.md"))
 	for name := range inCode {
 		if !inPage[name] {
-			t.Errorf("metric %s is not in docs/OPERATING.md", name)
+			t.Errorf("metric %s is not in docs/OPERATIONS.md", name)
 		}
 	}
 	for name := range inPage {
 		if !inCode[name] {
-			t.Errorf("docs/OPERATING.md names %s, which no code has", name)
+			t.Errorf("docs/OPERATIONS.md names %s, which no code has", name)
 		}
 	}
 }
@@ -79,11 +79,11 @@
 // TestSettingsAreDocumented checks that each key which the parsers read is on
 // the operators' page.
 func TestSettingsAreDocumented(t *testing.T) {
-	text := page(t, "docs/OPERATING.md")
+	text := page(t, "docs/OPERATIONS.md")
 	for _, file := range []string{"yard/setting/setting.go", "yard/document/document.go"} {
 		for name := range names(`\.(?:Text|Need|Choice|Bool|Number|Int|Duration|List|Address)\("([a-z]+)"`, page(t, file)) {
 			if !strings.Contains(text, "`"+name+"`") {
-				t.Errorf("%s reads %s, which docs/OPERATING.md does not name", file, name)
+				t.Errorf("%s reads %s, which docs/OPERATIONS.md does not name", file, name)
 			}
 		}
 	}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
-	"chervilyard.example/yard/target"
 )
 
 const (
@@ -21,9 +18,6 @@
 	// maxUnsent is how often a request is chosen a place for that it could not
 	// be sent to.
 	maxUnsent = 4
-	// maxWait is the part of the time that is left that a request may be
-	// expected to wait for its first byte; a longer wait is refused at once.
-	maxWait = 0.7
 	// patienceGoal and patienceWait say how long a repeatable request waits for
 	// the first byte before it is tried elsewhere: parts of the objective, and
 	// times the expected wait.
@@ -60,70 +54,6 @@
 	return g.unplaced(x)
 }
 
-// place is where an attempt goes: a target, or an instance of another region.
-type place struct {
-	near   []target.Target // candidates of this region, where remote is nil
-	remote *Remote
-	ticket *placement.Ticket // for the target that was chosen among them
-}
-
-// place decides between the targets of the region and another region where the
-// request would be answered earlier.
-func (g *Gateway) place(now time.Time, x *exchange) (place, error) {
-	var candidates []target.Target
-	if x.permits(g.Region) {
-		candidates = g.Targets(now, x.service)
-	}
-	limit := g.limit(now, x)
-	near, ok := g.Picker.Wait(now, candidates, g.request(x), g.Fleet(now))
-	if remote := g.better(now, x, near, ok); remote != nil && remote.Wait < limit {
-		return place{remote: remote}, nil
-	}
-	switch {
-	case !ok:
-		x.notes = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, g.request(x), g.Fleet(now)))
-		return place{}, g.unplaced(x)
-	case near > limit:
-		x.notes = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), near.Round(time.Millisecond), limit.Round(time.Millisecond))
-		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near/2)
-	}
-	return place{near: candidates}, nil
-}
-
-// limit returns the longest wait that a request may be expected to have. Where
-// more come than can be served, a queue as long as the objective keeps the
-// targets just as busy as a longer one, and those that are admitted are on time.
-func (g *Gateway) limit(now time.Time, x *exchange) time.Duration {
-	d := time.Duration(maxWait * float64(x.deadline.Sub(now)))
-	if goal := x.route.Goal(); goal > 0 {
-		d = min(d, goal)
-	}
-	return d
-}
-
-// better returns an instance of another region that would answer earlier than
-// the targets of this one, or nil.
-func (g *Gateway) better(now time.Time, x *exchange, near time.Duration, ok bool) *Remote {
-	if x.hop {
-		return nil
-	}
-	own := g.Picker.Own(g.request(x))
-	for _, remote := range g.Remotes(now, x.service, x.permits) {
-		remote.Wait += own
-		if !slices.Contains(x.tried, remote.Member.Region) && (!ok || remote.Wait < near) {
-			return &remote
-		}
-	}
-	return nil
-}
-
-func (g *Gateway) request(x *exchange) placement.Request {
-	return placement.Request{
-		Service: x.catalog.Service(x.service), Prompt: x.ask.Prompt, Output: x.ask.Output,
-		Parts: x.ask.Parts, Gap: x.route.Gap(), Tried: x.tried,
-	}
-}
-
 // attempt sends the request to one place. It returns true where another may be
 // tried.
 func (g *Gateway) attempt(ctx context.Context, x *exchange, p place) (bool, error) {
@@ -161,21 +91,6 @@
 	patience *time.Timer
 }
 
-func (p place) name() string {
-	if p.remote != nil {
-		return p.remote.Member.Name
-	}
-	return p.ticket.Target().Name()
-}
-
-// wait returns how long the first byte is expected to take.
-func (p place) wait() time.Duration {
-	if p.remote != nil {
-		return p.remote.Wait
-	}
-	return p.ticket.Expected()
-}
-
 // mayRepeat draws on the fleet's budget for repeats. Where nothing reached a
 // target so far, the next send is not a repeat.
 func (g *Gateway) mayRepeat(now time.Time, x *exchange) bool {
@@ -187,7 +102,7 @@
 
 // patience returns how long the place may take to begin its answer, 0 for no bound.
 func (g *Gateway) patience(x *exchange, p place) time.Duration {
-	if !idempotent(x.route) || x.route.Goal() <= 0 || x.sends+1 >= x.attempts {
+	if !x.route.Idempotent() || x.route.Goal() <= 0 || x.sends+1 >= x.attempts {
 		return 0
 	}
 	return max(time.Duration(patienceGoal*float64(x.route.Goal())), patienceWait*p.wait())
@@ -208,7 +123,7 @@
 	g.Wire.Dress(header, Order{Target: t.Name(), Left: left, Customer: x.customer.Name(), After: x.ask.After})
 	return g.Pool.Do(ctx, t.Address(), &pool.Request{
 		Method: x.method, Target: x.target, Host: x.host, Header: header, Body: x.body,
-		Fresh: !idempotent(x.route) && !x.route.Stream(),
+		Fresh: !x.route.Idempotent() && !x.route.Stream(),
 		Owns:  func(h http.Header) bool { owner := g.Wire.Owner(h); return owner == "" || owner == x.ask.ID },
 	})
 }
@@ -240,7 +155,7 @@
 		x.offers--
 		return true, nil
 	}
-	if !idempotent(x.route) || x.sends >= x.attempts || !g.mayRepeat(now, x) {
+	if !x.route.Idempotent() || x.sends >= x.attempts || !g.mayRepeat(now, x) {
 		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").Because(err)
 	}
 	g.repeated(x, "no answer")
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retry"
-	"chervilyard.example/yard/route"
 	"chervilyard.example/yard/target"
 )
 
@@ -115,6 +114,3 @@
 func (x *exchange) permits(region string) bool {
 	return x.route.Permits(region, "") && x.customer.Permits(region)
 }
-
-// idempotent reports whether the request may run more than once.
-func idempotent(r route.Route) bool { return r.Idempotent() }
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -94,7 +94,7 @@
 		outcome = placement.Failed
 	}
 	g.end(a, now, outcome)
-	if failure && resp.Status != http.StatusGatewayTimeout && idempotent(x.route) && x.sends < x.attempts && g.another(x) {
+	if failure && resp.Status != http.StatusGatewayTimeout && x.route.Idempotent() && x.sends < x.attempts && g.another(x) {
 		g.repeated(x, "the target failed")
 		x.notes = "status " + strconv.Itoa(resp.Status)
 		return true, nil
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -6,14 +6,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/yard/fleet"
@@ -37,7 +33,7 @@
 	callTime = 400 * time.Millisecond
 	farTime  = 900 * time.Millisecond
 	// quiet is the silence after which a member counts as lost in the log.
-	quiet = 2 * time.Second
+	quiet = 3 * time.Second
 	// forget is how long a silent member is remembered: a partition should end
 	// before, so that both sides find each other again.
 	forget = 10 * time.Minute
@@ -325,74 +321,3 @@
 	}
 	d.trips[name] = took
 }
-
-// conn returns a connection to another instance.
-func (d *Duty) conn(address string) (*grpc.ClientConn, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if c := d.conns[address]; c != nil {
-		return c, nil
-	}
-	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
-			return (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", a)
-		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 1.5, MaxDelay: time.Second, Jitter: 0.2},
-			MinConnectTimeout: dialTime,
-		}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: time.Second}),
-		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
-		grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
-	)
-	if err != nil {
-		return nil, err
-	}
-	if d.conns == nil {
-		d.conns = make(map[string]*grpc.ClientConn)
-	}
-	d.conns[address] = c
-	return c, nil
-}
-
-// Read fetches what a member knows of a part of the store.
-func (d *Duty) Read(ctx context.Context, m membership.Member, part string) (*fleet.Content, error) {
-	conn, err := d.conn(m.Peers)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*farTime)
-	defer cancel()
-	return fleet.NewFleetClient(conn).Read(ctx, &fleet.Part{Name: part})
-}
-
-func (d *Duty) close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, c := range d.conns {
-		_ = c.Close() // nothing is sent any more
-	}
-}
-
-func message(now time.Time, m membership.Member) *fleet.Member {
-	return &fleet.Member{
-		Name: m.Name, Run: m.Run, Region: m.Region, Centre: m.Centre, Callers: m.Callers, Forward: m.Forward,
-		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Age: Age(now, m.Heard),
-	}
-}
-
-// Age returns the milliseconds since a time, rounded up so that no news gets
-// younger on its way.
-func Age(now, then time.Time) int64 {
-	return int64((now.Sub(then) + time.Millisecond - 1) / time.Millisecond)
-}
-
-func member(now time.Time, m *fleet.Member) membership.Member {
-	return membership.Member{
-		Name: m.GetName(), Run: m.GetRun(), Region: m.GetRegion(), Centre: m.GetCentre(), Callers: m.GetCallers(),
-		Forward: m.GetForward(), Peers: m.GetPeers(), Leaving: m.GetLeaving(), Ready: m.GetReady(),
-		Heard: now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
-	}
-}
--- a/chervilyard/resolve/resolve.go
+++ b/chervilyard/resolve/resolve.go
@@ -74,6 +74,9 @@
 	if !ok || r.Kind() != route.KindService {
 		return refusal.NotRun(http.StatusNotFound, "service_unknown", "no service of that name")
 	}
+	if leaves(path) {
+		return refusal.NotRun(http.StatusBadRequest, "path_leaves", "the path leaves the service's")
+	}
 	c.Route = r
 	c.TargetPath = "/" + path
 	if c.Query != "" {
@@ -92,6 +95,26 @@
 	return nil
 }
 
+// leaves reports whether dot segments lead a path above its beginning. An
+// encoded dot or slash counts as a plain one, as targets may decode it.
+func leaves(path string) bool {
+	path = strings.NewReplacer("%2e", ".", "%2E", ".", "%2f", "/", "%2F", "/").Replace(path)
+	depth := 0
+	for segment := range strings.SplitSeq(path, "/") {
+		switch segment {
+		case "..":
+			depth--
+		case ".", "":
+		default:
+			depth++
+		}
+		if depth < 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // body is the part of a completion request that the gateway reads.
 type body struct {
 	Model     string          `json:"model"`
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chervilyard.example/yard/pace"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
@@ -96,46 +94,6 @@
 	gaps    map[string]time.Duration // the shortest pause that is asked for, by service
 }
 
-type peerLoads struct {
-	at    time.Time
-	loads map[string]Load
-}
-
-type state struct {
-	run       int64
-	open      int
-	asked     int // open without a first byte
-	waiting   int
-	memory    int
-	failures  int // in a row
-	ejected   time.Time
-	failRate  float64
-	answer    float64 // milliseconds, moving average; 0 where not known
-	coldUntil time.Time
-	suspect   time.Time // when it may have started anew; zero where it did not
-	window    pace.Window
-	parts     map[string]time.Time
-	speed     float64   // time to the first byte against the service's line; 0 where not known
-	pause     float64   // milliseconds, the longest of late between two pieces of a stream
-	paused    time.Time // when that was
-}
-
-// pauseNow returns the longest pause of late, which fades.
-func (s *state) pauseNow(now time.Time) float64 {
-	if s.pause == 0 {
-		return 0
-	}
-	return s.pause * math.Exp2(-now.Sub(s.paused).Seconds()/pauseHalf.Seconds())
-}
-
-// pace returns how much slower than its service the target is.
-func (s *state) pace() float64 {
-	if s.speed == 0 {
-		return 1
-	}
-	return s.speed
-}
-
 // Learn takes in a fresh list of targets, read at the given time and written by
 // each of them within a report's interval before: how long each stays cold, and
 // which started anew.
@@ -267,38 +225,6 @@
 	return best, least
 }
 
-// saved returns the milliseconds of reading that a hit saves the target.
-func (p *Picker) saved(r Request, hit int) float64 {
-	_, perToken := p.line(r.Service.Name())
-	return float64(hit) * perToken
-}
-
-// halted returns the milliseconds that a target's pauses weigh.
-func (p *Picker) halted(now time.Time, s *state, service string) float64 {
-	gap := p.gaps[service]
-	if gap <= 0 {
-		return 0
-	}
-	over := s.pauseNow(now)/(gap.Seconds()*1000) - pauseFree
-	return max(over, 0) / (1 - pauseFree) * pauseCost
-}
-
-// homeOf returns the target that all instances prefer for a prompt's shared
-// parts, by rendezvous hashing, so that each part is read at few targets.
-func homeOf(candidates []target.Target, parts []Part) string {
-	if len(parts) < 2 {
-		return ""
-	}
-	key := parts[len(parts)-2].ID // the last part is the request's own
-	home, top := "", uint64(0)
-	for _, t := range candidates {
-		if h := xxhash.Sum64String(key + "\x00" + t.Name()); home == "" || h > top {
-			home, top = t.Name(), h
-		}
-	}
-	return home
-}
-
 // Room returns how long a request of the service would wait for those before
 // it, and false where no target may be used now.
 func (p *Picker) Room(now time.Time, candidates []target.Target, s service.Service, fleet Fleet) (time.Duration, bool) {
@@ -376,90 +302,6 @@
 	return pace.Limit(r.Service.ColdPace()*fleet.Over+fleet.Fixed, fleet.Size, fleet.Rank)
 }
 
-// own returns the milliseconds that the request itself takes to its first byte
-// where so many of its prompt's tokens have to be read.
-func (p *Picker) own(r Request, fresh int) float64 {
-	if r.Service.Slots() == 0 {
-		return p.answer(r.Service.Name())
-	}
-	base, perToken := p.line(r.Service.Name())
-	return base + float64(fresh)*perToken
-}
-
-// queue returns the milliseconds that a request would wait for those before it.
-func (p *Picker) queue(now time.Time, t *target.Target, r Request) float64 {
-	s := p.state(t.Name())
-	open, waiting, memory := p.total(now, t.Name(), s)
-	answer := p.answer(r.Service.Name())
-	if s.answer > 0 {
-		answer = s.answer
-	}
-	slots := max(t.Capacity(), 1)
-	queued := 0.0
-	if open >= slots {
-		queued = float64(open-slots+1) / float64(slots) * answer
-	}
-	if limit := r.Service.Memory(); limit > 0 && memory+r.Prompt+r.Output > limit {
-		queued = max(queued, answer*float64(memory+r.Prompt+r.Output-limit)/float64(limit))
-	}
-	crowd := crowded * float64(open) / float64(slots)
-	if r.Service.Slots() == 0 {
-		return queued + answer*(crowd+s.failRate*failurePenalty)
-	}
-	base, perToken := p.line(r.Service.Name())
-	queued += base * s.failRate * failurePenalty
-	queued += p.halted(now, s, r.Service.Name())
-	return queued + ((float64(waiting)+crowd*float64(r.Prompt))*perToken+crowd*base)*s.pace()
-}
-
-// total returns what all instances have open at the target.
-func (p *Picker) total(now time.Time, name string, s *state) (open, waiting, memory int) {
-	open, waiting, memory = s.open, s.waiting, s.memory
-	for _, peer := range p.peers {
-		if now.Sub(peer.at) > peerNews {
-			continue
-		}
-		l := peer.loads[name]
-		open += l.Open
-		waiting += l.Waiting
-		memory += l.Memory
-	}
-	return open, waiting, memory
-}
-
-// hit returns how many of the prompt's tokens the target likely holds: what this
-// instance sent there of late, or at the home of the shared parts what the other
-// instances did.
-func (p *Picker) hit(now time.Time, s *state, parts []Part, home bool) int {
-	tokens := 0
-	for i, part := range parts {
-		used, ok := s.parts[part.ID]
-		recent := ok && now.Sub(used) <= cached
-		shared := home && i < len(parts)-1
-		if !recent && !shared {
-			return tokens
-		}
-		tokens += part.Tokens
-	}
-	return tokens
-}
-
-// line returns the milliseconds of an empty prompt and of each prompt token.
-func (p *Picker) line(service string) (base, perToken float64) {
-	l := p.reading[service]
-	if l == nil {
-		return guessAnswer, guessPerToken
-	}
-	return l.at(guessAnswer, guessPerToken)
-}
-
-func (p *Picker) answer(service string) float64 {
-	if v := p.answers[service]; v > 0 {
-		return v
-	}
-	return guessAnswer
-}
-
 // issue counts the request at the target.
 func (p *Picker) issue(now time.Time, t target.Target, r Request, wait float64, fleet Fleet) *Ticket {
 	s := p.state(t.Name())
@@ -489,36 +331,3 @@
 	}
 	return k
 }
-
-func (p *Picker) learnGap(service string, gap time.Duration) {
-	if p.gaps == nil {
-		p.gaps = make(map[string]time.Duration)
-	}
-	if old, ok := p.gaps[service]; !ok || gap < old {
-		p.gaps[service] = gap
-	}
-}
-
-const maxParts = 4096 // prompt parts remembered for one target
-
-func forget(parts map[string]time.Time, now time.Time) {
-	for id, used := range parts {
-		if now.Sub(used) > cached {
-			delete(parts, id)
-		}
-	}
-}
-
-func (p *Picker) state(name string) *state {
-	if p.targets == nil {
-		p.targets = make(map[string]*state)
-	}
-	s := p.targets[name]
-	if s == nil {
-		s = &state{}
-		p.targets[name] = s
-	}
-	return s
-}
-
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
