Keep the pace of cold targets through lists that cross; do not leave out a last target

News that came twice at once was put in force without order, a target missing from an older list lost its counts, and health checks at cold targets were not counted.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,7 @@
 
 	views     map[string]*view.View
 	fetching  map[string]*atomic.Bool
+	decoding  map[string]*sync.Mutex // held while a part is put in force
 	decode    map[string]func(now time.Time, s view.Snapshot)
 	catalog   atomic.Pointer[catalog.Catalog]
 	targets   targets
@@ -109,6 +111,7 @@
 	g := &e.gateway
 	g.Wire, g.Now, g.Region = w, e.now, s.Region
 	g.Catalog = e.catalog.Load
+	g.Begun = e.begun
 	g.Targets = e.usable
 	g.Fleet = e.fleet
 	g.Remotes = e.remotes
@@ -140,9 +143,10 @@
 }
 
 const (
-	headerTime = 3 * time.Second  // a caller's head; callers that are slower hold a connection for nothing
-	idleTime   = 60 * time.Second // an idle caller's connection; over what operators let callers use
-	maxHeader  = 16 << 10         // bytes of a caller's head
+	begunStep  = 10 * time.Millisecond // between looks at what is known
+	headerTime = 3 * time.Second       // a caller's head; callers that are slower hold a connection for nothing
+	idleTime   = 60 * time.Second      // an idle caller's connection; over what operators let callers use
+	maxHeader  = 16 << 10              // bytes of a caller's head
 )
 
 // begin starts the servers and duties.
@@ -231,6 +235,19 @@
 	return !e.leaving.Load() && e.catalog.Load() != nil && e.views[PartTargets].Known()
 }
 
+// begun waits until the configuration and the targets are known.
+func (e *Edge) begun(ctx context.Context) {
+	ticker := time.NewTicker(begunStep)
+	defer ticker.Stop()
+	for e.catalog.Load() == nil || !e.views[PartTargets].Known() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Gateway returns the handler of callers' requests.
 func (e *Edge) Gateway() *gateway.Gateway { return &e.gateway }
 
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -43,8 +43,9 @@
 	if c == nil || len(names) == 0 || !e.probes.due(e.now(), t.Name()) {
 		return
 	}
-	path := c.Service(names[0]).Health()
-	if path == "" {
+	service := c.Service(names[0])
+	path := service.Health()
+	if now := e.now(); path == "" || !e.picker.Ask(now, t.Name(), service, e.fleet(now)) {
 		return
 	}
 	go e.probe(t, path)
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -133,7 +133,7 @@
 	}
 	e.targets.mu.Unlock()
 	if over || gap {
-		e.takeTargets(now, s)
+		e.decodeNewest(now, PartTargets)
 		return
 	}
 	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, e.targets.known())
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,9 +72,11 @@
 func (e *Edge) buildViews() {
 	e.views = make(map[string]*view.View)
 	e.fetching = make(map[string]*atomic.Bool)
+	e.decoding = make(map[string]*sync.Mutex)
 	for _, part := range []string{PartConfiguration, PartTargets, PartMembers} {
 		e.views[part] = &view.View{}
 		e.fetching[part] = &atomic.Bool{}
+		e.decoding[part] = &sync.Mutex{}
 	}
 	e.decode = map[string]func(time.Time, view.Snapshot){
 		PartConfiguration: e.takeConfiguration,
@@ -125,12 +128,21 @@
 
 // changed puts new content in force and tells the other instances.
 func (e *Edge) changed(now time.Time, part string) {
-	e.decode[part](now, e.views[part].Snapshot())
+	e.decodeNewest(now, part)
 	if part != PartMembers {
 		e.beats.Beat(e.ctx)
 	}
 }
 
+// decodeNewest puts what is newest of a part in force. Readers and heartbeats
+// bring news at the same time: each takes the newest, so that none puts an older
+// one in force after another's.
+func (e *Edge) decodeNewest(now time.Time, part string) {
+	e.decoding[part].Lock()
+	defer e.decoding[part].Unlock()
+	e.decode[part](now, e.views[part].Snapshot())
+}
+
 func (e *Edge) takeConfiguration(now time.Time, s view.Snapshot) {
 	closed := e.store.Closed(s.Items)
 	e.evacuate(now, closed)
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -145,7 +145,7 @@
 	case ctx.Err() != nil:
 		g.end(a, now, placement.Abandoned)
 		return false, gone(cause)
-	case !x.last.IsZero():
+	case sent:
 		g.end(a, now, placement.Broken)
 	default:
 		g.end(a, now, placement.Unreachable)
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -70,6 +70,9 @@
 	Now     func() time.Time
 	Catalog func() *catalog.Catalog // nil before the first one is known
 	Region  string
+	// Begun waits until an instance that just started knows what it needs, or
+	// the context ends; it may be nil.
+	Begun func(ctx context.Context)
 	// Targets returns the region's targets of a service that may get work.
 	Targets func(now time.Time, service string) []target.Target
 	// Fleet tells how the instances of the region share cold targets.
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -33,6 +33,9 @@
 	// gatherPart of the objective is spent at most on gathering tokens: a way to
 	// another region and back at the usual objectives.
 	gatherPart = 0.25
+	// beginTime is how long a request waits for an instance that just started:
+	// two ways to a far store and back.
+	beginTime = 300 * time.Millisecond
 	// soon is when to come back after a passing shortage.
 	soon = 250 * time.Millisecond
 	// unready is when to come back to an instance that knows no configuration.
@@ -83,6 +86,7 @@
 	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, target: r.RequestURI}
 	var key string
 	x.ask, key = g.Wire.Read(r)
+	g.begin(r.Context())
 	err := g.match(x, key)
 	if err == nil {
 		err = g.admit(x, r)
@@ -95,6 +99,16 @@
 	g.finish(x, err)
 }
 
+// begin gives an instance that just started the time to learn its configuration.
+func (g *Gateway) begin(ctx context.Context) {
+	if g.Begun == nil || g.Catalog() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beginTime)
+	defer cancel()
+	g.Begun(ctx)
+}
+
 // match finds the route and the customer.
 func (g *Gateway) match(x *exchange, key string) error {
 	x.catalog = g.Catalog()
--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -68,10 +68,10 @@
 	}
 	crowd := crowded * float64(open) / float64(slots)
 	if r.Service.Slots() == 0 {
-		return queued + answer*(crowd+s.failRate*failurePenalty)
+		return queued + answer*(crowd+s.failRate(now)*failurePenalty)
 	}
 	base, perToken := p.line(r.Service.Name())
-	queued += base * s.failRate * failurePenalty
+	queued += base * s.failRate(now) * failurePenalty
 	queued += p.halted(now, s, r.Service.Name())
 	return queued + ((float64(waiting)+crowd*float64(r.Prompt))*perToken+crowd*base)*s.pace()
 }
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -24,6 +24,10 @@
 	// left out; it doubles with each failure in a row.
 	ejectFirst = 300 * time.Millisecond
 	ejectMost  = 5 * time.Second
+	// failLearning is the weight of one failure, and failHalf the time in which
+	// failures fade by half.
+	failLearning = 0.25
+	failHalf     = 3 * time.Second
 	// learning is the weight of the newest sample in moving averages.
 	learning = 0.1
 	// failurePenalty is how many times the typical wait for a first byte a
@@ -41,6 +45,8 @@
 	// prompts there would make every stream late.
 	pauseFree = 0.5
 	pauseCost = 600.0
+	// forgetTime is how long a target that is no longer listed is remembered.
+	forgetTime = time.Minute
 	// peerNews is how long the loads that a peer told are counted.
 	peerNews = 1500 * time.Millisecond
 	// firstGuess of milliseconds to read one prompt token and of an answer's
@@ -104,8 +110,9 @@
 	for _, t := range targets {
 		listed[t.Name()] = true
 		s := p.state(t.Name())
+		s.seen = read
 		if s.run != t.Run() {
-			*s = state{run: t.Run(), open: s.open, asked: s.asked, waiting: s.waiting, memory: s.memory, window: s.window}
+			*s = state{run: t.Run(), seen: read, open: s.open, proving: s.proving, waiting: s.waiting, memory: s.memory, window: s.window}
 		}
 		if t.Cold() > 0 {
 			s.coldUntil = read.Add(t.Cold())
@@ -115,12 +122,22 @@
 		}
 	}
 	for name, s := range p.targets {
-		if !listed[name] && s.open == 0 {
+		// A target that is missing for a moment may come back as cold as it was.
+		if !listed[name] && s.open == 0 && read.Sub(s.seen) > forgetTime {
 			delete(p.targets, name)
 		}
 	}
 }
 
+// Ask reports whether a health check may be sent to a target, which counts like
+// a request where it is cold.
+func (p *Picker) Ask(now time.Time, name string, s service.Service, fleet Fleet) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.state(name)
+	return !p.cold(now, one) || one.window.Take(now, p.coldLimit(Request{Service: s}, fleet))
+}
+
 // Proved takes in what a target said after a failure: it runs, and stays cold
 // for the given time. A later failure than the question keeps its suspicion.
 func (p *Picker) Proved(asked, now time.Time, name string, cold time.Duration) {
@@ -279,7 +296,7 @@
 	if now.Before(s.ejected) {
 		return false
 	}
-	if s.failures > 0 && s.asked > 0 {
+	if s.failures > 0 && s.proving > 0 {
 		return false // one request shows whether it is back
 	}
 	if memory := r.Service.Memory(); memory > 0 && r.Prompt+r.Output > memory {
@@ -317,7 +334,9 @@
 	}
 	_, k.ahead, _ = p.total(now, t.Name(), s)
 	s.open++
-	s.asked++
+	if k.proves = s.failures > 0; k.proves {
+		s.proving++
+	}
 	s.waiting += k.fresh
 	s.memory += k.memory
 	for _, part := range r.Parts {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -34,6 +34,7 @@
 //	sends 20 500 -> 9    how many of 20 requests find a target
 //	first K, end K OUTCOME, pause K 200ms
 //	proved A 0s          a health check after a failure says how long it is cold
+//	ask A yes            whether a health check may be sent now
 //	peer P A 3 900       what a peer has open and waiting at a target
 type player struct {
 	t       *testing.T
@@ -76,6 +77,10 @@
 		p.tickets[s.Words[1]].End(s.At, outcomes[s.Words[2]])
 	case "pause":
 		p.tickets[s.Words[1]].Pause(s.At, s.Time(p.t, 2))
+	case "ask":
+		if got, want := p.picker.Ask(s.At, s.Words[1], engines, fleet), s.Words[2] == "yes"; got != want {
+			p.t.Errorf("line %d: a health check may be sent: %v, want %v", s.Line, got, want)
+		}
 	case "proved":
 		p.picker.Proved(s.At, s.At, s.Words[1], s.Time(p.t, 2))
 	case "peer":
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -14,14 +14,16 @@
 
 type state struct {
 	run       int64
+	seen      time.Time // when it was last listed
 	open      int
-	asked     int // open without a first byte
+	proving   int // open without a first byte, sent after a failure to see whether it is back
 	waiting   int
 	memory    int
 	failures  int // in a row
 	ejected   time.Time
-	failRate  float64
-	answer    float64 // milliseconds, moving average; 0 where not known
+	failing   float64   // part of the requests that failed of late
+	failed    time.Time // when that was reckoned
+	answer    float64   // milliseconds, moving average; 0 where not known
 	coldUntil time.Time
 	suspect   time.Time // when it may have started anew; zero where it did not
 	window    pace.Window
@@ -31,6 +33,24 @@
 	paused    time.Time // when that was
 }
 
+// failRate returns the part of the requests that failed of late. It fades, so
+// that a target which gets nothing for its failures is tried again.
+func (s *state) failRate(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+	return s.failing * math.Exp2(-now.Sub(s.failed).Seconds()/failHalf.Seconds())
+}
+
+func (s *state) fail(now time.Time) {
+	rate := s.failRate(now)
+	s.failing, s.failed = rate+(1-rate)*failLearning, now
+}
+
+func (s *state) succeed(now time.Time) {
+	s.failing, s.failed = s.failRate(now)*(1-learning), now
+}
+
 // pauseNow returns the longest pause of late, which fades.
 func (s *state) pauseNow(now time.Time) float64 {
 	if s.pause == 0 {
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -13,8 +13,8 @@
 const (
 	Answered    Outcome = iota // the target answered in full, whatever the status
 	Failed                     // the target's own failure status
-	Unreachable                // no connection, a reset, or bytes that are no answer
-	Broken                     // the answer broke off after its first byte
+	Unreachable                // no connection: nothing was sent
+	Broken                     // sent, and the connection broke or brought no answer of the target
 	Full                       // the target refused for want of room and ran nothing
 	Replaced                   // another target has its address
 	Abandoned                  // the caller left, or its time was over
@@ -32,6 +32,7 @@
 	ahead    int
 	memory   int
 	model    bool
+	proves   bool // sent to see whether the target is back
 	begun    bool
 	ended    bool
 }
@@ -52,7 +53,7 @@
 	defer k.picker.mu.Unlock()
 	s := k.picker.state(k.target.Name())
 	s.waiting -= k.fresh
-	s.asked--
+	k.prove(s)
 	s.failures = 0
 	if !k.model || k.ahead+k.fresh <= 0 {
 		return
@@ -99,17 +100,25 @@
 	s.memory -= k.memory
 	if !k.begun {
 		s.waiting -= k.fresh
-		s.asked--
+		k.prove(s)
 	}
 	k.judge(now, s, o)
 }
 
+// prove counts out a request that was to show whether the target is back.
+func (k *Ticket) prove(s *state) {
+	if k.proves {
+		k.proves = false
+		s.proving--
+	}
+}
+
 // judge draws the conclusions for the target's health.
 func (k *Ticket) judge(now time.Time, s *state, o Outcome) {
 	switch o {
 	case Answered:
 		s.failures = 0
-		s.failRate -= s.failRate * learning
+		s.succeed(now)
 		took := now.Sub(k.sent).Seconds() * 1000
 		s.answer = average(s.answer, took)
 		if k.picker.answers == nil {
@@ -118,18 +127,18 @@
 		k.picker.answers[k.service] = average(k.picker.answers[k.service], took)
 	case Failed:
 		s.failures = 0
-		s.failRate += (1 - s.failRate) * learning
-	case Unreachable, Silent:
-		s.failRate += (1 - s.failRate) * learning
+		s.fail(now)
+	case Unreachable:
+		s.fail(now)
 		k.eject(now, s)
-		if o == Unreachable {
-			s.suspect = now
-		}
+		s.suspect = now
 	case Broken:
-		// The target may have crashed, or the connection alone broke: the next
-		// request shows it.
-		s.failRate += (1 - s.failRate) * learning
+		// Only a connection that cannot be made leaves a target out: the last
+		// one of a service must go on where some of its answers break.
+		s.fail(now)
 		s.suspect = now
+	case Silent:
+		s.fail(now)
 	case Replaced:
 		k.eject(now, s)
 	case Full:
