Name the quota simulation, the renewal of seats and the session registry for what they are

drill is simulation, sit is renewal, session.Desk is session.Registry and the operators' server is called that.

--- a/chervilstand/quota.go
+++ b/chervilstand/quota.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"chervilyard.example/yard/drill"
-	"chervilyard.example/yard/drill/scenario"
+	"chervilyard.example/yard/simulation"
+	"chervilyard.example/yard/simulation/scenario"
 )
 
 type quotaCommand struct {
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	var jobs []*drill.Script
+	var jobs []*simulation.Script
 	for _, s := range scripts {
 		if ok, err := path.Match(c.Script, s.Name); err != nil || !ok {
 			if err != nil {
@@ -50,11 +50,11 @@
 		}
 		jobs = append(jobs, c.variants(s)...)
 	}
-	fmt.Println(drill.Heading)
+	fmt.Println(simulation.Heading)
 	return c.runAll(jobs)
 }
 
-func (c *quotaCommand) variants(s *drill.Script) []*drill.Script {
+func (c *quotaCommand) variants(s *simulation.Script) []*simulation.Script {
 	if c.Spread > 0 {
 		s.Spread = c.Spread
 	}
@@ -62,9 +62,9 @@
 		s.Length = c.Length
 	}
 	if !c.Ways {
-		return []*drill.Script{s}
+		return []*simulation.Script{s}
 	}
-	var list []*drill.Script
+	var list []*simulation.Script
 	for _, w := range ways {
 		v := *s
 		v.Name = s.Name + ": " + w.name
@@ -75,8 +75,8 @@
 }
 
 // runAll runs the scripts on several workers and prints the lines in order.
-func (c *quotaCommand) runAll(jobs []*drill.Script) error {
-	reports := make([]drill.Report, len(jobs))
+func (c *quotaCommand) runAll(jobs []*simulation.Script) error {
+	reports := make([]simulation.Report, len(jobs))
 	errs := make([]error, len(jobs))
 	slots := make(chan struct{}, max(c.Workers, 1))
 	var wait sync.WaitGroup
@@ -99,16 +99,16 @@
 	return nil
 }
 
-func (c *quotaCommand) mean(s *drill.Script) (drill.Report, error) {
-	var all []drill.Report
+func (c *quotaCommand) mean(s *simulation.Script) (simulation.Report, error) {
+	var all []simulation.Report
 	for n := range max(c.Seeds, 1) {
 		v := *s
 		v.Seed += uint64(n)
-		r, err := drill.Run(&v)
+		r, err := simulation.Run(&v)
 		if err != nil {
-			return drill.Report{}, err
+			return simulation.Report{}, err
 		}
 		all = append(all, r)
 	}
-	return drill.Mean(all), nil
+	return simulation.Mean(all), nil
 }
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -20,7 +20,7 @@
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/chervilyard/poll"
 	"chervilyard.example/chervilyard/port"
-	"chervilyard.example/chervilyard/sit"
+	"chervilyard.example/chervilyard/renewal"
 	"chervilyard.example/yard/choice"
 	"chervilyard.example/yard/claim"
 	"chervilyard.example/yard/environment"
@@ -65,7 +65,7 @@
 }
 
 func (i *Instance) buildDuties() {
-	i.seats = &sit.Duty{
+	i.seats = &renewal.Duty{
 		Key: environment.SeatPrefix(i.settings.Environment()) + i.settings.Centre(),
 		Table: &seat.Table{
 			Address: i.Peers(), Run: i.run, Centre: i.settings.Centre(),
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -31,10 +31,10 @@
 	"chervilyard.example/chervilyard/once"
 	"chervilyard.example/chervilyard/outbound"
 	"chervilyard.example/chervilyard/poll"
+	"chervilyard.example/chervilyard/renewal"
 	"chervilyard.example/chervilyard/resolve"
 	"chervilyard.example/chervilyard/session"
 	"chervilyard.example/chervilyard/settle"
-	"chervilyard.example/chervilyard/sit"
 	"chervilyard.example/yard/choice"
 	"chervilyard.example/yard/claim"
 	"chervilyard.example/yard/lender"
@@ -57,7 +57,7 @@
 	picker   *choice.Picker
 	ledger   *claim.Ledger
 	link     *link.Link
-	sessions *session.Desk
+	sessions *session.Registry
 	journal  *journal.Journal
 	meter    *meter.Meter
 	outbound *outbound.Client
@@ -72,15 +72,15 @@
 	settle       settle.Stage
 
 	beats *beat.Duty
-	seats *sit.Duty
+	seats *renewal.Duty
 	polls *poll.Duty
 
-	callers   net.Listener
-	peers     net.Listener
-	operators net.Listener
-	web       *http.Server
-	desk      *http.Server
-	rpc       *grpc.Server
+	callers      net.Listener
+	peers        net.Listener
+	operators    net.Listener
+	web          *http.Server
+	operatorsWeb *http.Server
+	rpc          *grpc.Server
 
 	open    atomic.Int64
 	leaving atomic.Bool
@@ -157,7 +157,7 @@
 	i.store = store.New(s.Store())
 	i.store.Calls = i.meter.Store
 	i.journal = journal.New(i.log)
-	i.sessions = &session.Desk{}
+	i.sessions = &session.Registry{}
 	i.outbound = outbound.New()
 	i.roster = &roster.Roster{Self: i.Peers(), Centre: s.Centre(), Silent: silentTime, Far: farTime, Forget: forgetTime}
 	i.lender = &lender.Lender{Address: i.Peers(), Centre: s.Centre(), Holders: i.holders, Random: nonZero}
@@ -238,11 +238,11 @@
 		ConnState:         i.sessions.State,
 		ErrorLog:          i.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	i.desk = &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: limits.Read}
+	i.operatorsWeb = &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: limits.Read}
 	i.rpc = i.newRPC(creds)
 	i.ends = append(i.ends,
 		serve(func() error { return i.web.Serve(i.callers) }, i.log, "callers"),
-		serve(func() error { return i.desk.Serve(i.operators) }, i.log, "operators"),
+		serve(func() error { return i.operatorsWeb.Serve(i.operators) }, i.log, "operators"),
 		serve(func() error { return i.rpc.Serve(i.peers) }, i.log, "peers"),
 		i.journal.Run(ctx),
 		i.ledger.Start(ctx),
@@ -342,7 +342,7 @@
 	_ = i.web.Close()        // it may be closed already
 	i.rpc.Stop()
 	i.cancel()
-	_ = i.desk.Close() // nobody waits for it
+	_ = i.operatorsWeb.Close() // nobody waits for it
 	i.link.Close()
 	i.outbound.Close()
 	for _, end := range i.ends {
--- a/chervilyard/sit/sit.go
+++ b/chervilyard/renewal/renewal.go
@@ -1,6 +1,6 @@
-// Package sit keeps an instance's seats in the store: it renews them, claims
+// Package renewal keeps an instance's seats in the store: it renews them, claims
 // free ones, and releases them at a graceful stop.
-package sit
+package renewal
 
 import (
 	"context"
--- a/chervilyard/sit/sit_test.go
+++ b/chervilyard/renewal/renewal_test.go
@@ -1,4 +1,4 @@
-package sit_test
+package renewal_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"chervilyard.example/chervilyard/journal"
-	"chervilyard.example/chervilyard/sit"
+	"chervilyard.example/chervilyard/renewal"
 	"chervilyard.example/yard/document"
 	"chervilyard.example/yard/lender"
 	"chervilyard.example/yard/memory"
@@ -19,7 +19,7 @@
 
 const text = "[environment]\nname = x\n[region r]\n[centre c]\nregion = r\n[customer k]\nrate = 10\nburst = 100\n"
 
-func duty(t *testing.T, m *memory.Store, address string) *sit.Duty {
+func duty(t *testing.T, m *memory.Store, address string) *renewal.Duty {
 	t.Helper()
 	d, err := document.Parse("x", text)
 	if err != nil {
@@ -27,7 +27,7 @@
 	}
 	l := &lender.Lender{Address: address, Centre: "c"}
 	l.Apply(time.Now(), d)
-	return &sit.Duty{
+	return &renewal.Duty{
 		Key: "seat", Table: &seat.Table{Address: address, Run: 1, Centre: "c"}, Lender: l, Now: time.Now,
 		Document: func() *document.Document { return d },
 		Mates:    func(time.Time) seat.Mates { return seat.Mates{} },
--- a/chervilyard/session/session.go
+++ b/chervilyard/session/session.go
@@ -16,9 +16,9 @@
 // Error says what happened.
 func (*Withdrawn) Error() string { return "the key was withdrawn" }
 
-// Desk follows which key each call and connection came with. The zero value is
+// Registry follows which key each call and connection came with. The zero value is
 // ready; it is safe for concurrent use.
-type Desk struct {
+type Registry struct {
 	mu    sync.Mutex
 	next  int
 	calls map[int]open
@@ -39,7 +39,7 @@
 
 // Begin registers a call under its key's hash and returns a context that ends
 // when the key is withdrawn, and the function that ends the registration.
-func (d *Desk) Begin(ctx context.Context, hash string) (context.Context, func()) {
+func (d *Registry) Begin(ctx context.Context, hash string) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -62,7 +62,7 @@
 
 // Enforce ends the calls and idle connections whose key is no longer known, and
 // returns how many calls it ended.
-func (d *Desk) Enforce(known func(hash string) bool) int {
+func (d *Registry) Enforce(known func(hash string) bool) int {
 	d.mu.Lock()
 	var closing []net.Conn
 	ended := 0
@@ -85,12 +85,12 @@
 }
 
 // Context marks a connection's context; it is an http.Server's ConnContext.
-func (d *Desk) Context(ctx context.Context, c net.Conn) context.Context {
+func (d *Registry) Context(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
 // State follows a connection; it is an http.Server's ConnState.
-func (d *Desk) State(c net.Conn, state http.ConnState) {
+func (d *Registry) State(c net.Conn, state http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns == nil {
@@ -109,7 +109,7 @@
 }
 
 // Open returns how many calls are open.
-func (d *Desk) Open() int {
+func (d *Registry) Open() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.calls)
--- a/yard/drill/faults.go
+++ b/yard/simulation/faults.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"time"
@@ -7,7 +7,7 @@
 )
 
 // befall brings a fault about.
-func (d *Drill) befall(f Fault) {
+func (d *Simulation) befall(f Fault) {
 	switch f.Kind {
 	case Crash:
 		d.crash(d.nodes[f.Instance%len(d.nodes)], f)
@@ -31,7 +31,7 @@
 	}
 }
 
-func (d *Drill) crash(n *node, f Fault) {
+func (d *Simulation) crash(n *node, f Fault) {
 	if !n.alive {
 		return
 	}
@@ -50,13 +50,13 @@
 	})
 }
 
-func (d *Drill) setCut(region int, yes bool) {
+func (d *Simulation) setCut(region int, yes bool) {
 	d.cut[region] = yes
 	d.moved = d.now
 	d.judge.divide()
 }
 
-func (d *Drill) pause(n *node, length time.Duration) {
+func (d *Simulation) pause(n *node, length time.Duration) {
 	n.paused = d.now.Add(length)
 	n.stopped = d.now
 	run := n.run
@@ -76,7 +76,7 @@
 
 // change puts a document with other rates in force, at each instance at
 // another moment; instances that are cut off hear of it when they can.
-func (d *Drill) change(factor float64) {
+func (d *Simulation) change(factor float64) {
 	doc, err := document.Parse(d.script.Name, d.script.document(factor))
 	if err != nil {
 		return
@@ -87,7 +87,7 @@
 	}
 }
 
-func (d *Drill) tell(n *node, doc *document.Document) {
+func (d *Simulation) tell(n *node, doc *document.Document) {
 	d.on(n, time.Duration(d.rng.Float64()*float64(3*time.Second)), func() {
 		if d.cut[n.region] {
 			d.tell(n, doc)
--- a/yard/drill/judge.go
+++ b/yard/simulation/judge.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"fmt"
@@ -125,21 +125,21 @@
 // judge compares a run with one bucket for the whole fleet: the meter shows
 // whether more was admitted, the reference whether less.
 type judge struct {
-	drill    *Drill
-	records  map[string]*record
-	requests int
-	admits   int
-	waited   int
-	wait     time.Duration
-	excess   float64
-	overlap  float64
-	sent     int64
-	calls    int64
-	began    time.Time
+	simulation *Simulation
+	records    map[string]*record
+	requests   int
+	admits     int
+	waited     int
+	wait       time.Duration
+	excess     float64
+	overlap    float64
+	sent       int64
+	calls      int64
+	began      time.Time
 }
 
-func newJudge(d *Drill) *judge {
-	j := &judge{drill: d, records: make(map[string]*record)}
+func newJudge(d *Simulation) *judge {
+	j := &judge{simulation: d, records: make(map[string]*record)}
 	n := float64(d.script.Regions * d.script.Centres * d.script.Seats)
 	for _, c := range d.doc.Customers() {
 		full := level{rate: c.Rate(), burst: c.Burst(), tokens: c.Burst(), last: d.start}
@@ -156,7 +156,7 @@
 // divide gives a region that is cut off its own reference with its part, or
 // puts the parts together again.
 func (j *judge) divide() {
-	d := j.drill
+	d := j.simulation
 	for name, r := range j.records {
 		c, _ := d.doc.Customer(name)
 		r.whole.advance(d.now)
@@ -184,7 +184,7 @@
 // rates sets the allowed rate of each customer to the largest that any
 // instance's document gives, and the reference's to the least.
 func (j *judge) rates() {
-	d := j.drill
+	d := j.simulation
 	for name, r := range j.records {
 		high, low := level{}, level{rate: math.Inf(1), burst: math.Inf(1)}
 		for _, n := range d.nodes {
@@ -210,7 +210,7 @@
 
 // offer asks the reference and the baselines about a request.
 func (j *judge) offer(n *node, customer string, tokens, used float64) verdict {
-	d := j.drill
+	d := j.simulation
 	r := j.records[customer]
 	reference := &r.whole
 	if r.regions[n.region].rate > 0 {
@@ -263,7 +263,7 @@
 }
 
 func (j *judge) admitted(a *ask) {
-	d := j.drill
+	d := j.simulation
 	m := &j.records[a.customer].meter
 	m.advance(d.now)
 	m.tokens -= a.used
@@ -288,7 +288,7 @@
 // audit adds up what all instances may use now. It finds shares that overlap
 // even where demand happens not to use them.
 func (j *judge) audit() {
-	d := j.drill
+	d := j.simulation
 	drift := 1 + d.doc.Terms().Drift
 	for name, r := range j.records {
 		var sum loan.Amount
@@ -302,7 +302,7 @@
 }
 
 func (j *judge) report() Report {
-	d := j.drill
+	d := j.simulation
 	rep := Report{Name: d.script.Name, Instances: len(d.nodes), Customers: len(j.records), Requests: j.requests}
 	var wrongful, noStatic, noCentral, served int
 	for _, r := range j.records {
--- a/yard/drill/request.go
+++ b/yard/simulation/request.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"cmp"
@@ -25,7 +25,7 @@
 }
 
 // request brings one request to an instance of the region.
-func (d *Drill) request(c Customer, customer string, region int) {
+func (d *Simulation) request(c Customer, customer string, region int) {
 	tokens := c.Tokens * (0.5 + d.rng.Float64())
 	used := tokens * (1 - d.rng.Float64()*c.Spare)
 	n := d.choose(customer, region)
@@ -44,7 +44,7 @@
 
 // choose returns the instance that a caller of the region uses: by /locate a
 // holder of the customer's quota near it, else any.
-func (d *Drill) choose(customer string, region int) *node {
+func (d *Simulation) choose(customer string, region int) *node {
 	var holders, all []*node
 	for _, n := range d.nodes {
 		if n.region != region || !n.alive || d.now.Before(n.paused) {
@@ -70,7 +70,7 @@
 // locate ranks instances for a customer whose quota none of them holds.
 func locate(customer string, n *node) uint64 { return xxhash.Sum64String(customer + "/" + n.address) }
 
-func (d *Drill) gather(a *ask) {
+func (d *Simulation) gather(a *ask) {
 	n := a.node
 	asks := n.lender.Gather(d.clock(n), a.customer, a.tokens, &a.pot)
 	if len(asks) == 0 || a.round == gatherMost || d.now.Sub(a.begun) >= gatherTime {
@@ -101,7 +101,7 @@
 
 // linger waits for tokens to come by themselves where that takes no long time,
 // and then concludes.
-func (d *Drill) linger(a *ask) {
+func (d *Simulation) linger(a *ask) {
 	n := a.node
 	a.round++ // replies of earlier rounds start nothing more
 	wait, ok := n.lender.Wait(d.clock(n), &a.pot)
@@ -113,7 +113,7 @@
 }
 
 // conclude tries a waiting request again, and refuses it for good where last.
-func (d *Drill) conclude(a *ask, last bool) bool {
+func (d *Simulation) conclude(a *ask, last bool) bool {
 	n := a.node
 	r, ok, returns := n.lender.Gathered(d.clock(n), &a.pot, last)
 	for _, l := range returns {
@@ -129,7 +129,7 @@
 	return ok
 }
 
-func (d *Drill) admit(a *ask, r lender.Reservation) {
+func (d *Simulation) admit(a *ask, r lender.Reservation) {
 	a.done = true
 	d.judge.admitted(a)
 	n := a.node
--- a/yard/drill/scenario/scenario.go
+++ b/yard/simulation/scenario/scenario.go
@@ -8,25 +8,25 @@
 	"path"
 	"strings"
 
-	"chervilyard.example/yard/drill"
+	"chervilyard.example/yard/simulation"
 )
 
 //go:embed *.ini
 var files embed.FS
 
 // All returns every script by name.
-func All() ([]*drill.Script, error) {
+func All() ([]*simulation.Script, error) {
 	entries, err := files.ReadDir(".")
 	if err != nil {
 		return nil, err
 	}
-	var list []*drill.Script
+	var list []*simulation.Script
 	for _, e := range entries {
 		text, err := files.ReadFile(e.Name())
 		if err != nil {
 			return nil, err
 		}
-		s, err := drill.ParseScript(strings.TrimSuffix(e.Name(), path.Ext(e.Name())), string(text))
+		s, err := simulation.ParseScript(strings.TrimSuffix(e.Name(), path.Ext(e.Name())), string(text))
 		if err != nil {
 			return nil, fmt.Errorf("scenario: %w", err)
 		}
--- a/yard/drill/scenario/scenario_test.go
+++ b/yard/simulation/scenario/scenario_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"chervilyard.example/yard/drill"
-	"chervilyard.example/yard/drill/scenario"
+	"chervilyard.example/yard/simulation"
+	"chervilyard.example/yard/simulation/scenario"
 )
 
 // targets are the stated bounds on the part of requests refused though inside
@@ -36,7 +36,7 @@
 		s.Length = min(s.Length, shortened)
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
-			r, err := drill.Run(s)
+			r, err := simulation.Run(s)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/yard/drill/script.go
+++ b/yard/simulation/script.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"fmt"
@@ -134,7 +134,7 @@
 // and bursts multiplied by the factor.
 func (s *Script) document(factor float64) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[environment]\nname = drill\n[quota]\nkept = %v\nwitness = %v\nhold = %v\nlease = %v\nloan = %v\ndrift = %v\nspread = %d\npiece = %v\n", s.Kept, s.Witness, s.Hold, s.Lease, min(s.Lease, 10*time.Second), max(s.Drift, 0.001), s.Spread, s.Piece)
+	fmt.Fprintf(&b, "[environment]\nname = simulation\n[quota]\nkept = %v\nwitness = %v\nhold = %v\nlease = %v\nloan = %v\ndrift = %v\nspread = %d\npiece = %v\n", s.Kept, s.Witness, s.Hold, s.Lease, min(s.Lease, 10*time.Second), max(s.Drift, 0.001), s.Spread, s.Piece)
 	for r := range s.Regions {
 		fmt.Fprintf(&b, "[region r%d]\n", r)
 		for c := range s.Centres {
--- a/yard/drill/drill.go
+++ b/yard/simulation/simulation.go
@@ -1,8 +1,8 @@
-// Package drill drives the quota decisions of a fleet in virtual time, by a
+// Package simulation drives the quota decisions of a fleet in virtual time, by a
 // script of demand and faults, and checks what was admitted against each
 // customer's rate and burst. It has no network and no processes: messages are
 // delayed, lost and doubled between the deciding packages themselves.
-package drill
+package simulation
 
 import (
 	"container/heap"
@@ -34,8 +34,8 @@
 	streamTime  = 3 * time.Second
 )
 
-// Drill is one run. It is used by one goroutine.
-type Drill struct {
+// Simulation is one run. It is used by one goroutine.
+type Simulation struct {
 	script *Script
 	rng    *rand.Rand
 	now    time.Time
@@ -113,7 +113,7 @@
 
 // Run drives the script to its end and returns what was measured.
 func Run(s *Script) (Report, error) {
-	d := &Drill{
+	d := &Simulation{
 		script: s,
 		rng:    rand.New(rand.NewPCG(s.Seed, 0)),
 		start:  time.Unix(1_700_000_000, 0),
@@ -145,12 +145,12 @@
 	return d.judge.report(), nil
 }
 
-func (d *Drill) audit() {
+func (d *Simulation) audit() {
 	d.after(d.script.Audit, d.audit)
 	d.judge.audit()
 }
 
-func (d *Drill) loop(end time.Time) {
+func (d *Simulation) loop(end time.Time) {
 	for len(d.events) > 0 {
 		e := heap.Pop(&d.events).(event)
 		if e.at.After(end) {
@@ -161,16 +161,16 @@
 	}
 }
 
-func (d *Drill) at(t time.Time, do func()) {
+func (d *Simulation) at(t time.Time, do func()) {
 	d.order++
 	heap.Push(&d.events, event{at: t, order: d.order, do: do})
 }
 
-func (d *Drill) after(wait time.Duration, do func()) { d.at(d.now.Add(wait), do) }
+func (d *Simulation) after(wait time.Duration, do func()) { d.at(d.now.Add(wait), do) }
 
 // on runs a step of an instance: never on a dead run of it, and after a pause
 // where it stands still.
-func (d *Drill) on(n *node, wait time.Duration, do func()) {
+func (d *Simulation) on(n *node, wait time.Duration, do func()) {
 	run := n.run
 	d.after(wait, func() {
 		if n.run != run || !n.alive {
@@ -185,12 +185,12 @@
 }
 
 // clock is the instance's own time.
-func (d *Drill) clock(n *node) time.Time {
+func (d *Simulation) clock(n *node) time.Time {
 	passed := d.now.Sub(d.start)
 	return d.start.Add(passed + time.Duration(float64(passed)*n.drift))
 }
 
-func (d *Drill) addNode(region int, centre string) {
+func (d *Simulation) addNode(region int, centre string) {
 	n := &node{id: len(d.nodes), address: fmt.Sprintf("i%d", len(d.nodes)), centre: centre, region: region}
 	n.drift = (d.rng.Float64()*2 - 1) * d.script.Drift
 	d.nodes = append(d.nodes, n)
@@ -198,7 +198,7 @@
 }
 
 // boot starts a run of an instance.
-func (d *Drill) boot(n *node) {
+func (d *Simulation) boot(n *node) {
 	n.run++
 	n.alive = true
 	n.paused = time.Time{}
@@ -226,16 +226,16 @@
 }
 
 // reach reports whether messages pass between two instances.
-func (d *Drill) reach(a, b *node) bool {
+func (d *Simulation) reach(a, b *node) bool {
 	return a.region == b.region || !d.cut[a.region] && !d.cut[b.region]
 }
 
 // toStore reports whether the instance reaches the store, in region 0.
-func (d *Drill) toStore(n *node) bool {
+func (d *Simulation) toStore(n *node) bool {
 	return !d.down && !n.alone && (n.region == 0 || !d.cut[n.region] && !d.cut[0])
 }
 
-func (d *Drill) delay(a, b int) time.Duration {
+func (d *Simulation) delay(a, b int) time.Duration {
 	base := nearDelay
 	if a != b {
 		base = farDelay
@@ -244,7 +244,7 @@
 }
 
 // holders is the membership as n knows it: news of a crash or a cut comes late.
-func (d *Drill) holders(n *node, customer string) []lender.Holder {
+func (d *Simulation) holders(n *node, customer string) []lender.Holder {
 	var near, region, far []lender.Holder
 	fresh := d.now.Sub(d.moved) < newsDelay
 	for _, o := range d.nodes {
@@ -265,7 +265,7 @@
 	return append(append(near, region...), far...)
 }
 
-func (d *Drill) part(n *node, customer string) float64 {
+func (d *Simulation) part(n *node, customer string) float64 {
 	sum := 0.0
 	for _, t := range n.titles {
 		if t.Class == seat.Floating {
@@ -276,7 +276,7 @@
 }
 
 // sit makes one round of the instance's seats, in the steps of a real one.
-func (d *Drill) sit(n *node) {
+func (d *Simulation) sit(n *node) {
 	again := d.script.Lease / 3
 	if len(n.titles) == 0 {
 		again = time.Second
@@ -288,7 +288,7 @@
 	d.swap(n, 6)
 }
 
-func (d *Drill) swap(n *node, tries int) {
+func (d *Simulation) swap(n *node, tries int) {
 	if tries == 0 || !d.toStore(n) {
 		return
 	}
@@ -312,7 +312,7 @@
 }
 
 // beat sends the heartbeats of an instance to its data centre.
-func (d *Drill) beat(n *node) {
+func (d *Simulation) beat(n *node) {
 	d.on(n, beatTime, func() { d.beat(n) })
 	sent := d.clock(n)
 	for _, m := range d.nodes {
@@ -331,7 +331,7 @@
 
 // put is a write on its way: it takes effect at the store, and its answer may
 // be lost.
-func (d *Drill) put(n *node, sent time.Time, v stored, next seat.Entry, tries int) {
+func (d *Simulation) put(n *node, sent time.Time, v stored, next seat.Entry, tries int) {
 	if !d.toStore(n) {
 		return
 	}
@@ -361,18 +361,18 @@
 	})
 }
 
-func (d *Drill) hold(n *node, titles []seat.Title) {
+func (d *Simulation) hold(n *node, titles []seat.Title) {
 	n.titles = titles
 	n.lender.Hold(d.clock(n), titles)
 }
 
 // silent reports whether an instance stands still for so long that others have
 // noticed.
-func (d *Drill) silent(n *node) bool {
+func (d *Simulation) silent(n *node) bool {
 	return d.now.Before(n.paused) && d.now.Sub(n.stopped) >= newsDelay
 }
 
-func (d *Drill) mates(n *node) seat.Mates {
+func (d *Simulation) mates(n *node) seat.Mates {
 	var m seat.Mates
 	for _, o := range d.nodes {
 		if o == n || o.centre != n.centre || d.silent(o) {
@@ -393,7 +393,7 @@
 }
 
 // round is the lender's background round.
-func (d *Drill) round(n *node) {
+func (d *Simulation) round(n *node) {
 	d.on(n, roundTime, func() { d.round(n) })
 	for _, l := range n.lender.Round(d.clock(n)) {
 		d.send(n, l, nil)
@@ -402,7 +402,7 @@
 
 // send carries a lender's message, and the reply of an ask back. Done is called
 // when the reply came in.
-func (d *Drill) send(from *node, l lender.Letter, done func()) {
+func (d *Simulation) send(from *node, l lender.Letter, done func()) {
 	d.sent++
 	to := d.find(l.Peer)
 	if to == nil || !d.reach(from, to) || d.rng.Float64() < d.script.Loss {
@@ -417,7 +417,7 @@
 	}
 }
 
-func (d *Drill) deliver(from, to *node, l lender.Letter, done func()) {
+func (d *Simulation) deliver(from, to *node, l lender.Letter, done func()) {
 	now := d.clock(to)
 	if l.Return.ID != 0 {
 		to.lender.Regain(now, l.Return)
@@ -441,7 +441,7 @@
 	})
 }
 
-func (d *Drill) find(address string) *node {
+func (d *Simulation) find(address string) *node {
 	id, err := strconv.Atoi(strings.TrimPrefix(address, "i"))
 	if err != nil || id >= len(d.nodes) {
 		return nil
@@ -450,7 +450,7 @@
 }
 
 // planDemand schedules each demand's requests as a Poisson process.
-func (d *Drill) planDemand() {
+func (d *Simulation) planDemand() {
 	for _, want := range d.script.Demands {
 		for _, c := range d.script.Customers {
 			if c.Name != want.Customer {
@@ -463,7 +463,7 @@
 	}
 }
 
-func (d *Drill) arrive(c Customer, name string, want Demand, from time.Time) {
+func (d *Simulation) arrive(c Customer, name string, want Demand, from time.Time) {
 	used := 1 - c.Spare/2
 	gap := c.Tokens * used / (c.Rate * want.Part)
 	next := from.Add(time.Duration(d.rng.ExpFloat64() * gap * float64(time.Second)))
@@ -476,7 +476,7 @@
 	})
 }
 
-func (d *Drill) region(want Demand) int {
+func (d *Simulation) region(want Demand) int {
 	switch want.Region {
 	case "":
 		return d.rng.IntN(d.script.Regions)
--- a/yard/drill/strict_test.go
+++ b/yard/simulation/strict_test.go
@@ -1,4 +1,4 @@
-package drill_test
+package simulation_test
 
 import (
 	"flag"
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"chervilyard.example/yard/drill"
+	"chervilyard.example/yard/simulation"
 )
 
 // The seed is fixed, so that each run tries the same schedules.
@@ -27,9 +27,9 @@
 	overlap   = 1e-9
 )
 
-func drawFault(t *rapid.T, length time.Duration) drill.Fault {
-	kinds := []string{drill.Crash, drill.Cut, drill.Store, drill.Lose, drill.Pause, drill.Rate, drill.Alone}
-	return drill.Fault{
+func drawFault(t *rapid.T, length time.Duration) simulation.Fault {
+	kinds := []string{simulation.Crash, simulation.Cut, simulation.Store, simulation.Lose, simulation.Pause, simulation.Rate, simulation.Alone}
+	return simulation.Fault{
 		Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
 		At:       time.Duration(rapid.Int64Range(0, int64(length)).Draw(t, "at")),
 		For:      time.Duration(rapid.Int64Range(int64(100*time.Millisecond), int64(length/2)).Draw(t, "for")),
@@ -40,9 +40,9 @@
 	}
 }
 
-func drawScript(t *rapid.T) *drill.Script {
+func drawScript(t *rapid.T) *simulation.Script {
 	length := 60 * time.Second
-	s := &drill.Script{
+	s := &simulation.Script{
 		Name: "strict", Length: length, Audit: 100 * time.Millisecond, Seed: rapid.Uint64().Draw(t, "seed"),
 		Regions: rapid.IntRange(1, 3).Draw(t, "regions"), Centres: rapid.IntRange(1, 2).Draw(t, "centres"),
 		Seats: rapid.IntRange(1, 3).Draw(t, "seats"), Spread: rapid.IntRange(1, 3).Draw(t, "spread"), Piece: rapid.SampledFrom([]float64{1, 300}).Draw(t, "piece"),
@@ -52,9 +52,9 @@
 		Loss:   rapid.SampledFrom([]float64{0, 0.05, 0.4}).Draw(t, "loss"),
 		Double: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "double"),
 		Drift:  rapid.SampledFrom([]float64{0, 0.004}).Draw(t, "drift"), Anywhere: rapid.Bool().Draw(t, "anywhere"),
-		Customers: []drill.Customer{{Name: "c", Count: 1, Rate: 400, Burst: rapid.SampledFrom([]float64{500, 2000}).Draw(t, "burst"), Tokens: 60, Spare: rapid.SampledFrom([]float64{0, 0.9}).Draw(t, "spare")}},
+		Customers: []simulation.Customer{{Name: "c", Count: 1, Rate: 400, Burst: rapid.SampledFrom([]float64{500, 2000}).Draw(t, "burst"), Tokens: 60, Spare: rapid.SampledFrom([]float64{0, 0.9}).Draw(t, "spare")}},
 	}
-	s.Demands = []drill.Demand{{Customer: "c", Region: rapid.SampledFrom([]string{"", "r0", "moving"}).Draw(t, "where"), To: length, Part: rapid.SampledFrom([]float64{0.7, 4}).Draw(t, "part"), Turn: 10 * time.Second}}
+	s.Demands = []simulation.Demand{{Customer: "c", Region: rapid.SampledFrom([]string{"", "r0", "moving"}).Draw(t, "where"), To: length, Part: rapid.SampledFrom([]float64{0.7, 4}).Draw(t, "part"), Turn: 10 * time.Second}}
 	for range rapid.IntRange(0, 8).Draw(t, "faults") {
 		s.Faults = append(s.Faults, drawFault(t, length))
 	}
@@ -72,12 +72,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s, err := drill.ParseScript(file, string(text))
+		s, err := simulation.ParseScript(file, string(text))
 		if err != nil {
 			t.Fatal(err)
 		}
 		s.Audit = 20 * time.Millisecond
-		r, err := drill.Run(s)
+		r, err := simulation.Run(s)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -95,7 +95,7 @@
 func TestStrict(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawScript(t)
-		r, err := drill.Run(s)
+		r, err := simulation.Run(s)
 		if err != nil {
 			t.Fatalf("run: %v", err)
 		}
