Spare cold targets while a started instance does not know its region

Ruled out: health checks and crossing lists, mended before.

Change: no part of a cold target's pace in the first second of a run. Test: TestStartedInstanceSparesColdTargets.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -47,6 +47,7 @@
 	meter    *meter.Meter
 	now      func() time.Time
 	run      int64
+	started  time.Time
 
 	gateway gateway.Gateway
 	picker  placement.Picker
@@ -77,7 +78,7 @@
 
 // Start listens and begins all duties.
 func Start(ctx context.Context, c Config) (*Edge, error) {
-	e := &Edge{store: c.Store, journal: c.Journal, meter: c.Meter, now: c.Now, run: int64(rand.Uint64() >> 1)}
+	e := &Edge{store: c.Store, journal: c.Journal, meter: c.Meter, now: c.Now, started: c.Now(), run: int64(rand.Uint64() >> 1)}
 	e.settings.Store(&c.Settings)
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	var listeners []net.Listener
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -13,6 +13,10 @@
 	"chervilyard.example/yard/placement"
 )
 
+// settleTime is how long a started instance sends nothing to cold targets: before
+// it has heard of the region's others it would take their part of the pace, too.
+const settleTime = time.Second
+
 // roomNews is how long what another region says of its room counts.
 const roomNews = 2 * time.Second
 
@@ -142,9 +146,12 @@
 }
 
 // fleet tells how the region's instances share cold targets. Silent ones count
-// for a while, since they may still send.
+// for a while, since they may still send. An instance that just started has no part.
 func (e *Edge) fleet(now time.Time) placement.Fleet {
 	s := e.Settings()
+	if now.Sub(e.started) < settleTime {
+		return placement.Fleet{Over: s.ColdOver, Fixed: s.ColdFixed} // of no size: it has no part yet
+	}
 	var others []membership.Member
 	for _, m := range e.table.All() {
 		if m.Region == s.Region && (m.Heard.IsZero() || now.Sub(m.Heard) < shareTime) {
--- a/chervilyard/edge/views_test.go
+++ b/chervilyard/edge/views_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/pace"
 	"chervilyard.example/yard/view"
 )
 
@@ -48,3 +50,23 @@
 		t.Errorf("revision %d is in force", inForce)
 	}
 }
+
+// Three instances of a region start at once, and each has heard of one other:
+// before they know better they must not share the pace of cold targets by two.
+func TestStartedInstanceSparesColdTargets(t *testing.T) {
+	start := time.Unix(0, 0)
+	e := &Edge{started: start}
+	e.settings.Store(&Settings{Name: "east-0", Region: "east", ColdOver: 1.5, ColdFixed: 3})
+	e.table.Hear(membership.Member{Name: "east-1", Region: "east", Heard: start.Add(time.Millisecond)})
+	cold := func(now time.Time) int {
+		f := e.fleet(now)
+		return pace.Limit(4.4*f.Over+f.Fixed, f.Size, f.Rank)
+	}
+	if n := cold(start.Add(300 * time.Millisecond)); n != 0 {
+		t.Errorf("an instance that just started sends %d requests a second to a cold target", n)
+	}
+	e.table.Hear(membership.Member{Name: "east-2", Region: "east", Heard: start.Add(400 * time.Millisecond)})
+	if n := cold(start.Add(2 * time.Second)); n != 3 {
+		t.Errorf("one of three instances sends %d requests a second", n)
+	}
+}
