Simplify: one fleet and request an attempt, one notion of who shares

Cause: read as a newcomer, the change asked for the region's members and built the placement's request three times for each attempt (each a sorted copy of the members), held the rule of who shares a bound twice (limits and cold pace), asked twice in two forms whether enough is known, and found a heartbeat's sender twice. Nothing used service.ColdTime, Edge.Gateway, event.Splitter.Drop, and a round that held one channel.

Ruled out: to join edge's upkeep and lend's round by a shared ticker, since six lines of select are what they share; to merge the copies in generated code.

Change: a place carries its request and fleet; sharing and informed say each rule once; Take returns the sender; a ticket counts its wait out in one place. Behaviour as before, but for a member heard exactly a minute ago, which now counts for the pace as it did for limits.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,31 +217,29 @@
 
 // instances returns how many instances share the fleet's limits. Silent ones
 // count for a while, since they may still serve.
-func (e *Edge) instances() int {
-	return 1 + len(e.table.Live(e.now(), shareTime)) + len(e.listed())
-}
+func (e *Edge) instances() int { return 1 + len(e.sharing(e.now())) }
 
-// listed returns the members that are known from the store alone.
-func (e *Edge) listed() []membership.Member {
-	var list []membership.Member
-	for _, m := range e.table.All() {
-		if m.Heard.IsZero() {
-			list = append(list, m)
-		}
-	}
-	return list
+// sharing returns the other members that may use a part of what is bounded for
+// all: those heard within shareTime, and those known from the store alone.
+func (e *Edge) sharing(now time.Time) []membership.Member {
+	return slices.DeleteFunc(e.table.All(), func(m membership.Member) bool {
+		return !m.Heard.IsZero() && now.Sub(m.Heard) > shareTime
+	})
 }
 
 // Ready returns whether the instance should get requests.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.catalog.Load() != nil && e.views[PartTargets].Known()
+	return !e.leaving.Load() && e.informed()
 }
 
+// informed reports whether the configuration and the targets are known.
+func (e *Edge) informed() bool { return e.catalog.Load() != nil && e.views[PartTargets].Known() }
+
 // begun waits until the configuration and the targets are known.
 func (e *Edge) begun(ctx context.Context) {
 	ticker := time.NewTicker(begunStep)
 	defer ticker.Stop()
-	for e.catalog.Load() == nil || !e.views[PartTargets].Known() {
+	for !e.informed() {
 		select {
 		case <-ctx.Done():
 			return
@@ -249,9 +248,6 @@
 	}
 }
 
-// Gateway returns the handler of callers' requests.
-func (e *Edge) Gateway() *gateway.Gateway { return &e.gateway }
-
 // usable returns the region's targets of a service that may get work.
 func (e *Edge) usable(_ time.Time, service string) []target.Target { return e.targets.usable(service) }
 
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -152,11 +152,6 @@
 	if now.Sub(e.started) < settleTime {
 		return placement.Fleet{Over: s.ColdOver, Fixed: s.ColdFixed} // of no size: it has no part yet
 	}
-	var others []membership.Member
-	for _, m := range e.table.All() {
-		if m.Region == s.Region && (m.Heard.IsZero() || now.Sub(m.Heard) < shareTime) {
-			others = append(others, m)
-		}
-	}
+	others := slices.DeleteFunc(e.sharing(now), func(m membership.Member) bool { return m.Region != s.Region })
 	return placement.Fleet{Size: len(others) + 1, Rank: membership.Rank(s.Name, others), Over: s.ColdOver, Fixed: s.ColdFixed}
 }
--- a/chervilyard/edge/gather.go
+++ b/chervilyard/edge/gather.go
@@ -19,15 +19,10 @@
 // gathering lets the requests of one customer share one round of asking.
 type gathering struct {
 	mu     sync.Mutex
-	rounds map[string]*round // under way, by customer
+	rounds map[string]chan struct{} // under way, by customer; closed at the end
 	empty  map[string]time.Time
 }
 
-// round is one asking of others; done is closed at its end.
-type round struct {
-	done chan struct{}
-}
-
 // gather takes a request's tokens with the help of the region's instances and
 // then of other regions'.
 func (e *Edge) gather(ctx context.Context, customer string, tokens float64) bool {
@@ -50,7 +45,7 @@
 	g := &e.gathering
 	g.mu.Lock()
 	if g.rounds == nil {
-		g.rounds, g.empty = make(map[string]*round), make(map[string]time.Time)
+		g.rounds, g.empty = make(map[string]chan struct{}), make(map[string]time.Time)
 	}
 	r := g.rounds[customer]
 	if r == nil && now.Sub(g.empty[customer]) < emptyPause {
@@ -58,20 +53,20 @@
 		return false
 	}
 	if r == nil {
-		r = &round{done: make(chan struct{})}
+		r = make(chan struct{})
 		g.rounds[customer] = r
 		go e.runRound(ctx, r, customer, tokens, members)
 	}
 	g.mu.Unlock()
 	select {
-	case <-r.done:
+	case <-r:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
-func (e *Edge) runRound(ctx context.Context, r *round, customer string, tokens float64, members []membership.Member) {
+func (e *Edge) runRound(ctx context.Context, r chan<- struct{}, customer string, tokens float64, members []membership.Member) {
 	lack := e.book.Lack(e.now(), customer, tokens)
 	e.beats.Ask(ctx, members, customer, lack)
 	g := &e.gathering
@@ -82,7 +77,7 @@
 	if now := e.now(); far && e.book.Lack(now, customer, tokens) >= lack {
 		g.empty[customer] = now
 	}
-	close(r.done)
+	close(r)
 }
 
 func (e *Edge) nearMembers() []membership.Member {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -42,7 +42,7 @@
 			return err
 		}
 		if place.remote == nil {
-			if place.ticket = g.Picker.Choose(now, place.near, g.request(x), g.Fleet(now)); place.ticket == nil {
+			if place.ticket = g.Picker.Choose(now, place.near, place.request, place.fleet); place.ticket == nil {
 				return g.unplaced(x)
 			}
 		}
--- a/chervilyard/gateway/place.go
+++ b/chervilyard/gateway/place.go
@@ -15,9 +15,11 @@
 
 // place is where an attempt goes: a target, or an instance of another region.
 type place struct {
-	near   []target.Target // candidates of this region, where remote is nil
-	remote *Remote
-	ticket *placement.Ticket // for the target that was chosen among them
+	near    []target.Target // candidates of this region, where remote is nil
+	request placement.Request
+	fleet   placement.Fleet
+	remote  *Remote
+	ticket  *placement.Ticket // for the target that was chosen among them
 }
 
 // place decides between the targets of the region and another region where the
@@ -28,19 +30,20 @@
 		candidates = g.Targets(now, x.service)
 	}
 	limit := g.limit(now, x)
-	near, ok := g.Picker.Wait(now, candidates, g.request(x), g.Fleet(now))
-	if remote := g.better(now, x, near, ok); remote != nil && remote.Wait < limit {
+	p := place{near: candidates, request: g.request(x), fleet: g.Fleet(now)}
+	near, ok := g.Picker.Wait(now, candidates, p.request, p.fleet)
+	if remote := g.better(now, x, p.request, near, ok); remote != nil && remote.Wait < limit {
 		return place{remote: remote}, nil
 	}
 	switch {
 	case !ok:
-		x.notes = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, g.request(x), g.Fleet(now)))
+		x.notes = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, p.request, p.fleet))
 		return place{}, g.unplaced(x)
 	case near > limit:
 		x.notes = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), near.Round(time.Millisecond), limit.Round(time.Millisecond))
 		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near/2)
 	}
-	return place{near: candidates}, nil
+	return p, nil
 }
 
 // limit returns the longest wait that a request may be expected to have. Where
@@ -56,11 +59,11 @@
 
 // better returns an instance of another region that would answer earlier than
 // the targets of this one, or nil.
-func (g *Gateway) better(now time.Time, x *exchange, near time.Duration, ok bool) *Remote {
+func (g *Gateway) better(now time.Time, x *exchange, r placement.Request, near time.Duration, ok bool) *Remote {
 	if x.hop {
 		return nil
 	}
-	own := g.Picker.Own(g.request(x))
+	own := g.Picker.Own(r)
 	for _, remote := range g.Remotes(now, x.service, x.permits) {
 		remote.Wait += own
 		if !slices.Contains(x.tried, remote.Member.Region) && (!ok || remote.Wait < near) {
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -221,7 +221,6 @@
 func (d *Duty) Heartbeat(now time.Time, to membership.Member) *fleet.Heartbeat {
 	h := d.Say(now, to)
 	self := d.Self(now)
-	self.Heard = now
 	h.Name = self.Name
 	h.Members = append(h.Members, message(now, self))
 	if d.listing(to) {
@@ -240,22 +239,22 @@
 	return to.Heard.IsZero() || d.beats%listEvery == 0
 }
 
-// Take takes in a heartbeat that another instance began. Its way took at most
-// as long as a heartbeat there and back does.
-func (d *Duty) Take(now time.Time, h *fleet.Heartbeat) {
+// Take takes in a heartbeat that another instance began, and returns its sender.
+// Its way took at most as long as a heartbeat there and back does.
+func (d *Duty) Take(now time.Time, h *fleet.Heartbeat) membership.Member {
 	way := d.Trip(h.GetName())
 	if way == 0 {
 		way = farTime
 	}
-	d.take(now, now.Add(-way), h)
+	return d.take(now, now.Add(-way), h)
 }
 
 // take takes in a heartbeat that was written at the given time or later. Ages
 // count from then: if each hop made news a little younger, it would never grow
 // old among instances that tell it to each other.
-func (d *Duty) take(now, written time.Time, h *fleet.Heartbeat) {
+func (d *Duty) take(now, written time.Time, h *fleet.Heartbeat) membership.Member {
 	self := d.Self(now)
-	var from membership.Member
+	from := membership.Member{Name: h.GetName()}
 	for _, one := range h.GetMembers() {
 		m := member(written, one)
 		if m.Name == h.GetName() {
@@ -269,6 +268,7 @@
 		}
 	}
 	d.Heard(now, written, from, h)
+	return from
 }
 
 // grant hands over tokens that are asked for.
--- a/chervilyard/gossip/server.go
+++ b/chervilyard/gossip/server.go
@@ -7,7 +7,6 @@
 	"google.golang.org/grpc"
 
 	"chervilyard.example/yard/fleet"
-	"chervilyard.example/yard/membership"
 )
 
 // Server answers other instances. Its fields are set before Register.
@@ -32,14 +31,7 @@
 // Pulse takes a heartbeat in and answers with one.
 func (s *Server) Pulse(_ context.Context, h *fleet.Heartbeat) (*fleet.Heartbeat, error) {
 	now := s.Duty.Now()
-	s.Duty.Take(now, h)
-	to := membership.Member{Name: h.GetName()}
-	for _, m := range h.GetMembers() {
-		if m.GetName() == h.GetName() {
-			to = member(now, m)
-		}
-	}
-	reply := s.Duty.Heartbeat(now, to)
+	reply := s.Duty.Heartbeat(now, s.Duty.Take(now, h))
 	reply.Grants = s.Duty.grant(now, h.GetWants())
 	return reply, nil
 }
--- a/yard/event/event.go
+++ b/yard/event/event.go
@@ -32,9 +32,6 @@
 // Rest returns the bytes after the last whole event.
 func (s *Splitter) Rest() []byte { return s.buf }
 
-// Drop forgets the bytes after the last whole event.
-func (s *Splitter) Drop() { s.buf = s.buf[:0] }
-
 // Last returns the identifier of the last whole event, "" where none had one.
 func (s *Splitter) Last() string { return s.last }
 
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	engines = service.New("m").WithCold(3*time.Second, 4).WithEngine(8, 100_000)
+	engines = service.New("m").WithCold(4).WithEngine(8, 100_000)
 	plain   = service.New("p")
 	fleet   = placement.Fleet{Size: 1, Over: 1.5, Fixed: 3}
 )
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -52,8 +52,7 @@
 	k.picker.mu.Lock()
 	defer k.picker.mu.Unlock()
 	s := k.picker.state(k.target.Name())
-	s.waiting -= k.fresh
-	k.prove(s)
+	k.begin(s)
 	s.failures = 0
 	if !k.model || k.ahead+k.fresh <= 0 {
 		return
@@ -99,16 +98,15 @@
 	s.open--
 	s.memory -= k.memory
 	if !k.begun {
-		s.waiting -= k.fresh
-		k.prove(s)
+		k.begin(s)
 	}
 	k.judge(now, s, o)
 }
 
-// prove counts out a request that was to show whether the target is back.
-func (k *Ticket) prove(s *state) {
+// begin counts out a request that waits for its first byte.
+func (k *Ticket) begin(s *state) {
+	s.waiting -= k.fresh
 	if k.proves {
-		k.proves = false
 		s.proving--
 	}
 }
--- a/yard/service/service.go
+++ b/yard/service/service.go
@@ -1,13 +1,10 @@
 // Package service describes a group of targets that do the same work.
 package service
 
-import "time"
-
 // Service is a group of targets that do the same work. The zero value has no
 // limits and no name.
 type Service struct {
 	name     string
-	coldTime time.Duration
 	coldPace float64
 	slots    int
 	memory   int
@@ -17,10 +14,10 @@
 // New returns a service.
 func New(name string) Service { return Service{name: name} }
 
-// WithCold returns the service with the time for which a started target is
-// cold, and the requests a second that a cold target bears.
-func (s Service) WithCold(d time.Duration, perSecond float64) Service {
-	s.coldTime, s.coldPace = d, perSecond
+// WithCold returns the service with the requests a second that a cold target
+// bears.
+func (s Service) WithCold(perSecond float64) Service {
+	s.coldPace = perSecond
 	return s
 }
 
@@ -43,9 +40,6 @@
 // Name returns the service's name.
 func (s Service) Name() string { return s.name }
 
-// ColdTime returns how long a started target stays cold.
-func (s Service) ColdTime() time.Duration { return s.coldTime }
-
 // ColdPace returns the requests a second that a cold target bears; 0 is no limit.
 func (s Service) ColdPace() float64 { return s.coldPace }
 
