Put reloaded bounds on repeats in force; free addresses after a failed start

Cause: the gateway kept a copy of the bound on repeats from its start; Start returned at the first address that is taken and left the others open; takeTargets published its list before it had added the targets kept after an outage, so a choice between the two saw a service without them; Load.Failing was sent with each heartbeat and read by nobody. Ruled out: handing Load.Failing to the choice; a target's failures count at each instance by its own requests, and ejections of one instance spread by others' reports would leave out a region's last target.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -87,6 +87,9 @@
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			e.cancel()
+			for _, open := range listeners {
+				_ = open.Close() // the failed address is what is reported
+			}
 			return nil, fmt.Errorf("edge: listen: %w", err)
 		}
 		listeners = append(listeners, l)
@@ -123,7 +126,7 @@
 		return configuration, targets
 	}
 	g.Instances = func(time.Time) int { return e.instances() }
-	g.Retries = s.Retries
+	g.Retries = func() retry.Terms { return e.Settings().Retries }
 	g.Picker, g.Book, g.Budget, g.Pool, g.Journal = &e.picker, &e.book, &e.budget, &e.pool, e.journal
 	g.Counter = gateway.Counter{Repeat: e.meter.Repeat, Ended: func(route, code string, status int, took, first time.Duration) {
 		e.traffic.note(e.now(), route)
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -51,9 +51,9 @@
 func (e *Edge) say(now time.Time, to membership.Member) *fleet.Heartbeat {
 	h := &fleet.Heartbeat{Digests: e.digests(now)}
 	if to.Region == e.Settings().Region {
-		for _, l := range e.picker.Loads(now) {
+		for _, l := range e.picker.Loads() {
 			h.Loads = append(h.Loads, &fleet.Load{
-				Target: l.Target, Open: int32(l.Open), Waiting: int64(l.Waiting), Memory: int64(l.Memory), Failing: l.Failing,
+				Target: l.Target, Open: int32(l.Open), Waiting: int64(l.Waiting), Memory: int64(l.Memory),
 			})
 		}
 	} else {
@@ -91,7 +91,7 @@
 		loads := make([]placement.Load, 0, len(h.GetLoads()))
 		for _, l := range h.GetLoads() {
 			loads = append(loads, placement.Load{
-				Target: l.GetTarget(), Open: int(l.GetOpen()), Waiting: int(l.GetWaiting()), Memory: int(l.GetMemory()), Failing: l.GetFailing(),
+				Target: l.GetTarget(), Open: int(l.GetOpen()), Waiting: int(l.GetWaiting()), Memory: int(l.GetMemory()),
 			})
 		}
 		e.picker.Hear(now, h.GetName(), loads)
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -88,19 +88,21 @@
 	}
 	kept := now.Before(e.targets.keep)
 	old := e.targets.all
-	e.targets.all = fresh
-	e.targets.mu.Unlock()
+	var gone []string
 	for name, t := range old {
 		if _, ok := fresh[name]; ok {
 			continue
 		}
 		if kept && !t.Leaving() {
-			e.targets.mu.Lock()
-			e.targets.all[name] = t
-			e.targets.mu.Unlock()
+			fresh[name] = t
 			mine = append(mine, t)
 			continue
 		}
+		gone = append(gone, name)
+	}
+	e.targets.all = fresh
+	e.targets.mu.Unlock()
+	for _, name := range gone {
 		e.note("target", "gone", name+" at revision "+strconv.FormatInt(s.Revision, 10))
 	}
 	for _, t := range mine {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -61,7 +61,7 @@
 	defer cancel(nil)
 	now := g.Now()
 	if len(x.tried) == 0 {
-		g.Budget.First(now, g.Retries, x.service)
+		g.Budget.First(now, g.Retries(), x.service)
 	}
 	var patience *time.Timer
 	if d := g.patience(x, p); d > 0 {
@@ -97,7 +97,7 @@
 	if x.offers == 0 {
 		return true
 	}
-	return g.Budget.Repeat(now, g.Retries, x.service, g.Instances(now))
+	return g.Budget.Repeat(now, g.Retries(), x.service, g.Instances(now))
 }
 
 // patience returns how long the place may take to begin its answer, 0 for no bound.
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -84,7 +84,7 @@
 	Ages func(now time.Time) (configuration, targets time.Duration)
 	// Instances returns how many instances share what is bounded for all.
 	Instances func(now time.Time) int
-	Retries   retry.Terms
+	Retries   func() retry.Terms // the bound on repeats that is in force
 	Picker    *placement.Picker
 	Book      *allowance.Book
 	// Gather takes a request's tokens with the help of other instances, and
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -118,7 +118,7 @@
 			return list
 		},
 		Instances: func(time.Time) int { return 1 },
-		Retries:   retry.Terms{Window: 10 * time.Second, Ratio: 0.2, Slack: 4},
+		Retries:   func() retry.Terms { return retry.Terms{Window: 10 * time.Second, Ratio: 0.2, Slack: 4} },
 		Picker:    &placement.Picker{}, Book: book, Budget: &retry.Budget{}, Pool: &pool.Pool{},
 		Gather:  func(context.Context, string, float64) bool { return false },
 		Journal: journal.Keeping(hclog.NewNullLogger(), 16),
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -86,7 +86,6 @@
 	Open    int
 	Waiting int // prompt tokens of requests without a first event
 	Memory  int // prompt and output tokens of open requests
-	Failing bool
 }
 
 // Picker holds what is known of the region's targets. The zero value is ready
@@ -180,14 +179,13 @@
 }
 
 // Loads returns what this instance has open, for its peers.
-func (p *Picker) Loads(now time.Time) []Load {
+func (p *Picker) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []Load
 	for name, s := range p.targets {
-		failing := now.Before(s.ejected)
-		if s.open > 0 || failing {
-			list = append(list, Load{Target: name, Open: s.open, Waiting: s.waiting, Memory: s.memory, Failing: failing})
+		if s.open > 0 {
+			list = append(list, Load{Target: name, Open: s.open, Waiting: s.waiting, Memory: s.memory})
 		}
 	}
 	slices.SortFunc(list, func(a, b Load) int {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -175,7 +175,7 @@
 		for _, k := range open {
 			k.End(now, placement.Answered)
 		}
-		for _, l := range p.Loads(now.Add(time.Hour)) {
+		for _, l := range p.Loads() {
 			t.Fatalf("left at %s: %d open, %d waiting, %d in memory", l.Target, l.Open, l.Waiting, l.Memory)
 		}
 	})
