Give the shared parts of a prompt one home over all regions

Ruled out: more weight for a hit within the region (a part is read again in the others all the same); the engines' cache events (known a half second late, and each instance would have to wait on each engine). Change: the home is found among all targets of the regions that can be reached; another region is compared by cost, where a hit counts, and no longer by the wait alone. The decision is package spill.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -120,6 +120,7 @@
 	g.Targets = e.usable
 	g.Fleet = e.fleet
 	g.Remotes = e.remotes
+	g.Home = e.home
 	g.Ages = func(now time.Time) (time.Duration, time.Duration) {
 		configuration, _ := e.views[PartConfiguration].Age(now)
 		targets, _ := e.views[PartTargets].Age(now)
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -33,14 +33,26 @@
 	return &fleet{t: t, store: newMemory(), edges: make(map[string]*edge.Edge)}
 }
 
+// firstPort is below the ports that systems give to outgoing connections, so
+// that none of the test's own takes a port before it is listened at.
+const firstPort = 20000
+
+var lastPort atomic.Int64
+
+// port returns a free address of the loopback interface.
 func port(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // start runs an instance of the region; its name says where it belongs.
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/view"
 )
@@ -23,9 +24,10 @@
 type targets struct {
 	mu     sync.Mutex
 	all    map[string]target.Target
-	closed map[string]bool // data centres
-	read   time.Time       // of the last list
-	keep   time.Time       // until when missing targets are kept after an outage
+	far    map[string][]target.Target // of other regions, by region
+	closed map[string]bool            // data centres
+	read   time.Time                  // of the last list
+	keep   time.Time                  // until when missing targets are kept after an outage
 }
 
 // usable returns the targets of a service that may get work.
@@ -34,13 +36,36 @@
 	defer t.mu.Unlock()
 	var list []target.Target
 	for _, one := range t.all {
-		if one.Serves(service) && !one.Leaving() && !t.closed[one.Centre()] {
+		if t.open(one, service) {
 			list = append(list, one)
 		}
 	}
 	return list
 }
 
+// open reports whether the target may get work of the service.
+func (t *targets) open(one target.Target, service string) bool {
+	return one.Serves(service) && !one.Leaving() && !t.closed[one.Centre()]
+}
+
+// elsewhere returns the targets of a service in the other regions that fit.
+func (t *targets) elsewhere(service string, fits func(region string) bool) []target.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []target.Target
+	for region, far := range t.far {
+		if !fits(region) {
+			continue
+		}
+		for _, one := range far {
+			if t.open(one, service) {
+				list = append(list, one)
+			}
+		}
+	}
+	return list
+}
+
 // known returns all targets of the region. How long they stay cold is left out:
 // it was told when the list last changed.
 func (t *targets) known() []target.Target {
@@ -66,19 +91,35 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// home returns the target that all instances prefer for a prompt's shared parts
+// among the regions that can be reached, and its region.
+func (e *Edge) home(service string, parts []placement.Part, reach func(region string) bool) (name, region string) {
+	var list []target.Target
+	if reach(e.Settings().Region) {
+		list = e.targets.usable(service)
+	}
+	home, ok := placement.Home(append(list, e.targets.elsewhere(service, reach)...), parts)
+	if !ok {
+		return "", ""
+	}
+	return home.Name(), e.store.Region(home.Centre())
+}
+
 // takeTargets puts a fresh list of targets in force.
 func (e *Edge) takeTargets(now time.Time, s view.Snapshot) {
 	list, faults := e.store.Targets(s.Items)
 	for _, err := range faults {
 		e.note("target", "entry not readable", err.Error())
 	}
-	fresh := make(map[string]target.Target)
+	fresh, far := make(map[string]target.Target), make(map[string][]target.Target)
 	var mine []target.Target
 	for _, t := range list {
-		if e.store.Region(t.Centre()) == e.Settings().Region {
-			fresh[t.Name()] = t
-			mine = append(mine, t)
+		if region := e.store.Region(t.Centre()); region != e.Settings().Region {
+			far[region] = append(far[region], t)
+			continue
 		}
+		fresh[t.Name()] = t
+		mine = append(mine, t)
 	}
 	e.targets.mu.Lock()
 	gap := !e.targets.read.IsZero() && s.AsOf.Sub(e.targets.read) > outage
@@ -100,7 +141,7 @@
 		}
 		gone = append(gone, name)
 	}
-	e.targets.all = fresh
+	e.targets.all, e.targets.far = fresh, far
 	e.targets.mu.Unlock()
 	for _, name := range gone {
 		e.note("target", "gone", name+" at revision "+strconv.FormatInt(s.Revision, 10))
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -80,6 +80,9 @@
 	// Remotes returns instances of other regions that may serve the request,
 	// best first, with the time that it would wait there.
 	Remotes func(now time.Time, service string, permits func(region string) bool) []Remote
+	// Home returns the target that all instances prefer for a prompt's shared
+	// parts, and its region, among those that can be reached; "" for none. It may be nil.
+	Home func(service string, parts []placement.Part, reach func(region string) bool) (target, region string)
 	// Ages returns how old what is known of the configuration and of the targets is.
 	Ages func(now time.Time) (configuration, targets time.Duration)
 	// Instances returns how many instances share what is bounded for all.
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -46,7 +46,7 @@
 		h.Del("Key")
 		return gateway.Ask{
 			ID: h.Get("Id"), Deadline: time.Duration(ms) * time.Millisecond,
-			Prompt: tokens, Counted: err == nil, After: h.Get("After"), Header: h,
+			Prompt: tokens, Counted: err == nil, After: h.Get("After"), Header: h, Parts: parts(h.Get("Parts")),
 		}, key
 	},
 	Dress: func(h http.Header, o gateway.Order) {
@@ -64,6 +64,18 @@
 	Refuse: func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteTo(w) },
 }
 
+// parts reads a prompt's parts, as ID:TOKENS,ID:TOKENS.
+func parts(text string) []placement.Part {
+	var list []placement.Part
+	for one := range strings.SplitSeq(text, ",") {
+		id, tokens, _ := strings.Cut(one, ":")
+		if n, err := strconv.Atoi(tokens); err == nil {
+			list = append(list, placement.Part{ID: id, Tokens: n})
+		}
+	}
+	return list
+}
+
 func testCatalog() *catalog.Catalog {
 	forward := func(name string, kind string, attempts int) route.Route {
 		return route.New(name, route.KindService, route.Deadline(700*time.Millisecond), route.Repeatable(kind == "read"),
@@ -254,6 +266,28 @@
 	}
 }
 
+// A prompt whose shared part is long goes to the region where that is held.
+func TestSharedPartsGoHome(t *testing.T) {
+	near, far := newEngine(t, "near", "ok near"), newEngine(t, "far", "ok far")
+	there := newNode(t, "far", []*engine{far})
+	n := newNode(t, "near", []*engine{near}, there)
+	n.gateway.Home = func(_ string, _ []placement.Part, reach func(string) bool) (string, string) {
+		if !reach("far") {
+			return "near", "near"
+		}
+		return "far", "far"
+	}
+	for _, c := range []struct{ parts, want string }{
+		{"base:8000,own:10", "far"},
+		{"base:5,own:8000", "near"}, // too little is shared for the way
+		{"own:8000", "near"},
+	} {
+		if status, body, _ := call(t, n, get("/read/x", "Parts: "+c.parts)); status != http.StatusOK || body != c.want {
+			t.Errorf("parts %s: %d from %s, want %s", c.parts, status, body, c.want)
+		}
+	}
+}
+
 // Requests and bodies of a customer that is bound to regions go nowhere else.
 func TestBoundCustomer(t *testing.T) {
 	nearEngine, farEngine := newEngine(t, "n", "ok near"), newEngine(t, "f", "ok far")
--- a/chervilyard/gateway/place.go
+++ b/chervilyard/gateway/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/spill"
 	"chervilyard.example/yard/target"
 )
 
@@ -19,6 +20,7 @@
 	request placement.Request
 	fleet   placement.Fleet
 	remote  *Remote
+	away    time.Duration     // until the first byte from there
 	ticket  *placement.Ticket // for the target that was chosen among them
 }
 
@@ -31,17 +33,22 @@
 	}
 	limit := g.limit(now, x)
 	p := place{near: candidates, request: g.request(x), fleet: g.Fleet(now)}
-	near, ok := g.Picker.Wait(now, candidates, p.request, p.fleet)
-	if remote := g.better(now, x, p.request, near, ok); remote != nil && remote.Wait < limit {
-		return place{remote: remote}, nil
+	remotes := g.Remotes(now, x.service, x.permits)
+	home := g.home(x, &p.request, remotes)
+	near, ok := g.Picker.Best(now, candidates, p.request, p.fleet)
+	if !x.hop { // which is never forwarded again
+		offers := g.offers(p.request, remotes, home)
+		if i := spill.Choose(near, ok, offers, x.tried, limit); i >= 0 {
+			return place{remote: &remotes[i], away: offers[i].Estimate.Wait}, nil
+		}
 	}
 	switch {
 	case !ok:
 		x.notes = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, p.request, p.fleet))
 		return place{}, g.unplaced(x)
-	case near > limit:
-		x.notes = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), near.Round(time.Millisecond), limit.Round(time.Millisecond))
-		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near/2)
+	case near.Wait > limit:
+		x.notes = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), near.Wait.Round(time.Millisecond), limit.Round(time.Millisecond))
+		return place{}, g.refuse(x, "overloaded", "the targets would not answer in time", near.Wait/2)
 	}
 	return p, nil
 }
@@ -57,20 +64,29 @@
 	return d
 }
 
-// better returns an instance of another region that would answer earlier than
-// the targets of this one, or nil.
-func (g *Gateway) better(now time.Time, x *exchange, r placement.Request, near time.Duration, ok bool) *Remote {
-	if x.hop {
-		return nil
+// home puts the home of the prompt's shared parts into the request and returns
+// its region. Regions without a live instance have no homes.
+func (g *Gateway) home(x *exchange, r *placement.Request, remotes []Remote) (region string) {
+	if g.Home == nil || len(r.Parts) == 0 {
+		return ""
 	}
-	own := g.Picker.Own(r)
-	for _, remote := range g.Remotes(now, x.service, x.permits) {
-		remote.Wait += own
-		if !slices.Contains(x.tried, remote.Member.Region) && (!ok || remote.Wait < near) {
-			return &remote
-		}
+	r.Home, region = g.Home(x.service, r.Parts, func(region string) bool {
+		return region == g.Region && x.permits(region) ||
+			slices.ContainsFunc(remotes, func(one Remote) bool { return one.Member.Region == region })
+	})
+	return region
+}
+
+// offers returns what the request may expect in other regions. What is read
+// again costs targets time, so a prompt may go a longer way to where its shared
+// parts are held.
+func (g *Gateway) offers(r placement.Request, remotes []Remote, home string) []spill.Offer {
+	list := make([]spill.Offer, len(remotes))
+	for i, one := range remotes {
+		region := one.Member.Region
+		list[i] = spill.Offer{Region: region, Estimate: g.Picker.Abroad(r, one.Wait, region == home)}
 	}
-	return nil
+	return list
 }
 
 func (g *Gateway) request(x *exchange) placement.Request {
@@ -90,7 +106,7 @@
 // wait returns how long the first byte is expected to take.
 func (p place) wait() time.Duration {
 	if p.remote != nil {
-		return p.remote.Wait
+		return p.away
 	}
 	return p.ticket.Expected()
 }
--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -8,20 +8,37 @@
 	"chervilyard.example/yard/target"
 )
 
-// homeOf returns the target that all instances prefer for a prompt's shared
-// parts, by rendezvous hashing, so that each part is read at few targets.
-func homeOf(candidates []target.Target, parts []Part) string {
+// Home returns the target among the candidates that all instances prefer for a
+// prompt's shared parts, by rendezvous hashing, so that each part is read at few
+// targets. It returns false where the prompt shares nothing.
+func Home(candidates []target.Target, parts []Part) (target.Target, bool) {
+	var home target.Target
 	if len(parts) < 2 {
-		return ""
+		return home, false
 	}
 	key := parts[len(parts)-2].ID // the last part is the request's own
-	home, top := "", uint64(0)
+	found, top := false, uint64(0)
 	for _, t := range candidates {
-		if h := xxhash.Sum64String(key + "\x00" + t.Name()); home == "" || h > top {
-			home, top = t.Name(), h
+		if h := xxhash.Sum64String(key + "\x00" + t.Name()); !found || h > top {
+			home, found, top = t, true, h
 		}
 	}
-	return home
+	return home, found
+}
+
+// Abroad returns the estimate for a request that waits so long for those before
+// it in another region and on its way, which may hold the home of its shared parts.
+func (p *Picker) Abroad(r Request, room time.Duration, home bool) Estimate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hit := 0
+	if home && len(r.Parts) > 0 {
+		for _, part := range r.Parts[:len(r.Parts)-1] {
+			hit += part.Tokens
+		}
+	}
+	wait := room + milliseconds(p.own(r, r.Prompt-hit))
+	return Estimate{Wait: wait, Cost: wait - milliseconds(p.saved(r, hit)*affinity)}
 }
 
 // saved returns the milliseconds of reading that a hit saves the target.
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -69,6 +69,13 @@
 	Parts   []Part
 	Gap     time.Duration // longest pause between pieces that is on time; 0 where none is asked
 	Tried   []string      // targets to leave out
+	Home    string        // the target that all instances prefer for the shared parts; "" where there is none
+}
+
+// Estimate is what a request may expect at a place.
+type Estimate struct {
+	Wait time.Duration // until its first byte
+	Cost time.Duration // the same, less what a prompt's parts that are held there are worth
 }
 
 // Fleet is how the instances that send to the same targets share a cold
@@ -202,42 +209,41 @@
 func (p *Picker) Choose(now time.Time, candidates []target.Target, r Request, fleet Fleet) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, wait := p.best(now, candidates, r, fleet)
+	best, e := p.best(now, candidates, r, fleet)
 	if best == nil {
 		return nil
 	}
-	return p.issue(now, *best, r, wait, fleet)
+	return p.issue(now, *best, r, e.Wait, fleet)
 }
 
-// Wait returns how long the request would wait for its first byte at the best
-// of the candidates, and false where none may be used now.
-func (p *Picker) Wait(now time.Time, candidates []target.Target, r Request, fleet Fleet) (time.Duration, bool) {
+// Best returns the estimate for the best of the candidates, and false where none
+// may be used now.
+func (p *Picker) Best(now time.Time, candidates []target.Target, r Request, fleet Fleet) (Estimate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, wait := p.best(now, candidates, r, fleet)
-	if best == nil {
-		return 0, false
-	}
-	return milliseconds(wait), true
+	best, e := p.best(now, candidates, r, fleet)
+	return e, best != nil
 }
 
-// best returns the candidate with the shortest wait, which is in milliseconds.
-func (p *Picker) best(now time.Time, candidates []target.Target, r Request, fleet Fleet) (*target.Target, float64) {
+// best returns the candidate with the least cost.
+func (p *Picker) best(now time.Time, candidates []target.Target, r Request, fleet Fleet) (*target.Target, Estimate) {
 	var best *target.Target
 	least, leastCost := math.Inf(1), math.Inf(1)
-	home := homeOf(candidates, r.Parts)
 	for i := range candidates {
 		t := &candidates[i]
 		if slices.Contains(r.Tried, t.Name()) || !p.usable(now, t, r, fleet) {
 			continue
 		}
-		hit := p.hit(now, p.state(t.Name()), r.Parts, t.Name() == home)
+		hit := p.hit(now, p.state(t.Name()), r.Parts, t.Name() == r.Home)
 		wait := p.queue(now, t, r) + p.own(r, r.Prompt-hit)*p.state(t.Name()).pace()
 		if cost := wait - p.saved(r, hit)*affinity; cost < leastCost {
 			best, least, leastCost = t, wait, cost
 		}
 	}
-	return best, least
+	if best == nil {
+		return nil, Estimate{}
+	}
+	return best, Estimate{Wait: milliseconds(least), Cost: milliseconds(leastCost)}
 }
 
 // Room returns how long a request of the service would wait for those before
@@ -258,14 +264,6 @@
 	return milliseconds(least), true
 }
 
-// Own returns how long the request itself would take to its first byte at a
-// target that holds nothing of its prompt.
-func (p *Picker) Own(r Request) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return milliseconds(p.own(r, r.Prompt))
-}
-
 // Explain tells why each of the candidates that may get no request now may not.
 func (p *Picker) Explain(now time.Time, candidates []target.Target, r Request, fleet Fleet) string {
 	p.mu.Lock()
@@ -318,13 +316,13 @@
 }
 
 // issue counts the request at the target.
-func (p *Picker) issue(now time.Time, t target.Target, r Request, wait float64, fleet Fleet) *Ticket {
+func (p *Picker) issue(now time.Time, t target.Target, r Request, wait time.Duration, fleet Fleet) *Ticket {
 	s := p.state(t.Name())
 	if p.cold(now, s) {
 		s.window.Take(now, p.coldLimit(r, fleet))
 	}
 	k := &Ticket{
-		picker: p, target: t, service: r.Service.Name(), sent: now, expected: milliseconds(wait),
+		picker: p, target: t, service: r.Service.Name(), sent: now, expected: wait,
 		fresh: max(r.Prompt-p.hit(now, s, r.Parts, false), 0), memory: r.Prompt + r.Output, model: r.Service.Slots() > 0,
 	}
 	if r.Gap > 0 {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -120,6 +120,9 @@
 			r.Parts = append(r.Parts, placement.Part{ID: id, Tokens: r.Prompt / (strings.Count(words[1], ",") + 1)})
 		}
 	}
+	if home, ok := placement.Home(p.targets, r.Parts); ok {
+		r.Home = home.Name()
+	}
 	k := p.picker.Choose(s.At, p.targets, r, fleet)
 	if k == nil {
 		return "none"
@@ -141,8 +144,8 @@
 		k.First(now)
 		k.End(now, placement.Answered)
 	}
-	if wait, ok := p.Wait(now, list, r, fleet); !ok || wait > 400*time.Millisecond {
-		t.Errorf("an idle target that answers in 300 ms is expected to take %v", wait)
+	if wait, ok := p.Best(now, list, r, fleet); !ok || wait.Wait > 400*time.Millisecond {
+		t.Errorf("an idle target that answers in 300 ms is expected to take %v", wait.Wait)
 	}
 }
 
