Let pauses weigh from a quarter of the longest allowed

Ruled out: first bytes (7 of 43 late); speeds of single targets (the slow one has 11 of 38). Change: pauseFree 0.5, then 0.25.

--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -43,7 +43,7 @@
 	// pauseFree is the part of the longest pause allowed that costs nothing, and
 	// pauseCost the milliseconds that a pause as long as allowed weighs: more
 	// prompts there would make every stream late.
-	pauseFree = 0.5
+	pauseFree = 0.25
 	pauseCost = 600.0
 	// forgetTime is how long a target that is no longer listed is remembered.
 	forgetTime = time.Minute
