Send calls of the project's own surface once, over the connection pool

Cause: repeatable calls went through http.Transport, which sends a call again by itself where a kept connection breaks before the answer; the budget for repeats does not see it. Ruled out: a fresh connection for each call (one more way there and back); GetBody = nil, which does not hinder it for calls without a body. Change: outbound uses chervilyard/pool, as the platform's surface does; an address where nothing listens is told as Unsent in place of a callback before the send. Before: the target got the call twice (TestNothingIsSentAgain).

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -63,9 +63,9 @@
 	// instance's; any other error means that whether it ran is not known, or
 	// an Unsent where nothing left.
 	Forward func(ctx context.Context, to Remote, c *call.Call) (*Response, error)
-	// Send sends the call to a target of the own data centre; sent is called
-	// before anything can reach it.
-	Send func(ctx context.Context, t target.Target, c *call.Call, sent func()) (*Response, error)
+	// Send sends the call to a target of the own data centre, once. The error is
+	// an *Unsent where nothing can have reached it.
+	Send func(ctx context.Context, t target.Target, c *call.Call) (*Response, error)
 
 	mu    sync.Mutex
 	gates map[string]*queue.Gate
@@ -293,8 +293,9 @@
 		w.timer = time.AfterFunc(patience, func() { cancel(errSlow) })
 		defer w.timer.Stop()
 	}
-	sent := false
-	res, err := s.Send(ctx, t, c, func() { sent = true })
+	res, err := s.Send(ctx, t, c)
+	var unsent *Unsent
+	sent := !errors.As(err, &unsent)
 	c.Result.Sent = before || sent
 	if err != nil {
 		return s.sendFailure(ctx, c, t, start, sent, err)
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -250,6 +250,7 @@
 		i.beats.Run(ctx),
 		i.seats.Run(ctx),
 		i.polls.Run(ctx),
+		i.outbound.Run(ctx),
 		(&lend.Duty{Lender: i.lender, Deliver: i.link.Deliver, Now: i.now, Journal: i.journal}).Run(ctx),
 		i.publish(ctx),
 	)
@@ -344,7 +345,6 @@
 	i.cancel()
 	_ = i.operatorsWeb.Close() // nobody waits for it
 	i.link.Close()
-	i.outbound.Close()
 	for _, end := range i.ends {
 		select {
 		case <-end:
--- a/chervilyard/outbound/outbound.go
+++ b/chervilyard/outbound/outbound.go
@@ -3,84 +3,88 @@
 package outbound
 
 import (
-	"bytes"
 	"context"
-	"net"
+	"errors"
+	"io"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/chervilyard/dispatch"
+	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/target"
 )
 
-const (
-	dialTime  = time.Second
-	idleConns = 256 // kept for each target
-)
+// sweepTime is the pause between two looks for connections that are kept for
+// nothing: a fraction of the time for which the pool keeps them.
+const sweepTime = time.Second
 
 // Headers are the caller's headers that a target gets.
 var Headers = []string{"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "Traceparent", "User-Agent"}
 
 // Client sends calls to targets. It is safe for concurrent use.
 type Client struct {
-	shared *http.Client
-	fresh  *http.Client
+	pool pool.Pool
 }
 
 // New returns a client.
-func New() *Client {
-	return &Client{
-		shared: &http.Client{Transport: transport(false), CheckRedirect: noRedirect},
-		fresh:  &http.Client{Transport: transport(true), CheckRedirect: noRedirect},
-	}
-}
-
-// transport with fresh connections never repeats a request by itself, since it
-// does so only where a kept connection turns out to be closed.
-func transport(fresh bool) *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
-		MaxIdleConnsPerHost: idleConns,
-		IdleConnTimeout:     time.Minute,
-		DisableKeepAlives:   fresh,
-		DisableCompression:  true,
-	}
-}
+func New() *Client { return &Client{} }
 
-// noRedirect passes redirects on to the caller: to follow one would send the
-// call twice, and perhaps out of its residency.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// Send sends the call to the target and returns its answer's head. Sent is
-// called before anything can reach the target.
-func (c *Client) Send(ctx context.Context, t target.Target, one *call.Call, sent func()) (*dispatch.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent() }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), one.Method, "http://"+t.Address()+one.TargetPath, bytes.NewReader(one.TargetBody))
-	if err != nil {
-		return nil, err
-	}
+// Send sends the call to the target once and returns its answer's head. The
+// error is a *dispatch.Unsent where nothing can have reached the target.
+func (c *Client) Send(ctx context.Context, t target.Target, one *call.Call) (*dispatch.Response, error) {
+	header := make(http.Header, len(Headers)+1)
 	for _, name := range Headers {
 		if v := one.Header.Values(name); len(v) > 0 {
-			req.Header[name] = v
+			header[name] = v
 		}
 	}
-	req.Header.Set("X-Request-Id", one.ID)
-	client := c.shared
-	if one.Once {
-		req.GetBody = nil
-		client = c.fresh
+	header.Set("X-Request-Id", one.ID)
+	res, err := c.pool.Do(ctx, t.Address(), &pool.Request{
+		Method: one.Method, Target: one.TargetPath, Host: t.Address(), Header: header, Body: one.TargetBody,
+		Fresh: one.Once,
+	})
+	var f *pool.Failure
+	if errors.As(err, &f) && !f.Sent {
+		return nil, &dispatch.Unsent{Err: err}
 	}
-	res, err := client.Do(req) //nolint:bodyclose // the caller closes the body of the Response
 	if err != nil {
 		return nil, err
 	}
-	return &dispatch.Response{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+	return &dispatch.Response{Status: res.Status, Header: res.Header, Body: body{res}}, nil
+}
+
+// Run closes connections that are kept for nothing until the context ends, and
+// closes the returned channel then.
+func (c *Client) Run(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(sweepTime)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				c.pool.Close()
+				return
+			case now := <-ticker.C:
+				c.pool.Sweep(now)
+			}
+		}
+	}()
+	return ended
 }
 
-// Close closes idle connections.
-func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.pool.Close() }
+
+// body is an answer's body. Closing it before its end closes the connection.
+type body struct{ *pool.Response }
+
+// Close ends the answer.
+func (b body) Close() error {
+	b.Response.Close()
+	return nil
 }
+
+var _ io.ReadCloser = body{}
