Count a prompt four times as much beside the streams that wait for it

Cause: while an engine reads a prompt, all of its streams pause, the longer the prompt the more: long prompts went where their own first byte came soonest, however many streams stood there. Ruled out: a bound on the streams of a target (it refuses where others are no better). Change: crowded 0.5, then 2: the weight of a prompt at a target whose slots are all in use. Test: script long-prompt; before, the long prompt goes to the crowded target.

--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -36,8 +36,9 @@
 	// affinity is how many times the reading that a hit saves may be spent on
 	// waiting for it: what is read again delays others there, too.
 	affinity = 6
-	// crowded is how much longer a target takes when all its slots are in use.
-	crowded = 0.5
+	// crowded is how many times longer a prompt counts at a target whose slots are
+	// all in use: the streams there wait while it is read.
+	crowded = 2.0
 	// pauseHalf is the time in which a target's longest pause fades by half.
 	pauseHalf = time.Second
 	// pauseFree is the part of the longest pause allowed that costs nothing, and
