Explain a request from the logs of instances

Cause: chervilctl explain asks running instances of the project's own surface; on the platform on-call engineers have logs alone, and a forwarded request has lines in two of them. Ruled out: keeping decisions in the platform's instances (memory is dear there, and they end with it). Test: a forwarded request through two logs; before, such a trail told a dependency that was regained as well.

--- a/chervilctl/fleet.go
+++ b/chervilctl/fleet.go
@@ -8,10 +8,13 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"chervilyard.example/chervilctl/trail"
 	"chervilyard.example/chervilyard/instance"
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/yard/environment"
@@ -125,13 +128,18 @@
 }
 
 type explainCommand struct {
+	Logs []string `long:"log" value-name:"FILE" description:"read these logs of instances in place of asking them; - for standard input; may be given more than once"`
 	Args struct {
 		Request string `positional-arg-name:"REQUEST" description:"the X-Request-Id of the answer"`
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute prints the decisions on a request that instances still keep.
+// Execute prints the decisions on a request that instances still keep, or that
+// stand in their logs.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs()
+	}
 	ctx, cancel := within()
 	defer cancel()
 	list, err := instances(ctx)
@@ -160,6 +168,31 @@
 	return nil
 }
 
+// fromLogs prints the decisions on a request and what the instances believed.
+func (c *explainCommand) fromLogs() error {
+	var all trail.Trail
+	for _, name := range c.Logs {
+		text, err := read(name)
+		if err != nil {
+			return err
+		}
+		if err := all.Read(filepath.Base(name), strings.NewReader(text)); err != nil {
+			return err
+		}
+	}
+	steps := all.Request(c.Args.Request)
+	if len(steps) == 0 {
+		return fmt.Errorf("the logs hold no decision on %s (%d lines are no decisions)", c.Args.Request, all.Others())
+	}
+	if global.JSON {
+		return printJSON(steps)
+	}
+	for _, s := range steps {
+		fmt.Println(s.Log + " " + sentence(s.Decision))
+	}
+	return nil
+}
+
 // sentence puts a decision in words.
 func sentence(d journal.Decision) string {
 	s := fmt.Sprintf("%s %-9s %s: %s", d.Time.Format("15:04:05.000"), d.Kind, d.Choice, d.Reason)
