Drop a target's kept connections after one fell silent

Cause: open connections may fall silent for good, without a reset, while new ones work. A request on such a one finds out by its own time-out; the next request took the next kept connection and found out again, up to 64 times for each address. Ruled out: a check of each kept connection before use (it costs a way there and back, and the other side owes no answer to anything but a request). Change: a request that failed, or ended after half a second without a byte of an answer, closes the address's connections that were kept before it began. Before: three requests after the first failed as well (TestSilentConnections). After: none, over one new connection.

--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -39,7 +39,8 @@
 	limit *io.LimitedReader
 	r     *bufio.Reader
 	idle  time.Duration
-	until time.Time
+	kept  time.Time // since when it is not in use
+	until time.Time // when it may not be used any more
 }
 
 func newConn(raw net.Conn) *conn {
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -28,6 +28,9 @@
 	// the pause between probes; probeCount probes without an answer end it.
 	probeTime  = time.Second
 	probeCount = 2
+	// silence without a byte of an answer is longer than a connection takes that
+	// is open: where a request ends after it, the path may be gone.
+	silence = 500 * time.Millisecond
 )
 
 // Failure is a request that got no answer.
@@ -78,10 +81,14 @@
 		return nil, &Failure{Op: "dial", Address: address, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() }) // a second close is harmless
+	began := time.Now()
 	resp, err := c.roundTrip(r)
 	if err != nil {
 		stop()
 		_ = c.raw.Close() // it failed already
+		if ctx.Err() == nil || time.Since(began) >= silence {
+			p.distrust(address, began)
+		}
 		var f *Failure
 		if errors.As(err, &f) {
 			f.Address = address
@@ -135,7 +142,8 @@
 
 // keep puts a connection back for later requests.
 func (p *Pool) keep(address string, c *conn) {
-	c.until = time.Now().Add(c.idle)
+	c.kept = time.Now()
+	c.until = c.kept.Add(c.idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -148,6 +156,27 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
+// distrust closes the connections that were kept before a request that got no
+// answer began: what broke its connection, or made it fall silent, may have done
+// so to all, and the next request would find out on each.
+func (p *Pool) distrust(address string, began time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh := p.idle[address][:0]
+	for _, c := range p.idle[address] {
+		if c.kept.After(began) {
+			fresh = append(fresh, c)
+			continue
+		}
+		_ = c.raw.Close() // nothing is open on it
+	}
+	if len(fresh) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = fresh
+}
+
 // Sweep closes the kept connections whose time is over.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
