--- a/yard/simulation/scenario/scenario_test.go
+++ b/yard/simulation/scenario/scenario_test.go
@@ -16,9 +16,6 @@
 	worstOver    = 0.02 // worst-served customer over the mean
 )
 
-// known holds the scripts of KNOWN-RED.txt: they are run and told, and do not fail.
-var known = map[string]bool{"moving": true, "store-down-crash": true}
-
 // shortened is how much of an hour's script runs here; the quota command runs
 // the whole, and the fleet of the planned size, which takes minutes.
 const shortened = 10 * time.Minute
@@ -54,10 +51,6 @@
 			if r.Wrongful <= bound && r.Worst-r.Mean <= worstOver {
 				return
 			}
-			if known[s.Name] {
-				t.Logf("KNOWN RED: refused inside the rate %.4f, bound %v", r.Wrongful, bound)
-				return
-			}
 			t.Errorf("refused inside the rate %.4f, bound %v; worst customer %.4f, mean %.4f", r.Wrongful, bound, r.Worst, r.Mean)
 		})
 	}
