Send the region's heartbeats to members that run

Cause: an instance of a small region begins one heartbeat in 50 ms, to a member drawn among all it knows; a member that died, or left for another address, stays known for ten minutes and took its part of them, so loads of the living grew old. Ruled out: forgetting silent members sooner (after a partition both sides must find each other again). Change: receivers are drawn among members heard within 3 s; a silent one gets a heartbeat each second, or each interval while nobody is heard. The pace of heartbeats has a file of its own. Before: a living member beside five silent ones gets about 170 of 1,000 heartbeats (TestSilentMates).

--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -5,11 +5,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	"chervilyard.example/chervilyard/journal"
@@ -21,18 +19,6 @@
 	// interval between heartbeats in the region: loads that are older than a few
 	// requests mislead the choice of targets.
 	interval = 50 * time.Millisecond
-	// An instance begins a heartbeat with one in nearPart of its region's others in
-	// an interval, and with nearMost at most: any two exchange theirs within 400 ms
-	// up to some 65 instances, and each spends its part of a core on 40 to 160 a second.
-	nearPart = 16
-	nearMost = 4
-	// farEvery is the number of intervals between heartbeats to other regions, and
-	// farMost that of regions that get one then: the links between them are narrow.
-	farEvery = 8
-	farMost  = 2
-	// farPeers members of each other region get heartbeats from one instance, as
-	// many as a connection each is worth: one may be down and one cut off.
-	farPeers = 3
 	// listEvery is the number of intervals between heartbeats that list the members.
 	listEvery = 20
 	// callTime of a heartbeat in the region, and farTime to another.
@@ -117,45 +103,6 @@
 	}
 }
 
-// befriends reports whether the instance keeps a connection to a member of
-// another region: to few of those that run, and to others only while none does.
-func (d *Duty) befriends(now time.Time, self, m membership.Member, members []membership.Member) bool {
-	weight := xxhash.Sum64String(self.Name + "\x00" + m.Name)
-	before, live := 0, false
-	for _, other := range members {
-		if other.Region != m.Region || now.Sub(other.Heard) > quiet {
-			continue
-		}
-		live = true
-		if xxhash.Sum64String(self.Name+"\x00"+other.Name) > weight {
-			before++
-		}
-	}
-	return !live || before < farPeers
-}
-
-// choose returns this interval's receivers.
-func (d *Duty) choose(now time.Time, self membership.Member, members []membership.Member) []membership.Member {
-	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
-	d.mu.Lock()
-	distant := d.beats%farEvery == 0
-	d.mu.Unlock()
-	var mates, list []membership.Member
-	regions := make(map[string]bool)
-	for _, m := range members {
-		switch {
-		case m.Name == self.Name:
-		case m.Region == self.Region:
-			mates = append(mates, m)
-		case distant && !regions[m.Region] && len(regions) < farMost && d.befriends(now, self, m, members):
-			regions[m.Region] = true
-			list = append(list, m)
-		}
-	}
-	most := min((len(mates)+nearPart-1)/nearPart, nearMost)
-	return append(list, mates[:most]...)
-}
-
 // Beat sends heartbeats to all members at once, to say that something changed.
 func (d *Duty) Beat(ctx context.Context) {
 	for _, m := range d.Table.Live(d.Now(), quiet) {
--- a/chervilyard/gossip/pace_test.go
+++ b/chervilyard/gossip/pace_test.go
@@ -55,3 +55,34 @@
 		}
 	}
 }
+
+// Members of the region that are silent take no heartbeat from those that run,
+// and get one now and then, so that they are found again.
+func TestSilentMates(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	self := membership.Member{Name: "self", Region: "own"}
+	live := membership.Member{Name: "live", Region: "own", Heard: now}
+	members := []membership.Member{live}
+	for i := range 5 {
+		members = append(members, membership.Member{Name: fmt.Sprint("silent", i), Region: "own", Heard: now.Add(-time.Minute)})
+	}
+	d := &Duty{}
+	sent, found := 0, make(map[string]bool)
+	const intervals = 1000
+	for range intervals {
+		d.beats++
+		for _, m := range d.choose(now, self, members) {
+			if m.Name == live.Name {
+				sent++
+			} else {
+				found[m.Name] = true
+			}
+		}
+	}
+	if sent != intervals {
+		t.Errorf("the live member gets %d heartbeats in %d intervals", sent, intervals)
+	}
+	if len(found) != 5 {
+		t.Errorf("%d of 5 silent members are tried", len(found))
+	}
+}
