Let a hit be worth twelve times the reading that it saves

Change: affinity 6, then 12. Test: script affinity-queue; before, the second prompt leaves its home.

--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -35,7 +35,7 @@
 	failurePenalty = 4
 	// affinity is how many times the reading that a hit saves may be spent on
 	// waiting for it: what is read again delays others there, too.
-	affinity = 6
+	affinity = 12
 	// crowded is how many times longer a prompt counts at a target whose slots are
 	// all in use: the streams there wait while it is read.
 	crowded = 2.0
