--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -149,11 +149,11 @@
 	}
 	e.targets.mu.Unlock()
 	for _, name := range gone {
-		e.note("target", "gone", name+" at revision "+strconv.FormatInt(s.Revision, 10))
+		e.note("target", "gone", name+" at revision "+itoa(s.Revision))
 	}
 	for _, t := range mine {
 		if was, ok := old[t.Name()]; !ok || was.Leaving() != t.Leaving() || was.Run() != t.Run() {
-			e.note("target", state(t), t.Name()+" at revision "+strconv.FormatInt(s.Revision, 10))
+			e.note("target", state(t), t.Name()+" at revision "+itoa(s.Revision))
 		}
 	}
 	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, mine)
