Keep nothing of members and targets that are gone

Cause: connections, trips, questions and loads were kept for each member that ever ran, and the time of the last health check for each target that ever failed; machines that are replaced come at new addresses and names. Ruled out: closing a connection when its member is forgotten alone (members that get no more heartbeats from here keep theirs). Change: each second connections unused for a minute are closed and what belongs to unknown members is dropped; loads and rooms that no longer count, and health checks past their pause, are dropped as others come.

--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -104,6 +105,7 @@
 		wait[room.GetService()] = time.Duration(room.GetWait() * float64(time.Millisecond))
 	}
 	r.told[h.GetName()] = roomsTold{at: now, wait: wait}
+	maps.DeleteFunc(r.told, func(_ string, t roomsTold) bool { return now.Sub(t.at) > roomNews })
 }
 
 func (r *rooms) wait(now time.Time, name, service string) (time.Duration, bool) {
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -29,7 +30,8 @@
 	if p.asked == nil {
 		p.asked = make(map[string]time.Time)
 	}
-	if now.Sub(p.asked[name]) < probePause {
+	maps.DeleteFunc(p.asked, func(_ string, at time.Time) bool { return now.Sub(at) >= probePause })
+	if _, ok := p.asked[name]; ok {
 		return false
 	}
 	p.asked[name] = now
--- a/chervilyard/gossip/connection.go
+++ b/chervilyard/gossip/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"time"
 
@@ -18,6 +19,10 @@
 func (d *Duty) conn(address string) (*grpc.ClientConn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.used == nil {
+		d.used = make(map[string]time.Time)
+	}
+	d.used[address] = d.Now()
 	if c := d.conns[address]; c != nil {
 		return c, nil
 	}
@@ -56,6 +61,32 @@
 	return fleet.NewFleetClient(conn).Read(ctx, &fleet.Part{Name: part})
 }
 
+// prune closes the connections that were not used of late, and drops what is kept
+// of members that are not known any more: addresses and names change for ever.
+func (d *Duty) prune(now time.Time, members []membership.Member) {
+	known := make(map[string]bool, len(members))
+	for _, m := range members {
+		known[m.Name] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, at := range d.used {
+		if now.Sub(at) <= unused {
+			continue
+		}
+		if c := d.conns[address]; c != nil {
+			_ = c.Close() // nothing is sent on it
+		}
+		delete(d.conns, address)
+		delete(d.used, address)
+	}
+	gone := func(name string) bool { return !known[name] }
+	maps.DeleteFunc(d.trips, func(name string, _ time.Duration) bool { return gone(name) })
+	maps.DeleteFunc(d.lost, func(name string, _ bool) bool { return gone(name) })
+	maps.DeleteFunc(d.news.asks, func(name string, _ []uint64) bool { return gone(name) })
+	maps.DeleteFunc(d.news.owed, func(name string, _ []uint64) bool { return gone(name) })
+}
+
 func (d *Duty) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -29,6 +29,9 @@
 	// forget is how long a silent member is remembered: a partition should end
 	// before, so that both sides find each other again.
 	forget = 10 * time.Minute
+	// unused is how long a connection is kept that nothing is sent on: a member
+	// that gets heartbeats from here gets one in some seconds.
+	unused = time.Minute
 	// firstRedial is the pause after a first failed connection.
 	firstRedial = 200 * time.Millisecond
 	// dialTime bounds the making of a connection.
@@ -55,6 +58,7 @@
 	mu    sync.Mutex
 	beats int // intervals so far
 	conns map[string]*grpc.ClientConn
+	used  map[string]time.Time // when each address was last sent to
 	busy  map[string]bool
 	trips map[string]time.Duration
 	lost  map[string]bool
@@ -88,9 +92,13 @@
 	d.Table.Forget(now, forget)
 	d.mu.Lock()
 	d.beats++
+	turn := d.beats%listEvery == 0
 	d.mu.Unlock()
 	members := d.Table.All()
 	d.noteSilent(now, members)
+	if turn {
+		d.prune(now, members)
+	}
 	for _, m := range d.choose(now, self, members) {
 		d.beat(ctx, m)
 	}
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -145,6 +146,7 @@
 		byTarget[l.Target] = l
 	}
 	p.peers[peer] = peerLoads{at: now, loads: byTarget}
+	maps.DeleteFunc(p.peers, func(_ string, l peerLoads) bool { return now.Sub(l.at) > forgetTime })
 }
 
 // Loads returns what this instance has open, for its peers.
