Tell the caller when the region that refused it expects room

Ruled out: handing the other region's refusal on whole (several regions may have refused, and other places may have been tried). Change: a refusal between instances carries when to come back; the earliest of the regions asked counts.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -194,7 +194,7 @@
 // refuse returns a refusal that is true to what was sent so far.
 func (g *Gateway) refuse(x *exchange, code, message string, after time.Duration) error {
 	if x.sends == 0 {
-		return refusal.NotRun(http.StatusServiceUnavailable, code, message).After(max(after, soon))
+		return refusal.NotRun(http.StatusServiceUnavailable, code, message).After(max(after, x.later, soon))
 	}
 	return refusal.Unknown(http.StatusBadGateway, code, message)
 }
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -266,6 +266,29 @@
 	}
 }
 
+// A request that only another region may serve is refused there for want of room.
+// The caller hears when that region expects some.
+func TestRefusalThereSaysWhen(t *testing.T) {
+	busy := newEngine(t, "busy", "ok x")
+	far := newNode(t, "far", []*engine{busy})
+	var held []*placement.Ticket
+	for range 500 { // requests that wait there
+		held = append(held, far.gateway.Picker.Choose(time.Now(), far.gateway.Targets(time.Now(), "s"), placement.Request{Service: service.New("s")}, placement.Fleet{Size: 1}))
+	}
+	near := newNode(t, "near", nil, far)
+	there, _, direct := call(t, far, get("/read/x"))
+	status, _, header := call(t, near, get("/read/x"))
+	if there != http.StatusServiceUnavailable || status != http.StatusServiceUnavailable {
+		t.Fatalf("answers %d there and %d here", there, status)
+	}
+	if got, want := header.Get("Retry-After"), direct.Get("Retry-After"); got != want {
+		t.Errorf("come back after %s s, the region that is full says %s s", got, want)
+	}
+	for _, k := range held {
+		k.End(time.Now(), placement.Abandoned)
+	}
+}
+
 // A prompt whose shared part is long goes to the region where that is held.
 func TestSharedPartsGoHome(t *testing.T) {
 	near, far := newEngine(t, "near", "ok near"), newEngine(t, "far", "ok far")
--- a/chervilyard/gateway/hop.go
+++ b/chervilyard/gateway/hop.go
@@ -23,6 +23,7 @@
 	headerSends    = "Chervil-Sends"    // targets that may have run it, in an answer
 	headerOffers   = "Chervil-Offers"   // targets that it reached, in an answer
 	headerRun      = "Chervil-Run"      // of a refusal: "no", "yes" or "unknown"
+	headerLater    = "Chervil-Later"    // milliseconds until a repeat is worth sending, of a refusal
 )
 
 // hopHeader tells the receiving instance what was decided here.
@@ -109,6 +110,18 @@
 	h.Set(headerOffers, strconv.Itoa(x.offers))
 }
 
+// laterThere takes in when an instance of another region expects room, the
+// earliest where several were asked.
+func (x *exchange) laterThere(h http.Header) {
+	ms, err := strconv.ParseInt(h.Get(headerLater), 10, 64)
+	if err != nil || ms <= 0 {
+		return // it does not say
+	}
+	if d := time.Duration(ms) * time.Millisecond; x.later == 0 || d < x.later {
+		x.later = d
+	}
+}
+
 func dropHop(h http.Header) {
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -71,6 +71,7 @@
 // refusedThere goes on after the refusal of an instance of another region.
 func (g *Gateway) refusedThere(a *try, resp *pool.Response, run string) (bool, error) {
 	if run == refusal.RunNo {
+		a.x.laterThere(resp.Header)
 		return g.notRun(a, "refused in region "+a.place.remote.Member.Region)
 	}
 	return false, refusal.Unknown(resp.Status, "remote_failed", "the other region gave no answer")
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -73,7 +74,8 @@
 	pause    time.Duration // the longest between pieces
 	chosen   string        // the last target or instance
 	status   int
-	notes    string // why it went on after a failure
+	notes    string        // why it went on after a failure
+	later    time.Duration // when another region that refused it expects room; 0 where none said so
 }
 
 // ServeHTTP serves a caller's request.
@@ -222,6 +224,7 @@
 	}
 	if x.hop {
 		x.w.Header().Set(headerRun, r.Run)
+		x.w.Header().Set(headerLater, strconv.FormatInt(r.Retry.Milliseconds(), 10))
 		x.counted(x.w.Header())
 	}
 	g.Wire.Refuse(x.w, r)
