Let nothing but its rest follow a stream that was begun

Cause: a stream that broke at a crashed engine was continued at another, which answered 500; that answer was taken for the request's and ended the caller's stream as if it were whole. Change: where events went to the caller, an answer other than a success is a failed attempt: another target where the route and the budget allow it, else the connection is cut.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -155,6 +155,12 @@
 		x.offers--
 		return true, nil
 	}
+	return g.again(now, x, err)
+}
+
+// again returns true where a request that a target may have run may be sent to
+// another.
+func (g *Gateway) again(now time.Time, x *exchange, err error) (bool, error) {
 	if !x.route.Idempotent() || x.sends >= x.attempts || !g.mayRepeat(now, x) {
 		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").Because(err)
 	}
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -197,10 +197,14 @@
 			if got := fmt.Sprint(status); got != fields[2] {
 				t.Errorf("status %s, want %s", got, fields[2])
 			}
-			want := strings.NewReplacer("EVENTS(", "", ")", "").Replace(fields[3])
-			if strings.HasPrefix(fields[3], "EVENTS(") {
+			text, torn := strings.CutSuffix(fields[3], " cut")
+			want := strings.NewReplacer("EVENTS(", "", ")", "").Replace(text)
+			if strings.HasPrefix(text, "EVENTS(") {
 				want = events(want)
 			}
+			if torn {
+				want += "cut"
+			}
 			if fields[3] != "-" && body != want {
 				t.Errorf("body %q, want %q", body, want)
 			}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -49,12 +50,24 @@
 		return g.notRun(a, "the target has no room")
 	case success && !v.Genuine:
 		return g.failed(ctx, a, &pool.Failure{Op: "judge", Address: a.place.name(), Sent: true, Err: errNoAnswer})
+	case x.started && !success:
+		return g.uncontinued(a, resp.Status)
 	case success && x.route.Stream():
 		return g.stream(ctx, a, resp)
 	}
 	return g.whole(ctx, a, resp)
 }
 
+// uncontinued goes on after a target that failed to continue a stream: its answer
+// must not follow the events that were passed on.
+func (g *Gateway) uncontinued(a *try, status int) (bool, error) {
+	now := g.Now()
+	g.end(a, now, placement.Failed)
+	err := &pool.Failure{Op: "continue", Address: a.place.name(), Sent: true, Err: fmt.Errorf("status %d", status)}
+	a.x.notes = err.Error()
+	return g.again(now, a.x, err)
+}
+
 // notRun goes on after a target that ran nothing.
 func (g *Gateway) notRun(a *try, reason string) (bool, error) {
 	if a.place.ticket != nil {
