Count a cold target's pace from when requests are sent

The pace counts 1.2 s from when a target is chosen; making a connection may take 0.7 s more, and then a request of one span arrives in the second of the next. Change: the pool tells when a request is about to be sent, and the pace moves its entry to that time.

--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -47,18 +47,20 @@
 	}
 	service := c.Service(names[0])
 	path := service.Health()
-	if now := e.now(); path == "" || !e.picker.Ask(now, t.Name(), service, e.fleet(now)) {
+	now := e.now()
+	if path == "" || !e.picker.Ask(now, t.Name(), service, e.fleet(now)) {
 		return
 	}
-	go e.probe(t, path)
+	go e.probe(t, path, now)
 }
 
-func (e *Edge) probe(t target.Target, path string) {
+func (e *Edge) probe(t target.Target, path string, allowed time.Time) {
 	ctx, cancel := context.WithTimeout(e.ctx, probeTime)
 	defer cancel()
 	asked := e.now()
 	resp, err := e.pool.Do(ctx, t.Address(), &pool.Request{
 		Method: http.MethodGet, Target: path, Host: t.Address(), Header: http.Header{}, Fresh: true,
+		Began: func() { e.picker.Asked(allowed, e.now(), t.Name()) },
 	})
 	if err != nil {
 		e.note("target", "not proved", t.Name()+": "+err.Error())
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -124,6 +124,7 @@
 	return g.Pool.Do(ctx, t.Address(), &pool.Request{
 		Method: x.method, Target: x.target, Host: x.host, Header: header, Body: x.body,
 		Fresh: !x.route.Idempotent() && !x.route.Stream(),
+		Began: func() { a.place.ticket.Sent(g.Now()) },
 		Owns:  func(h http.Header) bool { owner := g.Wire.Owner(h); return owner == "" || owner == x.ask.ID },
 	})
 }
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -57,6 +57,8 @@
 	Body   []byte
 	// Fresh asks for a new connection, so that no close can cross the request.
 	Fresh bool
+	// Began is told when there is a connection, before a byte is sent; it may be nil.
+	Began func()
 	// Owns reports whether an answer belongs to this request; nil accepts all.
 	// Answers of others, left from an abandoned request, are skipped.
 	Owns func(http.Header) bool
@@ -80,6 +82,9 @@
 	if err != nil {
 		return nil, &Failure{Op: "dial", Address: address, Err: err}
 	}
+	if r.Began != nil {
+		r.Began()
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() }) // a second close is harmless
 	began := time.Now()
 	resp, err := c.roundTrip(r)
--- a/yard/pace/pace.go
+++ b/yard/pace/pace.go
@@ -2,7 +2,10 @@
 // over all instances that may send to it.
 package pace
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // span is a little over the second that the bound is stated for, since a
 // request sent at its end may arrive in the next.
@@ -23,6 +26,17 @@
 	return true
 }
 
+// Sent notes that a request that was taken at one time was sent later: making a
+// connection may take the better part of a second, and the target counts from
+// when the request is sent.
+func (w *Window) Sent(taken, sent time.Time) {
+	if i := slices.IndexFunc(w.sent, taken.Equal); i >= 0 {
+		w.sent = slices.Delete(w.sent, i, i+1)
+	}
+	w.sent = append(w.sent, sent)
+	slices.SortFunc(w.sent, time.Time.Compare)
+}
+
 // Free reports whether Take would return true.
 func (w *Window) Free(now time.Time, limit int) bool {
 	n := 0
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -231,10 +231,12 @@
 // issue counts the request at the target.
 func (p *Picker) issue(now time.Time, t target.Target, r Request, wait time.Duration, fleet Fleet) *Ticket {
 	s := p.state(t.Name())
-	if p.cold(now, s) {
+	cold := p.cold(now, s)
+	if cold {
 		s.window.Take(now, p.coldLimit(r, fleet))
 	}
 	k := &Ticket{
+		paced:  cold,
 		picker: p, target: t, service: r.Service.Name(), sent: now, expected: wait,
 		fresh: max(r.Prompt-p.hit(now, s, r.Parts, false), 0), memory: r.Prompt + r.Output, model: r.Service.Slots() > 0,
 	}
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -32,6 +32,7 @@
 	ahead    int
 	memory   int
 	model    bool
+	paced    bool // counted in the pace of a cold target
 	proves   bool // sent to see whether the target is back
 	begun    bool
 	ended    bool
@@ -43,6 +44,16 @@
 // Expected returns how long the first byte was expected to take.
 func (k *Ticket) Expected() time.Duration { return k.expected }
 
+// Sent notes that the request is being sent, once there is a connection.
+func (k *Ticket) Sent(now time.Time) {
+	if !k.paced {
+		return
+	}
+	k.picker.mu.Lock()
+	defer k.picker.mu.Unlock()
+	k.picker.state(k.target.Name()).window.Sent(k.sent, now)
+}
+
 // First notes the first byte of an answer.
 func (k *Ticket) First(now time.Time) {
 	if k.begun {
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -21,6 +21,15 @@
 	return !p.cold(now, one) || one.window.Take(now, p.coldLimit(Request{Service: s}, fleet))
 }
 
+// Asked notes that a health check that was allowed at one time is sent now.
+func (p *Picker) Asked(allowed, now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.state(name); p.cold(now, s) {
+		s.window.Sent(allowed, now)
+	}
+}
+
 // Proved takes in what a target said after a failure: it runs, and stays cold
 // for the given time. A later failure than the question keeps its suspicion.
 func (p *Picker) Proved(asked, now time.Time, name string, cold time.Duration) {
