Let a target's cold time count from the arrival of its entry

An entry says how long its target stays cold as of when it was written; that was counted from when reading the list had begun, which is a way to the store and back before the entry may have been written, so instances far from the store ended the pace up to 110 ms too early. Ruled out by the log: lists that cross (listed by all within 4 ms), members not heard of, health checks (none before the engine's crash), a new run (none listed). A list that came from a peer counts from its arrival here, so the time is never too short.

--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -156,7 +156,7 @@
 			e.note("target", state(t), t.Name()+" at revision "+itoa(s.Revision))
 		}
 	}
-	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, mine)
+	e.picker.Learn(s.AsOf, s.Arrived, e.Settings().Heartbeat, mine)
 }
 
 func state(t target.Target) string {
@@ -184,7 +184,7 @@
 		e.decodeNewest(now, PartTargets)
 		return
 	}
-	e.picker.Learn(s.AsOf, e.Settings().Heartbeat, e.targets.known())
+	e.picker.Learn(s.AsOf, s.Arrived, e.Settings().Heartbeat, e.targets.known())
 }
 
 // evacuate puts in force which data centres get no work.
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -220,7 +220,7 @@
 	d := content.GetDigest()
 	snap := view.Snapshot{
 		Revision: d.GetRevision(), Digest: d.GetDigest(), Items: items,
-		AsOf: began.Add(-time.Duration(d.GetAge()) * time.Millisecond),
+		AsOf: began.Add(-time.Duration(d.GetAge()) * time.Millisecond), Arrived: now,
 	}
 	if e.views[part].Learn(snap) {
 		e.note("view", "fetched", part+" at revision "+itoa(snap.Revision)+" from "+from.Name)
--- a/chervilyard/reader/reader.go
+++ b/chervilyard/reader/reader.go
@@ -110,7 +110,8 @@
 	if len(changes) > 0 {
 		items = view.Apply(items, changes)
 	}
-	return view.Snapshot{Revision: max(revision, known.Revision), Digest: d.Digest(items), Items: items, AsOf: d.Now()}, nil
+	now := d.Now()
+	return view.Snapshot{Revision: max(revision, known.Revision), Digest: d.Digest(items), Items: items, AsOf: now, Arrived: now}, nil
 }
 
 // read takes the whole part; the content is as old as the call's start.
@@ -123,7 +124,7 @@
 		return view.Snapshot{}, err
 	}
 	snap.Digest = d.Digest(snap.Items)
-	snap.AsOf = began
+	snap.AsOf, snap.Arrived = began, d.Now()
 	return snap, nil
 }
 
--- a/yard/placement/cold_test.go
+++ b/yard/placement/cold_test.go
@@ -27,7 +27,7 @@
 		list := []target.Target{cold}
 		for i := range pickers {
 			pickers[i] = &placement.Picker{}
-			pickers[i].Learn(now, second, list)
+			pickers[i].Learn(now, now, second, list)
 		}
 		over, fixed := rapid.Float64Range(1, 2).Draw(t, "over"), rapid.Float64Range(0, 5).Draw(t, "fixed")
 		var arrivals []time.Time
@@ -41,7 +41,7 @@
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
 				pickers[i], started[i] = &placement.Picker{}, now
-				pickers[i].Learn(now, second, list)
+				pickers[i].Learn(now, now, second, list)
 			case 1:
 				if pickers[i].Ask(now, "a", engines, part) {
 					arrivals = append(arrivals, now)
@@ -68,3 +68,27 @@
 		}
 	})
 }
+
+// A list on its way tells how long a target stays cold as of when it was written,
+// which may be after its reading began.
+func TestColdCountsFromArrival(t *testing.T) {
+	var p placement.Picker
+	read := time.Unix(1_700_000_000, 0)
+	arrived := read.Add(110 * time.Millisecond) // there and back
+	list := []target.Target{target.New("a", "c", "", []string{"m"}, 64, 1, false).WithCold(3 * time.Second)}
+	p.Learn(read, arrived, time.Second, list)
+	choose := func(now time.Time) (n int) {
+		for range 20 {
+			if k := p.Choose(now, list, placement.Request{Service: engines, Prompt: 10}, fleet); k != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if n := choose(read.Add(3050 * time.Millisecond)); n != 9 {
+		t.Errorf("%d requests go to a target that may still be cold", n)
+	}
+	if n := choose(arrived.Add(3050 * time.Millisecond)); n != 20 {
+		t.Errorf("%d of 20 requests go to a target that is cold no longer", n)
+	}
+}
--- a/yard/placement/grey_test.go
+++ b/yard/placement/grey_test.go
@@ -50,7 +50,7 @@
 		share := rapid.Float64Range(0.4, 1).Draw(t, "failing")
 		var p placement.Picker
 		now := time.Unix(1_700_000_000, 0)
-		p.Learn(now, time.Second, list)
+		p.Learn(now, now, time.Second, list)
 		var open []ending
 		play := func(share float64) (sent, bad int) {
 			failures := 0.0
@@ -61,7 +61,7 @@
 					open = open[1:]
 				}
 				if at%time.Second == 0 {
-					p.Learn(now, time.Second/2, list) // reports go on
+					p.Learn(now, now, time.Second/2, list) // reports go on
 				}
 				k := p.Choose(now, list, placement.Request{Service: plain}, fleet)
 				if k == nil {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -105,10 +105,10 @@
 	gaps    map[string]time.Duration // the shortest pause that is asked for, by service
 }
 
-// Learn takes in a fresh list of targets, read at the given time and written by
-// each of them within a report's interval before: how long each stays cold, and
-// which started anew.
-func (p *Picker) Learn(read time.Time, report time.Duration, targets []target.Target) {
+// Learn takes in a list of targets, read at the given time or later and written by
+// each of them within a report's interval before its arrival: how long each stays
+// cold, which counts from then, and which started anew.
+func (p *Picker) Learn(read, arrived time.Time, report time.Duration, targets []target.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(targets))
@@ -120,7 +120,7 @@
 			*s = state{run: t.Run(), seen: read, open: s.open, proving: s.proving, waiting: s.waiting, memory: s.memory, window: s.window}
 		}
 		if t.Cold() > 0 {
-			s.coldUntil = read.Add(t.Cold())
+			s.coldUntil = arrived.Add(t.Cold())
 		}
 		if !s.suspect.IsZero() && read.Sub(s.suspect) > report {
 			s.suspect = time.Time{}
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -107,7 +107,7 @@
 		}
 		p.targets = append(p.targets, one)
 	}
-	p.picker.Learn(s.At, time.Second, p.targets)
+	p.picker.Learn(s.At, s.At, time.Second, p.targets)
 }
 
 func (p *player) send(s script.Step, label string, words []string) string {
--- a/yard/view/view.go
+++ b/yard/view/view.go
@@ -23,6 +23,7 @@
 	Digest   uint64 // of the content that matters
 	Items    []Item
 	AsOf     time.Time // when it was read at the latest
+	Arrived  time.Time // when the items came in here: what they say was true at the latest then
 }
 
 // Digest returns a hash of keys and of what the summary keeps of each value.
@@ -57,7 +58,7 @@
 		s.AsOf = v.snap.AsOf
 	}
 	if !changed && s.Items == nil {
-		s.Items = v.snap.Items
+		s.Items, s.Arrived = v.snap.Items, v.snap.Arrived
 	}
 	v.snap = s
 	return changed
