Use one loop for duties at an interval, the pauses that exist, and an index of routes

Ruled out: poll, beat and gossip, whose loops do their first round at once or wait for a second event. The pool of outbound closes with the instance, where its connections were closed before. No behaviour changes, and no test was touched.

--- a/chervilyard/edge/announce.go
+++ b/chervilyard/edge/announce.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"chervilyard.example/yard/pause"
 )
 
 const (
@@ -20,19 +22,16 @@
 		var lease int64
 		lost := false
 		for ctx.Err() == nil {
-			pause := renewTime
+			wait := renewTime
 			err := e.keepEntry(ctx, &lease)
 			if err != nil {
-				pause = announceWait
+				wait = announceWait
 			}
 			if failed := err != nil; failed != lost && ctx.Err() == nil {
 				lost = failed
 				e.noteEntry(err)
 			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
+			pause.For(ctx, wait)
 		}
 		if lease != 0 {
 			end, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceWait)
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -24,6 +24,7 @@
 	"chervilyard.example/yard/allowance"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/retry"
 	"chervilyard.example/yard/target"
@@ -198,24 +199,12 @@
 
 // upkeep does what is due from time to time.
 func (e *Edge) upkeep(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(upkeepTime)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				now := e.now()
-				e.pool.Sweep(now)
-				e.divide(now)
-				e.refreshTargets(now)
-			}
-		}
-	}()
-	return ended
+	return pause.Every(ctx, upkeepTime, func() {
+		now := e.now()
+		e.pool.Sweep(now)
+		e.divide(now)
+		e.refreshTargets(now)
+	})
 }
 
 // divide shares the customers' limits out over the instances that are known.
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -345,6 +345,7 @@
 	i.cancel()
 	_ = i.operatorsWeb.Close() // nobody waits for it
 	i.link.Close()
+	i.outbound.Close()
 	for _, end := range i.ends {
 		select {
 		case <-end:
--- a/chervilyard/lend/lend.go
+++ b/chervilyard/lend/lend.go
@@ -8,6 +8,7 @@
 
 	"chervilyard.example/chervilyard/journal"
 	"chervilyard.example/yard/lender"
+	"chervilyard.example/yard/pause"
 )
 
 const interval = 500 * time.Millisecond
@@ -22,21 +23,7 @@
 
 // Run makes rounds until the context ends.
 func (d *Duty) Run(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				d.round()
-			}
-		}
-	}()
-	return ended
+	return pause.Every(ctx, interval, d.round)
 }
 
 func (d *Duty) round() {
--- a/chervilyard/outbound/outbound.go
+++ b/chervilyard/outbound/outbound.go
@@ -12,6 +12,7 @@
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/chervilyard/dispatch"
 	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/target"
 )
 
@@ -57,22 +58,7 @@
 // Run closes connections that are kept for nothing until the context ends, and
 // closes the returned channel then.
 func (c *Client) Run(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(sweepTime)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				c.pool.Close()
-				return
-			case now := <-ticker.C:
-				c.pool.Sweep(now)
-			}
-		}
-	}()
-	return ended
+	return pause.Every(ctx, sweepTime, func() { c.pool.Sweep(time.Now()) })
 }
 
 // Close closes the connections that are not in use.
--- a/chervilyard/reader/reader.go
+++ b/chervilyard/reader/reader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chervilyard.example/chervilyard/journal"
+	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/view"
 )
 
@@ -59,10 +60,7 @@
 			if d.due(d.Now()) {
 				wait = d.once(ctx)
 			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(wait):
-			}
+			pause.For(ctx, wait)
 		}
 	}()
 	return ended
--- a/yard/catalog/catalog.go
+++ b/yard/catalog/catalog.go
@@ -24,6 +24,7 @@
 	limits    Limits
 	keyed     bool
 	routes    map[string][]route.Route // by host, the longest prefix first
+	named     map[string]route.Route   // by name
 	customers map[string]customer.Customer
 	keys      map[string]string // customer by key
 	services  map[string]service.Service
@@ -48,6 +49,7 @@
 		limits:    d.Limits,
 		keyed:     len(d.Customers) > 0,
 		routes:    make(map[string][]route.Route),
+		named:     make(map[string]route.Route, len(d.Routes)),
 		customers: make(map[string]customer.Customer, len(d.Customers)),
 		keys:      d.Keys,
 		services:  make(map[string]service.Service, len(d.Services)),
@@ -56,6 +58,7 @@
 	for _, r := range d.Routes {
 		host := strings.ToLower(r.Host())
 		c.routes[host] = append(c.routes[host], r)
+		c.named[r.Name()] = r
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b route.Route) int { return len(b.Prefix()) - len(a.Prefix()) })
@@ -94,14 +97,8 @@
 
 // Route returns the route of a name.
 func (c *Catalog) Route(name string) (route.Route, bool) {
-	for _, list := range c.routes {
-		for _, r := range list {
-			if r.Name() == name {
-				return r, true
-			}
-		}
-	}
-	return route.Route{}, false
+	r, ok := c.named[name]
+	return r, ok
 }
 
 // Owner returns the customer that holds a key.
