--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -28,11 +28,14 @@
 	edges     map[string]*edge.Edge
 	seeds     []string
 	listeners listeners
+	drain     time.Duration // drain timeout of the instances
+	// wrapListener wraps the listeners of the instances. It may be nil.
+	wrapListener func(net.Listener) net.Listener
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), listeners: make(listeners)}
+	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), listeners: make(listeners), drain: 4 * time.Second}
 }
 
 // listeners are open listeners by address. They are opened in advance, so that no other
@@ -62,6 +65,14 @@
 
 var errAddressInUse = errors.New("address is taken")
 
+func (f *fleet) listen(address string) (net.Listener, error) {
+	l, err := f.listeners.listen(address)
+	if err == nil && f.wrapListener != nil {
+		l = f.wrapListener(l)
+	}
+	return l, err
+}
+
 // start runs instance n of the region.
 func (f *fleet) start(region string, n int) *edge.Edge {
 	f.t.Helper()
@@ -71,10 +82,10 @@
 	e, err := edge.Start(ctx, edge.Config{
 		Settings: edge.Settings{
 			Name: name, Region: region, Centre: region + "-a", CallerAddr: f.listeners.open(f.t), PeerAddr: f.listeners.open(f.t), ForwardAddr: f.listeners.open(f.t),
-			Seeds: f.seeds, DrainTimeout: 4 * time.Second, DirectoryTTL: 100 * time.Millisecond, TargetReportInterval: time.Second,
+			Seeds: f.seeds, DrainTimeout: f.drain, DirectoryTTL: 100 * time.Millisecond, TargetReportInterval: time.Second,
 			RetryLimits: retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 0.2, ExtraRetries: 20}, ColdRateFactor: 1.5, ColdExtraRequests: 3,
 		},
-		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: time.Now, Listen: f.listeners.listen,
+		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: time.Now, Listen: f.listen,
 	})
 	if err != nil {
 		cancel()
--- a/chervilyard/pool/pool_test.go
+++ b/chervilyard/pool/pool_test.go
@@ -195,3 +195,34 @@
 		t.Error("the connection is still open one second after cancellation")
 	}
 }
+
+// A request whose caller has left must not be sent, also if a connection is idle.
+func TestCanceledRequestIsNotSent(t *testing.T) {
+	var requests atomic.Int32
+	address, _ := server(t, func(c net.Conn, r *bufio.Reader) {
+		for readRequest(r) {
+			requests.Add(1)
+			_, _ = io.WriteString(c, okResponse)
+		}
+	})
+	var p pool.Pool
+	defer p.Close()
+	if _, err := post(t, &p, address, "b"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 200 {
+		_, err := p.Do(ctx, address, &pool.Request{Method: http.MethodPost, RequestTarget: "/x", Host: "h", Header: http.Header{}, Body: []byte("b")})
+		var poolErr *pool.Error
+		if !errors.As(err, &poolErr) || poolErr.MaybeSent {
+			t.Fatalf("error %v of a canceled request", err)
+		}
+		if _, err := post(t, &p, address, "b"); err != nil { // leaves an idle connection
+			t.Fatal(err)
+		}
+	}
+	if n := requests.Load(); n != 201 {
+		t.Errorf("%d requests arrived, want 201", n)
+	}
+}
