Tell requests that a stop cut off from those whose caller left

What was missing: a request that a stopping instance cut off was logged as "refused 499 caller_gone", like one whose caller had left, and often not at all, as the process ended before its handler did. The log could not tell hypothesis 1 (accepted too late, cut at the end of the drain) from 2 (connection closed while it was read). Change: what is cut at the end of the drain is "refused 499 cut_off"; each line of a stopping instance says in cutoff= how long after the request's arrival it cuts; Stop waits up to 0.1 s for these lines. A request lost by hypothesis 2 is a caller_gone of a few milliseconds whose cutoff= lies before that time. Result: TestStopLogsCutRequests.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -73,7 +73,7 @@
 	collector   tokenCollector
 	probes      probes
 
-	leaving                     atomic.Bool
+	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
 	ctx                         context.Context
 	cancel                      context.CancelFunc
 	taskDone                    []<-chan struct{} // each is closed when a server or background task has ended
@@ -149,7 +149,13 @@
 	g.CollectTokens = e.collectTokens
 	g.OnSuspectedRestart = e.probeSuspect
 	g.Random = rand.Float64
-	g.ShuttingDown = e.leaving.Load
+	g.Cutoff = func() (time.Time, bool) {
+		cutoff := e.cutoff.Load()
+		if cutoff == nil {
+			return time.Time{}, false
+		}
+		return *cutoff, true
+	}
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.InFlight()) })
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
 	e.meter.Gauge("chervil_members", func() float64 { return float64(len(e.memberTable.Live(e.now(), liveTimeout))) })
@@ -195,7 +201,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := run(); err != nil && !e.leaving.Load() {
+		if err := run(); err != nil && !e.leaving() {
 			e.logDecision("server", "ended", name+": "+err.Error())
 		}
 	}()
@@ -237,10 +243,13 @@
 	})
 }
 
+// leaving reports whether Stop has been called.
+func (e *Edge) leaving() bool { return e.cutoff.Load() != nil }
+
 // Ready reports whether the instance should get requests: it is not stopping, and the
 // configuration and the targets are known.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.contentLoaded()
+	return !e.leaving() && e.contentLoaded()
 }
 
 // contentLoaded reports whether the configuration and the targets are known.
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -26,6 +26,7 @@
 	t         *testing.T
 	store     *memoryStore
 	edges     map[string]*edge.Edge
+	logs      map[string]*decisionlog.Log
 	seeds     []string
 	listeners listeners
 	drain     time.Duration // drain timeout of the instances
@@ -35,7 +36,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), listeners: make(listeners), drain: 4 * time.Second}
+	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), logs: make(map[string]*decisionlog.Log), listeners: make(listeners), drain: 4 * time.Second}
 }
 
 // listeners are open listeners by address. They are opened in advance, so that no other
@@ -91,9 +92,13 @@
 		cancel()
 		f.t.Fatal(err)
 	}
-	f.edges[name] = e
+	f.edges[name], f.logs[name] = e, log
+	logDone := log.Run(ctx)
 	f.seeds = append(f.seeds, e.Settings().PeerAddr)
-	f.t.Cleanup(cancel)
+	f.t.Cleanup(func() {
+		cancel()
+		<-logDone
+	})
 	return e
 }
 
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -46,7 +46,7 @@
 	s := e.Settings()
 	return membership.Member{
 		Name: s.Name, Run: e.runID, Region: s.Region, Centre: s.Centre, Callers: s.CallerAddr, Forward: s.ForwardAddr,
-		Peers: s.PeerAddr, Leaving: e.leaving.Load(), Ready: e.Ready(), Heard: now,
+		Peers: s.PeerAddr, Leaving: e.leaving(), Ready: e.Ready(), Heard: now,
 	}
 }
 
--- a/chervilyard/edge/stop.go
+++ b/chervilyard/edge/stop.go
@@ -7,6 +7,10 @@
 	shutdownReserve = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks for open requests.
 	drainPollInterval = 25 * time.Millisecond
+	// outcomeTimeout bounds the wait for the outcomes of requests that were cut off,
+	// which are checked every outcomePollInterval.
+	outcomeTimeout      = 100 * time.Millisecond
+	outcomePollInterval = 5 * time.Millisecond
 	// handoverMargin is added to the time for which callers may use a directory answer.
 	handoverMargin = 300 * time.Millisecond
 	// staleAnswerFactor is the multiple of DirectoryTTL for which some callers cache an
@@ -20,8 +24,8 @@
 // closed.
 func (e *Edge) Stop() {
 	s := e.Settings()
-	deadline := e.now().Add(s.DrainTimeout - shutdownReserve)
-	e.leaving.Store(true)
+	cutoff := e.now().Add(s.DrainTimeout - shutdownReserve)
+	e.cutoff.Store(&cutoff)
 	e.logDecision("instance", "leaving", "open requests: "+itoa(int64(e.gateway.InFlight())))
 	e.gossiper.NotifyAll(e.ctx)
 	handoverEnd := e.now().Add(min(staleAnswerFactor*s.DirectoryTTL+handoverMargin, s.DrainTimeout/2))
@@ -32,13 +36,14 @@
 	// without an answer.
 	_ = e.callerListener.Close() // the error does not matter, the process ends
 	e.callerServer.SetKeepAlivesEnabled(false)
-	for (e.gateway.InFlight() > 0 || e.callerConns.anyInUse(e.now())) && e.now().Before(deadline) {
+	for (e.gateway.InFlight() > 0 || e.callerConns.anyInUse(e.now())) && e.now().Before(cutoff) {
 		time.Sleep(drainPollInterval)
 	}
 	e.logDecision("instance", "stopped", "requests cut: "+itoa(int64(e.gateway.InFlight())))
 	e.cancel()
 	_ = e.callerServer.Close()  // cuts off requests still open at the end of the drain timeout
 	_ = e.forwardServer.Close() // likewise
+	e.awaitOutcomes()
 	e.peerServer.Stop()
 	e.pool.Close()
 	for _, done := range e.taskDone {
@@ -48,3 +53,11 @@
 		}
 	}
 }
+
+// awaitOutcomes waits for a moment until the requests that were cut off have logged
+// their outcomes.
+func (e *Edge) awaitOutcomes() {
+	for end := e.now().Add(outcomeTimeout); e.gateway.InFlight() > 0 && e.now().Before(end); {
+		time.Sleep(outcomePollInterval)
+	}
+}
--- a/chervilyard/edge/stop_test.go
+++ b/chervilyard/edge/stop_test.go
@@ -5,15 +5,20 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/edge"
 )
 
-const keptRequest = "GET /x HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nTokens: 1\r\n\r\n"
+const (
+	keptRequestID = "kept"
+	keptRequest   = "GET /x HTTP/1.1\r\nHost: h.example\r\nId: " + keptRequestID + "\r\nKey: k\r\nTokens: 1\r\n\r\n"
+)
 
 // keptConn is a caller's connection that is kept for several requests.
 type keptConn struct {
@@ -146,6 +151,35 @@
 	<-stopped
 }
 
+// Guards against logging that the caller left when the instance cut the request off.
+func TestStopLogsCutRequests(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.put("configuration/document", document{Version: 1, Rate: 1e6, Keys: []string{"k"}})
+	arrived := make(chan struct{})
+	f.addTarget("a", "east-a", func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})
+	f.drain = 1100 * time.Millisecond
+	e := f.start("east", 0)
+	f.waitReady()
+	c := dialKept(t, e)
+	if err := c.send(); err != nil {
+		t.Fatal(err)
+	}
+	<-arrived
+	e.Stop()
+	var history []decisionlog.Decision
+	eventually(t, time.Second, "the outcome is logged", func() bool {
+		history = f.logs["east-0"].History(keptRequestID)
+		return len(history) > 0
+	})
+	if history[0].Choice != "refused 499 cut_off" || !strings.Contains(history[0].Reason, "cutoff=") {
+		t.Errorf("decisions on the request: %+v", history)
+	}
+}
+
 // readGate delays received data while it is armed, as a busy processor would: between
 // its receipt from the kernel and the reader.
 type readGate struct {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -155,7 +155,7 @@
 		return false, g.deadlineExceeded(ctx, x)
 	case ctx.Err() != nil:
 		g.endAttempt(a, now, placement.Canceled)
-		return false, callerGone(cause)
+		return false, g.cutOffOrGone(now, cause)
 	case sent:
 		g.endAttempt(a, now, placement.ConnectionBroken)
 	default:
@@ -229,9 +229,3 @@
 	}
 	return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "the target did not answer in time").WithCause(context.Cause(ctx))
 }
-
-// callerGone returns the refusal of a request whose caller disconnected. It is
-// logged but never sent.
-func callerGone(cause error) error {
-	return &refusal.Refusal{Status: 499, Code: codeCallerGone, Message: "the caller left", Run: refusal.RunUnknown, Cause: cause}
-}
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -111,8 +111,9 @@
 	OnSuspectedRestart func(t target.Target)
 	// Random returns a uniformly distributed random number in [0, 1).
 	Random func() float64
-	// ShuttingDown reports whether the instance is shutting down.
-	ShuttingDown func() bool
+	// Cutoff returns the time at which the instance cuts off open requests, and
+	// whether it is shutting down at all.
+	Cutoff func() (cutoff time.Time, shuttingDown bool)
 
 	inFlight gauge
 }
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -138,7 +138,7 @@
 		Picker: &placement.Picker{}, Limiter: limiter, RetryBudget: &retry.Budget{}, Pool: &pool.Pool{},
 		CollectTokens: func(context.Context, string, float64) bool { return false },
 		Decisions:     decisionlog.NewWithHistory(hclog.NewNullLogger(), 16),
-		Random:        func() float64 { return 0 }, ShuttingDown: func() bool { return false },
+		Random:        func() float64 { return 0 }, Cutoff: func() (time.Time, bool) { return time.Time{}, false },
 	}
 	n := &testInstance{gateway: g, public: httptest.NewServer(g), internal: httptest.NewServer(http.HandlerFunc(g.ServeForwarded))}
 	t.Cleanup(func() {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -84,7 +84,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.ShuttingDown() {
+	if _, shuttingDown := g.Cutoff(); shuttingDown {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI}
@@ -225,7 +225,7 @@
 	if r == nil {
 		return
 	}
-	if x.started || r.Code == codeCallerGone {
+	if x.started || r.Code == codeCallerGone || r.Code == codeCutOff {
 		panic(http.ErrAbortHandler) // abort the connection so that the response does not look complete
 	}
 	if x.forwarded {
--- /dev/null
+++ b/chervilyard/gateway/shutdown.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"time"
+
+	"chervilyard.example/yard/refusal"
+)
+
+// statusConnectionEnded is logged for requests whose connection has ended.
+const statusConnectionEnded = 499
+
+// codeCutOff is the code of a request that a stopping instance cut off. Like
+// codeCallerGone it is logged but never sent.
+const codeCutOff = "cut_off"
+
+// cutOffOrGone returns the refusal of a request whose connection has ended: because the
+// instance has cut it off, or else because the caller disconnected.
+func (g *Gateway) cutOffOrGone(now time.Time, cause error) error {
+	if cutoff, shuttingDown := g.Cutoff(); shuttingDown && !now.Before(cutoff) {
+		return &refusal.Refusal{Status: statusConnectionEnded, Code: codeCutOff, Message: "the instance stopped", Run: refusal.RunUnknown, Cause: cause}
+	}
+	return &refusal.Refusal{Status: statusConnectionEnded, Code: codeCallerGone, Message: "the caller left", Run: refusal.RunUnknown, Cause: cause}
+}
+
+// untilCutoff formats how long after the arrival of the request a stopping instance
+// cuts off open requests. It returns "" if the instance is not stopping.
+func (g *Gateway) untilCutoff(x *exchange) string {
+	cutoff, shuttingDown := g.Cutoff()
+	if !shuttingDown {
+		return ""
+	}
+	return "cutoff=" + cutoff.Sub(x.arrived).Round(time.Millisecond).String()
+}
