Refuse what a stopping instance may have to cut off

Callers saw drafts that ended without an answer when an instance stopped. Cause: a stopping instance took requests of every length for the whole handover (3.3 s), and forwarded ones until the others had heard that it leaves, and cut off what was open 7.3 s after SIGTERM. A draft takes seconds: the target ran it for nobody. A forwarded one was lost to a caller of another instance, which need not be stopping at all. Change: from SIGTERM on, a request whose deadline ends after the cutoff is refused as not run, with a short Retry-After and Connection: close, also a forwarded one; the instance that forwarded it tries another one of that region, as the refusal says that it speaks for one instance only. Others are served as before. So what was accepted after SIGTERM ends before the cutoff, whatever it takes. What was open before may still last longer. Weighed: refusing by how long such requests took lately; the longest of a few dozen is passed too often, and a refusal costs a caller one try.

--- a/chervilyard/edge/stop.go
+++ b/chervilyard/edge/stop.go
@@ -20,8 +20,8 @@
 
 // Stop shuts the instance down gracefully. It notifies the other instances, serves
 // requests until callers have had time to switch to other instances, and lets open
-// requests finish within the drain timeout. It returns after the servers have been
-// closed.
+// requests finish within the drain timeout. From the start it refuses requests that may
+// take longer. It returns after the servers have been closed.
 func (e *Edge) Stop() {
 	s := e.Settings()
 	cutoff := e.now().Add(s.DrainTimeout - shutdownReserve)
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -37,7 +37,9 @@
 	}
 	waitLimit := g.waitLimit(now, x)
 	dest := destination{local: candidates, request: g.request(x), coldShare: g.ColdShare(now)}
-	remotes := g.Remotes(now, x.service, x.permits)
+	remotes := slices.DeleteFunc(g.Remotes(now, x.service, x.permits), func(r RemoteInstance) bool {
+		return slices.Contains(x.tried, r.Member.Name)
+	})
 	preferredRegion := g.setPreferredTarget(x, &dest.request, remotes)
 	local, ok := g.Picker.EstimateBest(now, candidates, dest.request, dest.coldShare)
 	if !x.forwarded { // a forwarded request is never forwarded again
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"chervilyard.example/chervilyard/pool"
@@ -86,6 +87,11 @@
 	return g.handleResponse(ctx, a, resp)
 }
 
+// untry allows attempts at other instances of a region again.
+func (x *exchange) untry(region string) {
+	x.tried = slices.DeleteFunc(x.tried, func(name string) bool { return name == region })
+}
+
 // attempt is one attempt to serve a request at one destination.
 type attempt struct {
 	x              *exchange
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -24,6 +24,7 @@
 	headerDeliveries     = "Chervil-Offers"   // in a response: how many targets the request reached
 	headerRun            = "Chervil-Run"      // in a refusal: "no", "yes" or "unknown"
 	headerRetryAfterMS   = "Chervil-Later"    // in a refusal: milliseconds until a retry is worthwhile
+	headerLeaving        = "Chervil-Leaving"  // in a refusal: set if only this instance refuses, because it is stopping
 )
 
 // setForwardingHeaders sets the headers that tell the receiving instance what
@@ -55,6 +56,9 @@
 	if err == nil {
 		err = x.readBody(r)
 	}
+	if err == nil {
+		err = g.checkCutoff(x)
+	}
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), x.deadline.Add(deadlineGrace))
 		err = g.dispatch(ctx, x)
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -122,10 +122,10 @@
 		ColdShare: func(time.Time) placement.ColdShare { return placement.ColdShare{Instances: 1} },
 		Remotes: func(_ time.Time, _ string, permits func(string) bool) []gateway.RemoteInstance {
 			var list []gateway.RemoteInstance
-			for _, n := range remotes {
+			for i, n := range remotes {
 				if permits(n.gateway.Region) {
 					list = append(list, gateway.RemoteInstance{Wait: time.Millisecond, Member: membership.Member{
-						Name: n.gateway.Region + "-1", Region: n.gateway.Region, Forward: n.internal.Listener.Addr().String(),
+						Name: fmt.Sprintf("%s-%d", n.gateway.Region, i+1), Region: n.gateway.Region, Forward: n.internal.Listener.Addr().String(),
 					}})
 				}
 			}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -37,6 +37,7 @@
 func (g *Gateway) handleResponse(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	defer resp.Close()
 	x := a.x
+	g.closeAfterResponse(x)
 	if a.dest.remote != nil {
 		x.addRemoteCounts(resp.Header)
 		if run := resp.Header.Get(headerRun); run != "" {
@@ -90,6 +91,9 @@
 func (g *Gateway) handleRemoteRefusal(a *attempt, resp *pool.Response, run string) (bool, error) {
 	if run == refusal.RunNo {
 		a.x.recordRemoteRetry(resp.Header)
+		if resp.Header.Get(headerLeaving) != "" {
+			a.x.untry(a.dest.remote.Member.Region)
+		}
 		return g.retryNotRun(a, "refused in region "+a.dest.remote.Member.Region)
 	}
 	return false, refusal.Unknown(resp.Status, "remote_failed", "the other region gave no answer")
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -84,9 +84,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if _, shuttingDown := g.Cutoff(); shuttingDown {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI}
 	var key string
 	x.req, key = g.Protocol.ParseRequest(r)
@@ -149,6 +146,9 @@
 	if err := x.readBody(r); err != nil {
 		return err
 	}
+	if err := g.checkCutoff(x); err != nil {
+		return err
+	}
 	if x.customer.Name() == "" {
 		return nil
 	}
@@ -228,8 +228,12 @@
 	if x.started || r.Code == codeCallerGone || r.Code == codeCutOff {
 		panic(http.ErrAbortHandler) // abort the connection so that the response does not look complete
 	}
+	g.closeAfterResponse(x)
 	if x.forwarded {
 		x.w.Header().Set(headerRun, r.Run)
+		if r.Code == codeLeaving {
+			x.w.Header().Set(headerLeaving, "yes")
+		}
 		x.w.Header().Set(headerRetryAfterMS, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 		x.setCountHeaders(x.w.Header())
 	}
--- a/chervilyard/gateway/shutdown.go
+++ b/chervilyard/gateway/shutdown.go
@@ -1,11 +1,18 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"chervilyard.example/yard/refusal"
 )
 
+const codeLeaving = "leaving"
+
+// leavingRetryAfter is the retry delay of a request that a stopping instance refuses.
+// The caller finds another instance in the directory.
+const leavingRetryAfter = 10 * time.Millisecond
+
 // statusConnectionEnded is logged for requests whose connection has ended.
 const statusConnectionEnded = 499
 
@@ -13,6 +20,16 @@
 // codeCallerGone it is logged but never sent.
 const codeCutOff = "cut_off"
 
+// checkCutoff refuses a request that may last longer than a stopping instance runs. It
+// could end without an answer after a target has run it.
+func (g *Gateway) checkCutoff(x *exchange) error {
+	cutoff, shuttingDown := g.Cutoff()
+	if !shuttingDown || x.deadline.Add(deadlineGrace).Before(cutoff) {
+		return nil
+	}
+	return refusal.NotRun(http.StatusServiceUnavailable, codeLeaving, "the instance is stopping").WithRetryAfter(leavingRetryAfter)
+}
+
 // cutOffOrGone returns the refusal of a request whose connection has ended: because the
 // instance has cut it off, or else because the caller disconnected.
 func (g *Gateway) cutOffOrGone(now time.Time, cause error) error {
@@ -31,3 +48,11 @@
 	}
 	return "cutoff=" + cutoff.Sub(x.arrived).Round(time.Millisecond).String()
 }
+
+// closeAfterResponse makes a stopping instance close the connection after the response
+// whose header is about to be written.
+func (g *Gateway) closeAfterResponse(x *exchange) {
+	if _, shuttingDown := g.Cutoff(); shuttingDown {
+		x.w.Header().Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/chervilyard/gateway/shutdown_test.go
@@ -0,0 +1,49 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// leaveIn makes the instance stop; it cuts off open requests after d.
+func (n *testInstance) leaveIn(d time.Duration) {
+	cutoff := time.Now().Add(d)
+	n.gateway.Cutoff = func() (time.Time, bool) { return cutoff, true }
+}
+
+// A stopping instance must refuse what it may have to cut off, as not run, and serve
+// what it can finish.
+func TestLeavingInstance(t *testing.T) {
+	f := newFakeTarget(t, "e", "ok x")
+	n := newTestInstance(t, "near", []*fakeTarget{f})
+	n.leaveIn(time.Minute)
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK || body != "x" {
+		t.Errorf("response %d %q with enough time", status, body)
+	}
+	n.leaveIn(100 * time.Millisecond)
+	status, _, header := roundTrip(t, n, getRequest("/read/x"))
+	if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("response %d %v with too little time", status, header)
+	}
+	if len(f.requests()) != 1 {
+		t.Errorf("the target received %d requests, want 1", len(f.requests()))
+	}
+}
+
+// Guards against forwarded requests that are cut off by the stop of the other instance,
+// and against taking its refusal for one of its region.
+func TestLeavingRemoteIsReplaced(t *testing.T) {
+	f, g := newFakeTarget(t, "e", "ok x"), newFakeTarget(t, "f", "ok y")
+	leaving, staying := newTestInstance(t, "far", []*fakeTarget{f}), newTestInstance(t, "far", []*fakeTarget{g})
+	leaving.leaveIn(100 * time.Millisecond)
+	near := newTestInstance(t, "near", nil, leaving, staying)
+	for n := range 20 { // far more than the retry budget allows
+		if status, body, _ := roundTrip(t, near, getRequest("/order/x")); status != http.StatusOK || body != "y" {
+			t.Fatalf("request %d: response %d %q", n, status, body)
+		}
+	}
+	if len(f.requests()) != 0 {
+		t.Errorf("the stopping instance sent %d requests to its target", len(f.requests()))
+	}
+}
