Close connections of a stopping instance only when no request is being read on them

Callers saw a kept connection close on a request that had been read and passed on: the target ran it, and nobody got the answer. Cause: net/http holds a connection for idle until it has read and parsed a whole header. SetKeepAlivesEnabled(false) closes what is held for idle; the request that is being read then goes on to its handler with a closed connection. On a machine with a fifth of a core that takes the longer. Change: package handover receives bytes of a connection and closes it as idle under one lock, so that either the connection is closed before a byte of a request is received, or the request is served. Bytes that have arrived but were not read keep it open too. It also knows connections that were accepted and not served yet, and now those of other instances, which were cut before their last answer was written out. It replaces connTracker. Stop no longer ends keep-alive: answers of a stopping instance close their connections, and those that began before it are closed when they become idle.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -19,6 +19,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/gateway"
 	"chervilyard.example/chervilyard/gossip"
+	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/chervilyard/meter"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/catalog"
@@ -79,7 +80,7 @@
 	taskDone                    []<-chan struct{} // each is closed when a server or background task has ended
 	callerServer, forwardServer *http.Server      // for callers and for instances of other regions
 	callerListener              net.Listener      // closed first on shutdown
-	callerConns                 connTracker
+	callerConns, forwardConns   handover.Tracker
 	peerServer                  *grpc.Server
 }
 
@@ -177,15 +178,19 @@
 // startServers starts the servers and the background tasks. The listeners are those for
 // callers, forwarded requests and peers, in this order.
 func (e *Edge) startServers(listeners []net.Listener) {
-	e.callerListener = listeners[0]
+	e.callerConns.Now, e.forwardConns.Now = e.now, e.now
+	e.callerListener = e.callerConns.Listener(listeners[0])
 	e.callerServer = &http.Server{
 		Handler: &e.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: func(c net.Conn, s http.ConnState) { e.callerConns.track(e.now(), c, s) },
+		ConnState: e.callerConns.ConnState,
+	}
+	e.forwardServer = &http.Server{
+		Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 4 * maxHeaderBytes,
+		ConnState: e.forwardConns.ConnState,
 	}
-	e.forwardServer = &http.Server{Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 4 * maxHeaderBytes}
 	e.peerServer = gossip.NewServer(e.gossiper, e.content)
-	e.taskDone = append(e.taskDone, e.serve("callers", func() error { return e.callerServer.Serve(listeners[0]) }),
-		e.serve("forwarded", func() error { return e.forwardServer.Serve(listeners[1]) }),
+	e.taskDone = append(e.taskDone, e.serve("callers", func() error { return e.callerServer.Serve(e.callerListener) }),
+		e.serve("forwarded", func() error { return e.forwardServer.Serve(e.forwardConns.Listener(listeners[1])) }),
 		e.serve("peers", func() error { return e.peerServer.Serve(listeners[2]) }),
 		e.gossiper.Run(e.ctx),
 		e.announce(e.ctx),
--- a/chervilyard/edge/stop.go
+++ b/chervilyard/edge/stop.go
@@ -32,11 +32,14 @@
 	for e.now().Before(handoverEnd) {
 		time.Sleep(drainPollInterval)
 	}
-	// http.Server.Shutdown is not used: it would drop requests that it reads from now on
-	// without an answer.
 	_ = e.callerListener.Close() // the error does not matter, the process ends
-	e.callerServer.SetKeepAlivesEnabled(false)
-	for (e.gateway.InFlight() > 0 || e.callerConns.anyInUse(e.now())) && e.now().Before(cutoff) {
+	// Neither Shutdown nor SetKeepAlivesEnabled of http.Server is used: they close
+	// connections on which a request is being read.
+	for e.callerConns.CloseIdle(e.now()) > 0 && e.now().Before(cutoff) {
+		time.Sleep(drainPollInterval)
+	}
+	// Other instances do not forward requests to this one any more.
+	for e.forwardConns.CloseIdle(e.now()) > 0 && e.now().Before(cutoff) {
 		time.Sleep(drainPollInterval)
 	}
 	e.logDecision("instance", "stopped", "requests cut: "+itoa(int64(e.gateway.InFlight())))
--- /dev/null
+++ b/chervilyard/handover/handover.go
@@ -0,0 +1,110 @@
+// Package handover lets a stopping HTTP server close its connections without losing a
+// request that it has begun to read.
+package handover
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// newConnGrace is how long a new connection is kept open for its first request.
+const newConnGrace = 500 * time.Millisecond
+
+// Tracker tracks the connections of an HTTP server and closes those that carry no
+// request. http.Server counts a connection as idle until it has parsed a whole request
+// header, and would close it while the request is being read.
+//
+// The zero value is ready to use. A Tracker is safe for concurrent use.
+type Tracker struct {
+	// Now returns the present time. If it is nil, time.Now is used.
+	Now func() time.Time
+
+	mu    sync.Mutex
+	conns map[*conn]struct{} // open connections
+}
+
+// Listener returns a listener that accepts connections of l and tracks them. The server
+// that serves it must call ConnState.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
+
+// ConnState records a state change of a connection. It has the signature of
+// http.Server.ConnState, and ignores connections that are not tracked.
+func (t *Tracker) ConnState(c net.Conn, s http.ConnState) {
+	if tracked, ok := c.(*conn); ok && s == http.StateIdle {
+		tracked.endResponse()
+	}
+}
+
+// CloseIdle closes the connections of which no byte of a next request has arrived,
+// except those opened less than newConnGrace before now that wait for their first
+// request. It returns the number of connections that remain open.
+func (t *Tracker) CloseIdle(now time.Time) int {
+	open := 0
+	for _, c := range t.list() {
+		if !c.closeIfIdle(now) {
+			open++
+		}
+	}
+	return open
+}
+
+// InUse returns the number of connections on which a request has begun to arrive and
+// whose response has not ended.
+func (t *Tracker) InUse() int {
+	n := 0
+	for _, c := range t.list() {
+		if c.inUse() {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Tracker) now() time.Time {
+	if t.Now == nil {
+		return time.Now()
+	}
+	return t.Now()
+}
+
+func (t *Tracker) list() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+func (t *Tracker) add(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns == nil {
+		t.conns = make(map[*conn]struct{})
+	}
+	t.conns[c] = struct{}{}
+}
+
+func (t *Tracker) remove(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(raw, l.tracker)
+	l.tracker.add(c)
+	return c, nil
+}
