Send nothing for a request whose caller has left

Targets saw requests that nobody waited for: when a connection ended before its request was sent, the request was sent all the same if a connection to the target was idle. Cause: neither dispatch nor the pool looked at the context; it closed the connection beside the write, and the write won. With a connection that a stop had closed, this made the difference between a request that was not read and one that ran in vain. Evidence: TestCanceledRequestIsNotSent failed before each time: the error said that the request had been sent ("read ... use of closed network connection"). Change: dispatch looks before each attempt, the pool before the first byte.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -40,6 +40,9 @@
 		if left := x.deadline.Sub(now); left <= 0 {
 			return g.deadlineExceeded(ctx, x)
 		}
+		if ctx.Err() != nil {
+			return g.cutOffOrGone(now, context.Cause(ctx))
+		}
 		dest, err := g.chooseDestination(now, x)
 		if err != nil {
 			return err
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -86,6 +86,10 @@
 	if err != nil {
 		return nil, &Error{Op: "dial", Address: address, Err: err}
 	}
+	if ctx.Err() != nil {
+		_ = c.raw.Close() // nothing was sent on it
+		return nil, &Error{Op: "dial", Address: address, Err: context.Cause(ctx)}
+	}
 	if r.OnConnected != nil {
 		r.OnConnected()
 	}
