--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -17,6 +17,7 @@
 //	ok TEXT          200 with the body TEXT
 //	status N [run]   an error status; without "run" it states that nothing ran
 //	events A,B,C     a complete event stream
+//	paused A,B       the first event, and 50 ms later the others
 //	torn A,B         the events and half of another, then a connection reset
 //	reset            a connection reset after the request was read
 //	silent           no response after the request was read
@@ -30,6 +31,8 @@
 	t        *testing.T
 	listener net.Listener
 	name     string
+	// beforeEvents is called before a paused stream begins. It may be nil.
+	beforeEvents func()
 
 	mu        sync.Mutex
 	responses []string
@@ -125,6 +128,14 @@
 		return write(c, "HTTP/1.1 "+code+" Refused\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case "events":
 		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
+	case "paused":
+		first, others, _ := strings.Cut(rest, ",")
+		if f.beforeEvents != nil {
+			f.beforeEvents()
+		}
+		write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(first)))
+		time.Sleep(50 * time.Millisecond)
+		return write(c, chunked(events(others))+"0\r\n\r\n")
 	case "torn":
 		write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest)+"id: half\nda"))
 		time.Sleep(30 * time.Millisecond)
