Let either the first byte or the end of its time decide an attempt, not both

Cause: the limit of the first byte was a timer that cancelled the attempt; the first byte stopped it, without looking whether it had fired. A process that stalls finds both at once: the byte that has arrived, and the timer that is due. The events went to the caller, the next read failed since the attempt was cancelled, and where no other target could be asked to go on, the caller's connection was cut in the middle of its answer. The class: a time limit and the event that it waits for, both acted upon. TestStalledFirstByte failed before each time. Change: package firstbyte decides once, under a lock. If the time has ended, what was read is not passed on, and the attempt counts as timed out; a whole body is used all the same. Once the byte has been taken, the timer cancels nothing.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"chervilyard.example/chervilyard/firstbyte"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
@@ -69,12 +70,11 @@
 	if len(x.tried) == 0 {
 		g.RetryBudget.RecordRequest(now, g.RetryLimits(), x.service)
 	}
-	var firstByteTimer *time.Timer
+	a := &attempt{x: x, dest: dest}
 	if d := g.firstByteTimeout(x, dest); d > 0 {
-		firstByteTimer = time.AfterFunc(d, func() { cancel(errFirstByteTimeout) })
-		defer firstByteTimer.Stop()
+		a.firstByte.Start(d, func() { cancel(errFirstByteTimeout) })
+		defer a.firstByte.Stop()
 	}
-	a := &attempt{x: x, dest: dest, firstByteTimer: firstByteTimer}
 	x.tried = append(x.tried, dest.name())
 	if dest.remote != nil {
 		// Another instance of that region would use the same targets.
@@ -97,9 +97,9 @@
 
 // attempt is one attempt to serve a request at one destination.
 type attempt struct {
-	x              *exchange
-	dest           destination
-	firstByteTimer *time.Timer // nil if the first byte has no time limit
+	x         *exchange
+	dest      destination
+	firstByte firstbyte.Timer
 }
 
 // allowRetry reports whether the request may be sent again, and draws on the
@@ -200,9 +200,11 @@
 	}
 }
 
-func (a *attempt) markFirstByte(now time.Time) {
-	if a.firstByteTimer != nil {
-		a.firstByteTimer.Stop()
+// markFirstByte records that a byte of the response body has been read. It reports false
+// if the time limit of the first byte has ended: the attempt is canceled.
+func (a *attempt) markFirstByte(now time.Time) bool {
+	if !a.firstByte.Arrive() {
+		return false
 	}
 	if a.x.firstByteAt.IsZero() {
 		a.x.firstByteAt = now
@@ -210,6 +212,7 @@
 	if a.dest.ticket != nil {
 		a.dest.ticket.RecordFirstByte(now)
 	}
+	return true
 }
 
 func (g *Gateway) countRetry(x *exchange, reason string) {
--- a/chervilyard/gateway/first_byte_test.go
+++ b/chervilyard/gateway/first_byte_test.go
@@ -18,7 +18,7 @@
 		}
 		n := newTestInstance(t, "near", fakes)
 		var stalls atomic.Int32
-		stall := func() { stalls.Store(1) }
+		stall := func() { stalls.CompareAndSwap(0, 1) }
 		for _, fake := range fakes {
 			fake.beforeEvents = stall
 		}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -109,7 +109,9 @@
 		return g.handleFailure(ctx, a, &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: err})
 	}
 	now := g.Now()
-	a.markFirstByte(now)
+	if !a.markFirstByte(now) && len(body) == maxBufferedBody { // a whole body is used all the same
+		return g.handleFailure(ctx, a, a.firstByteTimeoutError())
+	}
 	failure := resp.Status >= http.StatusInternalServerError
 	if len(body) == maxBufferedBody {
 		return false, g.relayUnbuffered(ctx, a, resp, body)
@@ -172,7 +174,9 @@
 		n, err := resp.Read(buf)
 		if n > 0 {
 			a.recordRead(g.Now())
-			a.markFirstByte(x.lastReadAt)
+			if !a.markFirstByte(x.lastReadAt) {
+				return g.handleFailure(ctx, a, a.firstByteTimeoutError())
+			}
 			out := buf[:n]
 			if x.route.Resumable() {
 				out = events.Add(out)
@@ -197,6 +201,10 @@
 	return false, nil
 }
 
+func (a *attempt) firstByteTimeoutError() error {
+	return &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: errFirstByteTimeout}
+}
+
 // recordRead records the time of a read from a stream and the gap before it.
 func (a *attempt) recordRead(now time.Time) {
 	x := a.x
