Refuse calls that a stop of the project's own surface would cut off

Callers of the OpenAI paths saw streams end in the middle when an instance stopped with a drain timeout shorter than their route's deadline. Change: while it stops, a call whose deadline ends after the drain timeout is refused as not run, forwarded calls too.

--- a/chervilstand/dev/dev_test.go
+++ b/chervilstand/dev/dev_test.go
@@ -356,6 +356,31 @@
 	}
 }
 
+// Guards against calls that a stopping instance accepts and then cuts off, because they
+// last longer than the rest of its drain timeout.
+func TestStopRefusesWhatItCannotFinish(t *testing.T) {
+	d := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.Instances[0].Stop(ctx)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	c := call{path: "/v1/chat/completions", key: "dev-key", body: `{"model":"assistant","stream":true,"max_tokens":8000,"messages":[{"role":"user","content":"x"}]}`}
+	res, err := http.DefaultClient.Do(c.request(t.Context(), d))
+	if err != nil {
+		t.Fatalf("connection cut: %v", err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || !bytes.Contains(body, []byte(`"run":"no"`)) {
+		t.Errorf("status %d, error %v, %d bytes", res.StatusCode, err, len(body))
+	}
+	<-stopped
+}
+
 // TestStoreDown checks that instances serve during an outage of the store, and
 // that an instance started during the outage serves with the configuration that
 // it gets from its peers.
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -85,6 +85,8 @@
 
 	openCalls atomic.Int64
 	leaving   atomic.Bool // set from the start of a graceful stop
+	// cutoff is when a graceful stop cuts open calls; nil until it starts.
+	cutoff atomic.Pointer[time.Time]
 	// fetching is set while a newer document is being fetched from a peer.
 	fetching      atomic.Bool
 	refusingCalls atomic.Bool            // set after the handover of a graceful stop
@@ -287,6 +289,9 @@
 	ctx, cancel := context.WithTimeout(ctx, i.settings.Limits().ShutdownTimeout)
 	defer cancel()
 	i.log.Info("leaving", "open", i.openCalls.Load())
+	if cutoff, ok := ctx.Deadline(); ok {
+		i.cutoff.Store(&cutoff)
+	}
 	i.leaving.Store(true)
 	i.heartbeats.AnnounceLeaving(ctx)
 	i.serveHandover(ctx)
--- a/chervilyard/instance/stages.go
+++ b/chervilyard/instance/stages.go
@@ -59,7 +59,7 @@
 	}
 	defer i.releaseSlot()
 	if i.refusesCalls() {
-		return refusal.NotRun(http.StatusServiceUnavailable, "leaving", "the instance is stopping; ask /locate for another").WithRetryAfter(100 * time.Millisecond)
+		return leavingRefusal()
 	}
 	if err := i.authenticate.Run(c); err != nil {
 		return err
@@ -75,6 +75,9 @@
 	if err := i.resolve.Run(c); err != nil {
 		return err
 	}
+	if err := i.checkCutoff(c); err != nil {
+		return err
+	}
 	if err := i.admit.Run(ctx, c); err != nil {
 		return err
 	}
@@ -87,6 +90,19 @@
 	return i.dispatch.Run(ctx, c)
 }
 
+func leavingRefusal() error {
+	return refusal.NotRun(http.StatusServiceUnavailable, "leaving", "the instance is stopping; ask /locate for another").WithRetryAfter(100 * time.Millisecond)
+}
+
+// checkCutoff refuses a call that may last longer than a stopping instance runs. It
+// could end without an answer after a target has run it.
+func (i *Instance) checkCutoff(c *call.Call) error {
+	if cutoff := i.cutoff.Load(); cutoff != nil && c.Deadline.After(*cutoff) {
+		return leavingRefusal()
+	}
+	return nil
+}
+
 // checkKeyValid refuses a call whose key was withdrawn after the lookup of the
 // key and before the registration of the call. RevokeInvalid misses such a call.
 func (i *Instance) checkKeyValid(c *call.Call) error {
@@ -130,6 +146,9 @@
 		return err
 	}
 	c.Deadline = deadline
+	if err := i.checkCutoff(c); err != nil {
+		return err
+	}
 	err := i.dispatch.Run(ctx, c)
 	i.logForwarded(c, err)
 	return err
