Close connections of the project's own surface only when no call is being read on them

Callers saw EOF on a kept connection when an instance of the OpenAI paths stopped. Cause: http.Server.Shutdown drops requests that it reads from then on, and closes connections that it holds for idle, as on the platform (docs/PLATFORM.md listed it as left open). Change: the instance uses handover.Tracker, like the platform's, and closes its listener and then each connection that carries no call.

--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -23,6 +23,7 @@
 	"chervilyard.example/chervilyard/config"
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/dispatch"
+	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/chervilyard/heartbeat"
 	"chervilyard.example/chervilyard/idempotency"
 	"chervilyard.example/chervilyard/locate"
@@ -80,6 +81,7 @@
 	peerListener     net.Listener
 	operatorListener net.Listener
 	callerServer     *http.Server
+	callerConns      handover.Tracker
 	operatorServer   *http.Server
 	peerServer       *grpc.Server
 
@@ -243,13 +245,16 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ConnContext:       i.sessions.ConnContext,
-		ConnState:         i.sessions.ConnState,
-		ErrorLog:          i.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			i.sessions.ConnState(c, state)
+			i.callerConns.ConnState(c, state)
+		},
+		ErrorLog: i.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	i.operatorServer = &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: limits.ReadTimeout}
 	i.peerServer = i.newPeerServer(creds)
 	i.doneChans = append(i.doneChans,
-		runServer(func() error { return i.callerServer.Serve(i.callerListener) }, i.log, "callers"),
+		runServer(func() error { return i.callerServer.Serve(i.callerConns.Listener(i.callerListener)) }, i.log, "callers"),
 		runServer(func() error { return i.operatorServer.Serve(i.operatorListener) }, i.log, "operators"),
 		runServer(func() error { return i.peerServer.Serve(i.peerListener) }, i.log, "peers"),
 		i.decisions.Run(ctx),
@@ -348,15 +353,29 @@
 	}
 }
 
+// closeIdleConns closes the listener for callers, and then their connections as they
+// become idle, until none is open, idleConnTimeout has passed or ctx ends. Shutdown of
+// http.Server would drop calls that it reads from then on.
+func (i *Instance) closeIdleConns(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, idleConnTimeout)
+	defer cancel()
+	_ = i.callerListener.Close() // it may be closed already
+	for i.callerConns.CloseIdle(i.now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPollInterval):
+		}
+	}
+}
+
 // close stops the servers and background tasks and waits for them to end, for
 // at most closeTimeout.
 func (i *Instance) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	idleCtx, cancelIdle := context.WithTimeout(ctx, idleConnTimeout)
-	defer cancelIdle()
-	_ = i.callerServer.Shutdown(idleCtx) // calls still open after drain are cut by Close
-	_ = i.callerServer.Close()           // it may be closed already
+	i.closeIdleConns(ctx)
+	_ = i.callerServer.Close() // calls still open after drain are cut
 	i.peerServer.Stop()
 	i.cancel()
 	_ = i.operatorServer.Close() // operators' requests need no graceful end
