Give up a late attempt only if the request can go elsewhere

Callers got 502 targets_none or overloaded for requests whose target was at work: the attempt had been cancelled for its late first byte before anyone asked whether another target could take the request, or the retry budget allowed it. Change: when the time of the first byte ends, another destination has to be there and the retry budget is drawn on; else the target goes on and the timer waits once more.

--- a/chervilyard/firstbyte/firstbyte.go
+++ b/chervilyard/firstbyte/firstbyte.go
@@ -19,16 +19,20 @@
 }
 
 // Start makes the timer expire after d, unless the first byte arrives before. It then
-// calls expire, which must not call methods of the Timer.
-func (t *Timer) Start(d time.Duration, expire func()) {
+// calls expire, which must not call methods of the Timer. If expire returns false, the
+// timer does not expire yet and waits for d again.
+func (t *Timer) Start(d time.Duration, expire func() bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(d, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if !t.arrived {
+		switch {
+		case t.arrived:
+		case expire():
 			t.expired = true
-			expire()
+		default:
+			t.timer.Reset(d)
 		}
 	})
 }
--- a/chervilyard/firstbyte/firstbyte_test.go
+++ b/chervilyard/firstbyte/firstbyte_test.go
@@ -15,7 +15,10 @@
 		var timer firstbyte.Timer
 		var expired atomic.Bool
 		const d = time.Millisecond
-		timer.Start(d, func() { expired.Store(true) })
+		timer.Start(d, func() bool {
+			expired.Store(true)
+			return true
+		})
 		time.Sleep(d)
 		arrived := timer.Arrive()
 		time.Sleep(d)
@@ -25,6 +28,21 @@
 	}
 }
 
+// A timer that must not expire yet waits for the same time again.
+func TestExpireLater(t *testing.T) {
+	var timer firstbyte.Timer
+	var calls atomic.Int32
+	timer.Start(time.Millisecond, func() bool { return calls.Add(1) == 3 })
+	for deadline := time.Now().Add(3 * time.Second); calls.Load() < 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d calls", calls.Load())
+		}
+	}
+	if timer.Arrive() {
+		t.Error("the timer has not expired")
+	}
+}
+
 func TestZeroTimer(t *testing.T) {
 	var timer firstbyte.Timer
 	for range 2 {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -20,9 +20,9 @@
 	// maxDestinations is how many destinations are chosen for one request at most.
 	// It also counts those that the request could not be sent to.
 	maxDestinations = 4
-	// An idempotent request is retried elsewhere if the first byte takes longer
-	// than firstByteObjectiveFraction of the route's latency objective and longer
-	// than firstByteWaitFactor times the expected wait.
+	// An idempotent request is retried elsewhere, where it can be, if the first byte
+	// takes longer than firstByteObjectiveFraction of the route's latency objective
+	// and longer than firstByteWaitFactor times the expected wait.
 	firstByteObjectiveFraction = 0.75
 	firstByteWaitFactor        = 4
 )
@@ -71,10 +71,7 @@
 		g.RetryBudget.RecordRequest(now, g.RetryLimits(), x.service)
 	}
 	a := &attempt{x: x, dest: dest}
-	if d := g.firstByteTimeout(x, dest); d > 0 {
-		a.firstByte.Start(d, func() { cancel(errFirstByteTimeout) })
-		defer a.firstByte.Stop()
-	}
+	firstByteTimeout := g.firstByteTimeout(x, dest)
 	x.tried = append(x.tried, dest.name())
 	if dest.remote != nil {
 		// Another instance of that region would use the same targets.
@@ -83,6 +80,12 @@
 	x.lastDestination, x.expectedFirstByte = dest.name(), dest.expectedWait()
 	x.possibleRuns++
 	x.deliveries++
+	if firstByteTimeout > 0 {
+		state := *x // the timer runs beside this goroutine
+		state.tried = slices.Clone(x.tried)
+		a.firstByte.Start(firstByteTimeout, func() bool { return g.giveUp(&state, cancel) })
+		defer a.firstByte.Stop()
+	}
 	resp, err := g.send(ctx, a)
 	if err != nil {
 		return g.handleFailure(ctx, a, err)
@@ -90,6 +93,18 @@
 	return g.handleResponse(ctx, a, resp)
 }
 
+// giveUp cancels an attempt without a timely first byte if the request can be sent to
+// another destination, for which it draws on the retry budget. It reports whether the
+// attempt was canceled.
+func (g *Gateway) giveUp(x *exchange, cancel context.CancelCauseFunc) bool {
+	now := g.Now()
+	if _, err := g.chooseDestination(now, x); err != nil || !g.allowRetry(now, x) {
+		return false
+	}
+	cancel(errFirstByteTimeout)
+	return true
+}
+
 // untry allows attempts at other instances of a region again.
 func (x *exchange) untry(region string) {
 	x.tried = slices.DeleteFunc(x.tried, func(name string) bool { return name == region })
@@ -175,13 +190,22 @@
 		x.deliveries--
 		return true, nil
 	}
+	if errors.Is(cause, errFirstByteTimeout) && x.mayRunAgain() { // giveUp has drawn on the retry budget
+		g.countRetry(x, "no answer")
+		return true, nil
+	}
 	return g.retryOrFail(now, x, err)
 }
 
+// mayRunAgain reports whether the route allows that another target runs the request.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.Idempotent() && x.possibleRuns < x.maxAttempts
+}
+
 // retryOrFail returns true if a request that a target may have run may be sent to
 // another one, and the error for the caller otherwise.
 func (g *Gateway) retryOrFail(now time.Time, x *exchange, err error) (bool, error) {
-	if !x.route.Idempotent() || x.possibleRuns >= x.maxAttempts || !g.allowRetry(now, x) {
+	if !x.mayRunAgain() || !g.allowRetry(now, x) {
 		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").WithCause(err)
 	}
 	g.countRetry(x, "no answer")
--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -31,8 +31,8 @@
 	t        *testing.T
 	listener net.Listener
 	name     string
-	// beforeEvents is called before a paused stream begins. It may be nil.
-	beforeEvents func()
+	// beforeResponse is called before each response. It may be nil.
+	beforeResponse func()
 
 	mu        sync.Mutex
 	responses []string
@@ -116,6 +116,9 @@
 	head := func(status, more string) string {
 		return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\nStamp: " + f.name + "\r\n" + more + "\r\n"
 	}
+	if f.beforeResponse != nil {
+		f.beforeResponse()
+	}
 	kind, rest, _ := strings.Cut(response, " ")
 	switch kind {
 	case "ok":
@@ -130,9 +133,6 @@
 		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
 	case "paused":
 		first, others, _ := strings.Cut(rest, ",")
-		if f.beforeEvents != nil {
-			f.beforeEvents()
-		}
 		write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(first)))
 		time.Sleep(50 * time.Millisecond)
 		return write(c, chunked(events(others))+"0\r\n\r\n")
--- a/chervilyard/gateway/first_byte_test.go
+++ b/chervilyard/gateway/first_byte_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,7 +21,7 @@
 		var stalls atomic.Int32
 		stall := func() { stalls.CompareAndSwap(0, 1) }
 		for _, fake := range fakes {
-			fake.beforeEvents = stall
+			fake.beforeResponse = stall
 		}
 		n.gateway.Now = func() time.Time {
 			if stalls.CompareAndSwap(1, 2) { // the first read of the stream has returned
@@ -34,3 +35,18 @@
 		}
 	}
 }
+
+// Guards against giving up an attempt for a late first byte where no other target can
+// serve the request.
+func TestOnlyTargetIsAwaited(t *testing.T) {
+	const late = 450 * time.Millisecond // more than the first byte may take
+	only := newFakeTarget(t, "e", "ok done")
+	only.beforeResponse = func() { time.Sleep(late) }
+	n := newTestInstance(t, "near", []*fakeTarget{only})
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK || body != "done" {
+		t.Errorf("response %d %q", status, body)
+	}
+	if len(only.requests()) != 1 {
+		t.Errorf("the target received the request %d times", len(only.requests()))
+	}
+}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -121,7 +121,7 @@
 		outcome = placement.Failed
 	}
 	g.endAttempt(a, now, outcome)
-	if failure && resp.Status != http.StatusGatewayTimeout && x.route.Idempotent() && x.possibleRuns < x.maxAttempts && g.canRetry(x) {
+	if failure && resp.Status != http.StatusGatewayTimeout && x.mayRunAgain() && g.canRetry(x) {
 		g.countRetry(x, "the target failed")
 		x.detail = "status " + strconv.Itoa(resp.Status)
 		return true, nil
