--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -19,6 +19,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/gateway"
 	"chervilyard.example/chervilyard/gossip"
+	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/chervilyard/meter"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/catalog"
@@ -73,13 +74,13 @@
 	collector   tokenCollector
 	probes      probes
 
-	leaving                     atomic.Bool
+	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
 	ctx                         context.Context
 	cancel                      context.CancelFunc
 	taskDone                    []<-chan struct{} // each is closed when a server or background task has ended
 	callerServer, forwardServer *http.Server      // for callers and for instances of other regions
 	callerListener              net.Listener      // closed first on shutdown
-	callerConns                 connTracker
+	callerConns, forwardConns   handover.Tracker
 	peerServer                  *grpc.Server
 }
 
@@ -149,7 +150,13 @@
 	g.CollectTokens = e.collectTokens
 	g.OnSuspectedRestart = e.probeSuspect
 	g.Random = rand.Float64
-	g.ShuttingDown = e.leaving.Load
+	g.Cutoff = func() (time.Time, bool) {
+		cutoff := e.cutoff.Load()
+		if cutoff == nil {
+			return time.Time{}, false
+		}
+		return *cutoff, true
+	}
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.InFlight()) })
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
 	e.meter.Gauge("chervil_members", func() float64 { return float64(len(e.memberTable.Live(e.now(), liveTimeout))) })
@@ -171,15 +178,19 @@
 // startServers starts the servers and the background tasks. The listeners are those for
 // callers, forwarded requests and peers, in this order.
 func (e *Edge) startServers(listeners []net.Listener) {
-	e.callerListener = listeners[0]
+	e.callerConns.Now, e.forwardConns.Now = e.now, e.now
+	e.callerListener = e.callerConns.Listener(listeners[0])
 	e.callerServer = &http.Server{
 		Handler: &e.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: func(c net.Conn, s http.ConnState) { e.callerConns.track(e.now(), c, s) },
+		ConnState: e.callerConns.ConnState,
+	}
+	e.forwardServer = &http.Server{
+		Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 4 * maxHeaderBytes,
+		ConnState: e.forwardConns.ConnState,
 	}
-	e.forwardServer = &http.Server{Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 4 * maxHeaderBytes}
 	e.peerServer = gossip.NewServer(e.gossiper, e.content)
-	e.taskDone = append(e.taskDone, e.serve("callers", func() error { return e.callerServer.Serve(listeners[0]) }),
-		e.serve("forwarded", func() error { return e.forwardServer.Serve(listeners[1]) }),
+	e.taskDone = append(e.taskDone, e.serve("callers", func() error { return e.callerServer.Serve(e.callerListener) }),
+		e.serve("forwarded", func() error { return e.forwardServer.Serve(e.forwardConns.Listener(listeners[1])) }),
 		e.serve("peers", func() error { return e.peerServer.Serve(listeners[2]) }),
 		e.gossiper.Run(e.ctx),
 		e.announce(e.ctx),
@@ -195,7 +206,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := run(); err != nil && !e.leaving.Load() {
+		if err := run(); err != nil && !e.leaving() {
 			e.logDecision("server", "ended", name+": "+err.Error())
 		}
 	}()
@@ -237,10 +248,13 @@
 	})
 }
 
+// leaving reports whether Stop has been called.
+func (e *Edge) leaving() bool { return e.cutoff.Load() != nil }
+
 // Ready reports whether the instance should get requests: it is not stopping, and the
 // configuration and the targets are known.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.contentLoaded()
+	return !e.leaving() && e.contentLoaded()
 }
 
 // contentLoaded reports whether the configuration and the targets are known.
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
+	"chervilyard.example/chervilyard/firstbyte"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
@@ -18,9 +20,9 @@
 	// maxDestinations is how many destinations are chosen for one request at most.
 	// It also counts those that the request could not be sent to.
 	maxDestinations = 4
-	// An idempotent request is retried elsewhere if the first byte takes longer
-	// than firstByteObjectiveFraction of the route's latency objective and longer
-	// than firstByteWaitFactor times the expected wait.
+	// An idempotent request is retried elsewhere, where it can be, if the first byte
+	// takes longer than firstByteObjectiveFraction of the route's latency objective
+	// and longer than firstByteWaitFactor times the expected wait.
 	firstByteObjectiveFraction = 0.75
 	firstByteWaitFactor        = 4
 )
@@ -39,6 +41,9 @@
 		if left := x.deadline.Sub(now); left <= 0 {
 			return g.deadlineExceeded(ctx, x)
 		}
+		if ctx.Err() != nil {
+			return g.cutOffOrGone(now, context.Cause(ctx))
+		}
 		dest, err := g.chooseDestination(now, x)
 		if err != nil {
 			return err
@@ -65,12 +70,8 @@
 	if len(x.tried) == 0 {
 		g.RetryBudget.RecordRequest(now, g.RetryLimits(), x.service)
 	}
-	var firstByteTimer *time.Timer
-	if d := g.firstByteTimeout(x, dest); d > 0 {
-		firstByteTimer = time.AfterFunc(d, func() { cancel(errFirstByteTimeout) })
-		defer firstByteTimer.Stop()
-	}
-	a := &attempt{x: x, dest: dest, firstByteTimer: firstByteTimer}
+	a := &attempt{x: x, dest: dest}
+	firstByteTimeout := g.firstByteTimeout(x, dest)
 	x.tried = append(x.tried, dest.name())
 	if dest.remote != nil {
 		// Another instance of that region would use the same targets.
@@ -79,6 +80,12 @@
 	x.lastDestination, x.expectedFirstByte = dest.name(), dest.expectedWait()
 	x.possibleRuns++
 	x.deliveries++
+	if firstByteTimeout > 0 {
+		state := *x // the timer runs beside this goroutine
+		state.tried = slices.Clone(x.tried)
+		a.firstByte.Start(firstByteTimeout, func() bool { return g.giveUp(&state, cancel) })
+		defer a.firstByte.Stop()
+	}
 	resp, err := g.send(ctx, a)
 	if err != nil {
 		return g.handleFailure(ctx, a, err)
@@ -86,11 +93,28 @@
 	return g.handleResponse(ctx, a, resp)
 }
 
+// giveUp cancels an attempt without a timely first byte if the request can be sent to
+// another destination, for which it draws on the retry budget. It reports whether the
+// attempt was canceled.
+func (g *Gateway) giveUp(x *exchange, cancel context.CancelCauseFunc) bool {
+	now := g.Now()
+	if _, err := g.chooseDestination(now, x); err != nil || !g.allowRetry(now, x) {
+		return false
+	}
+	cancel(errFirstByteTimeout)
+	return true
+}
+
+// untry allows attempts at other instances of a region again.
+func (x *exchange) untry(region string) {
+	x.tried = slices.DeleteFunc(x.tried, func(name string) bool { return name == region })
+}
+
 // attempt is one attempt to serve a request at one destination.
 type attempt struct {
-	x              *exchange
-	dest           destination
-	firstByteTimer *time.Timer // nil if the first byte has no time limit
+	x         *exchange
+	dest      destination
+	firstByte firstbyte.Timer
 }
 
 // allowRetry reports whether the request may be sent again, and draws on the
@@ -155,7 +179,7 @@
 		return false, g.deadlineExceeded(ctx, x)
 	case ctx.Err() != nil:
 		g.endAttempt(a, now, placement.Canceled)
-		return false, callerGone(cause)
+		return false, g.cutOffOrGone(now, cause)
 	case sent:
 		g.endAttempt(a, now, placement.ConnectionBroken)
 	default:
@@ -166,13 +190,22 @@
 		x.deliveries--
 		return true, nil
 	}
+	if errors.Is(cause, errFirstByteTimeout) && x.mayRunAgain() { // giveUp has drawn on the retry budget
+		g.countRetry(x, "no answer")
+		return true, nil
+	}
 	return g.retryOrFail(now, x, err)
 }
 
+// mayRunAgain reports whether the route allows that another target runs the request.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.Idempotent() && x.possibleRuns < x.maxAttempts
+}
+
 // retryOrFail returns true if a request that a target may have run may be sent to
 // another one, and the error for the caller otherwise.
 func (g *Gateway) retryOrFail(now time.Time, x *exchange, err error) (bool, error) {
-	if !x.route.Idempotent() || x.possibleRuns >= x.maxAttempts || !g.allowRetry(now, x) {
+	if !x.mayRunAgain() || !g.allowRetry(now, x) {
 		return false, refusal.Unknown(http.StatusBadGateway, "target_failed", "the target gave no answer").WithCause(err)
 	}
 	g.countRetry(x, "no answer")
@@ -191,9 +224,11 @@
 	}
 }
 
-func (a *attempt) markFirstByte(now time.Time) {
-	if a.firstByteTimer != nil {
-		a.firstByteTimer.Stop()
+// markFirstByte records that a byte of the response body has been read. It reports false
+// if the time limit of the first byte has ended: the attempt is canceled.
+func (a *attempt) markFirstByte(now time.Time) bool {
+	if !a.firstByte.Arrive() {
+		return false
 	}
 	if a.x.firstByteAt.IsZero() {
 		a.x.firstByteAt = now
@@ -201,6 +236,7 @@
 	if a.dest.ticket != nil {
 		a.dest.ticket.RecordFirstByte(now)
 	}
+	return true
 }
 
 func (g *Gateway) countRetry(x *exchange, reason string) {
@@ -229,9 +265,3 @@
 	}
 	return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "the target did not answer in time").WithCause(context.Cause(ctx))
 }
-
-// callerGone returns the refusal of a request whose caller disconnected. It is
-// logged but never sent.
-func callerGone(cause error) error {
-	return &refusal.Refusal{Status: 499, Code: codeCallerGone, Message: "the caller left", Run: refusal.RunUnknown, Cause: cause}
-}
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -122,10 +122,10 @@
 		ColdShare: func(time.Time) placement.ColdShare { return placement.ColdShare{Instances: 1} },
 		Remotes: func(_ time.Time, _ string, permits func(string) bool) []gateway.RemoteInstance {
 			var list []gateway.RemoteInstance
-			for _, n := range remotes {
+			for i, n := range remotes {
 				if permits(n.gateway.Region) {
 					list = append(list, gateway.RemoteInstance{Wait: time.Millisecond, Member: membership.Member{
-						Name: n.gateway.Region + "-1", Region: n.gateway.Region, Forward: n.internal.Listener.Addr().String(),
+						Name: fmt.Sprintf("%s-%d", n.gateway.Region, i+1), Region: n.gateway.Region, Forward: n.internal.Listener.Addr().String(),
 					}})
 				}
 			}
@@ -138,7 +138,7 @@
 		Picker: &placement.Picker{}, Limiter: limiter, RetryBudget: &retry.Budget{}, Pool: &pool.Pool{},
 		CollectTokens: func(context.Context, string, float64) bool { return false },
 		Decisions:     decisionlog.NewWithHistory(hclog.NewNullLogger(), 16),
-		Random:        func() float64 { return 0 }, ShuttingDown: func() bool { return false },
+		Random:        func() float64 { return 0 }, Cutoff: func() (time.Time, bool) { return time.Time{}, false },
 	}
 	n := &testInstance{gateway: g, public: httptest.NewServer(g), internal: httptest.NewServer(http.HandlerFunc(g.ServeForwarded))}
 	t.Cleanup(func() {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -37,6 +37,7 @@
 func (g *Gateway) handleResponse(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	defer resp.Close()
 	x := a.x
+	g.closeAfterResponse(x)
 	if a.dest.remote != nil {
 		x.addRemoteCounts(resp.Header)
 		if run := resp.Header.Get(headerRun); run != "" {
@@ -90,6 +91,9 @@
 func (g *Gateway) handleRemoteRefusal(a *attempt, resp *pool.Response, run string) (bool, error) {
 	if run == refusal.RunNo {
 		a.x.recordRemoteRetry(resp.Header)
+		if resp.Header.Get(headerLeaving) != "" {
+			a.x.untry(a.dest.remote.Member.Region)
+		}
 		return g.retryNotRun(a, "refused in region "+a.dest.remote.Member.Region)
 	}
 	return false, refusal.Unknown(resp.Status, "remote_failed", "the other region gave no answer")
@@ -105,7 +109,9 @@
 		return g.handleFailure(ctx, a, &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: err})
 	}
 	now := g.Now()
-	a.markFirstByte(now)
+	if !a.markFirstByte(now) && len(body) == maxBufferedBody { // a whole body is used all the same
+		return g.handleFailure(ctx, a, a.firstByteTimeoutError())
+	}
 	failure := resp.Status >= http.StatusInternalServerError
 	if len(body) == maxBufferedBody {
 		return false, g.relayUnbuffered(ctx, a, resp, body)
@@ -115,7 +121,7 @@
 		outcome = placement.Failed
 	}
 	g.endAttempt(a, now, outcome)
-	if failure && resp.Status != http.StatusGatewayTimeout && x.route.Idempotent() && x.possibleRuns < x.maxAttempts && g.canRetry(x) {
+	if failure && resp.Status != http.StatusGatewayTimeout && x.mayRunAgain() && g.canRetry(x) {
 		g.countRetry(x, "the target failed")
 		x.detail = "status " + strconv.Itoa(resp.Status)
 		return true, nil
@@ -168,7 +174,9 @@
 		n, err := resp.Read(buf)
 		if n > 0 {
 			a.recordRead(g.Now())
-			a.markFirstByte(x.lastReadAt)
+			if !a.markFirstByte(x.lastReadAt) {
+				return g.handleFailure(ctx, a, a.firstByteTimeoutError())
+			}
 			out := buf[:n]
 			if x.route.Resumable() {
 				out = events.Add(out)
@@ -193,6 +201,10 @@
 	return false, nil
 }
 
+func (a *attempt) firstByteTimeoutError() error {
+	return &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: errFirstByteTimeout}
+}
+
 // recordRead records the time of a read from a stream and the gap before it.
 func (a *attempt) recordRead(now time.Time) {
 	x := a.x
@@ -222,7 +234,7 @@
 	now := g.Now()
 	if ctx.Err() != nil && now.Before(a.x.deadline) {
 		g.endAttempt(a, now, placement.Canceled)
-		return callerGone(context.Cause(ctx))
+		return g.cutOffOrGone(now, context.Cause(ctx))
 	}
 	g.endAttempt(a, now, placement.ConnectionBroken)
 	return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the target's answer broke off").WithCause(err)
