Soak of stops: series of restarts, stalls, changes and an absent store

Callers keep their connections until the instance closes them; targets are often late with the first byte, and the clock stalls at random, as a process does that gets little of a processor. Each request that a target runs has to be answered whole, and none that is refused as not run may have run.

--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -30,13 +30,14 @@
 	seeds     []string
 	listeners listeners
 	drain     time.Duration // drain timeout of the instances
+	now       func() time.Time
 	// wrapListener wraps the listeners of the instances. It may be nil.
 	wrapListener func(net.Listener) net.Listener
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), logs: make(map[string]*decisionlog.Log), listeners: make(listeners), drain: 4 * time.Second}
+	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), logs: make(map[string]*decisionlog.Log), listeners: make(listeners), drain: 4 * time.Second, now: time.Now}
 }
 
 // listeners are open listeners by address. They are opened in advance, so that no other
@@ -86,7 +87,7 @@
 			Seeds: f.seeds, DrainTimeout: f.drain, DirectoryTTL: 100 * time.Millisecond, TargetReportInterval: time.Second,
 			RetryLimits: retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 0.2, ExtraRetries: 20}, ColdRateFactor: 1.5, ColdExtraRequests: 3,
 		},
-		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: time.Now, Listen: f.listen,
+		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: f.now, Listen: f.listen,
 	})
 	if err != nil {
 		cancel()
--- /dev/null
+++ b/chervilyard/edge/soak_test.go
@@ -0,0 +1,235 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chervilyard.example/chervilyard/edge"
+)
+
+var soakSeeds = flag.Int("soak.seeds", 2, "number of seeds of TestSoak")
+
+// Instances are stopped and started in overlapping series, the configuration changes and
+// the store is down at times, while the process stalls at random. Callers keep their
+// connections until the instance closes them. Guards against requests that a target
+// runs and whose caller gets no whole answer, and against "not run" where one ran.
+func TestSoak(t *testing.T) {
+	for seed := range *soakSeeds {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, rand.New(rand.NewPCG(uint64(seed), 1)))
+		})
+	}
+}
+
+const (
+	soakTime    = 12 * time.Second
+	soakCallers = 24
+	soakEvents  = 6 // of a stream
+)
+
+// soak is the state of one soak. Callers and targets run in their own goroutines.
+type soak struct {
+	t *testing.T
+	f *fleet
+
+	starting sync.Mutex // held while an instance is started
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	instances []*edge.Edge   // running or stopping
+	runs      map[string]int // by request, how often a target ran it
+	cut       map[string]error
+	outcomes  map[string]int
+}
+
+func runSoak(t *testing.T, random *rand.Rand) {
+	s := &soak{t: t, f: newFleet(t), random: random, runs: make(map[string]int), cut: make(map[string]error), outcomes: make(map[string]int)}
+	s.f.now = s.stallingClock
+	s.f.store.put("configuration/document", document{Version: 1, Rate: 1e6, Keys: []string{"k"}})
+	for _, target := range []string{"east-1", "east-2", "west-1"} {
+		s.f.addTarget(target, target[:4]+"-a", s.target)
+	}
+	for n := range 2 {
+		s.instances = append(s.instances, s.f.start("east", n), s.f.start("west", n))
+	}
+	s.f.waitReady()
+	ctx, cancel := context.WithTimeout(context.Background(), soakTime)
+	defer cancel()
+	var running sync.WaitGroup
+	for n := range soakCallers {
+		running.Go(func() { s.caller(ctx, n) })
+	}
+	running.Go(func() { s.trouble(ctx) })
+	for n := range 4 {
+		running.Go(func() { s.restarts(ctx, n) })
+	}
+	running.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, err := range s.cut {
+		if s.runs[id] > 0 {
+			t.Errorf("request %s ran %d times and got no whole answer: %v", id, s.runs[id], err)
+		}
+	}
+	t.Logf("outcomes: %v, connections closed without an answer: %d", s.outcomes, len(s.cut))
+}
+
+func (s *soak) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+// stallingClock returns the present time, at times after a stall such as those of a
+// process that gets little of a processor.
+func (s *soak) stallingClock() time.Time {
+	if s.intN(300) == 0 {
+		time.Sleep(time.Duration(s.intN(150)) * time.Millisecond)
+	}
+	return time.Now()
+}
+
+// target serves a short answer, or a stream that goes on after the last event that the
+// caller has. The first byte is often late.
+func (s *soak) target(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.runs[r.Header.Get("Id")]++
+	s.mu.Unlock()
+	time.Sleep(time.Duration(s.intN(400)) * time.Millisecond)
+	if !strings.HasPrefix(r.URL.Path, "/s/") {
+		_, _ = io.WriteString(w, "x")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
+	for n := last + 1; n <= soakEvents && r.Context().Err() == nil; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Duration(s.intN(40)) * time.Millisecond)
+	}
+}
+
+// caller sends requests over connections that it keeps as long as it can.
+func (s *soak) caller(ctx context.Context, number int) {
+	var c *keptConn
+	for n := 0; ctx.Err() == nil; n++ {
+		if c == nil {
+			if c = s.connect(); c == nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+		}
+		if !s.request(c, fmt.Sprintf("%d-%d", number, n), s.intN(2) == 0) {
+			_ = c.Close() // the instance has closed it or is about to
+			c = nil
+		}
+		time.Sleep(time.Duration(s.intN(60)) * time.Millisecond)
+	}
+	if c != nil {
+		_ = c.Close() // the soak has ended
+	}
+}
+
+// connect opens a connection to any instance, also to one that is stopping.
+func (s *soak) connect() *keptConn {
+	s.mu.Lock()
+	e := s.instances[s.random.IntN(len(s.instances))]
+	s.mu.Unlock()
+	conn, err := net.Dial("tcp", e.Settings().CallerAddr)
+	if err != nil {
+		return nil
+	}
+	return &keptConn{Conn: conn, r: bufio.NewReader(conn)}
+}
+
+// request sends a request, checks its answer and reports whether the connection may be
+// used again.
+func (s *soak) request(c *keptConn, id string, stream bool) bool {
+	path := "/x"
+	if stream {
+		path = "/s/x"
+	}
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second)) // no request may last so long
+	_, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h.example\r\nId: "+id+"\r\nKey: k\r\nTokens: 1\r\nContent-Length: 2\r\n\r\nab")
+	var resp *http.Response
+	var body []byte
+	if err == nil {
+		resp, err = http.ReadResponse(c.r, nil)
+	}
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // it has been read
+	}
+	if err == nil && resp.StatusCode == http.StatusOK && stream {
+		err = checkEvents(string(body))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.cut[id] = err
+		return false
+	}
+	s.outcomes[strconv.Itoa(resp.StatusCode)]++
+	if resp.StatusCode == http.StatusServiceUnavailable && s.runs[id] > 0 {
+		s.t.Errorf("request %s ran %d times and was refused as not run: %s", id, s.runs[id], body)
+	}
+	return !resp.Close
+}
+
+func checkEvents(body string) error {
+	want := ""
+	for n := 1; n <= soakEvents; n++ {
+		want += fmt.Sprintf("id: %d\ndata: x\n\n", n)
+	}
+	if body != want {
+		return fmt.Errorf("stream is %q", body)
+	}
+	return nil
+}
+
+// restarts stops one of the instances and starts it anew, again and again.
+func (s *soak) restarts(ctx context.Context, n int) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(500+s.intN(3000)) * time.Millisecond):
+		}
+		s.mu.Lock()
+		e := s.instances[n]
+		s.mu.Unlock()
+		e.Stop()
+		settings := e.Settings()
+		number, _ := strconv.Atoi(settings.Name[len(settings.Region)+1:])
+		s.starting.Lock()
+		e = s.f.start(settings.Region, number)
+		s.starting.Unlock()
+		s.mu.Lock()
+		s.instances[n] = e
+		s.mu.Unlock()
+	}
+}
+
+// trouble changes the configuration and takes the store down for short times.
+func (s *soak) trouble(ctx context.Context) {
+	for version := int64(2); ctx.Err() == nil; version++ {
+		s.f.store.put("configuration/document", document{Version: version, Rate: 1e6, Keys: []string{"k"}})
+		s.f.store.setDown(s.intN(3) == 0)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(200+s.intN(800)) * time.Millisecond):
+		}
+	}
+}
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -220,10 +220,15 @@
 			Version: d.Version, CustomerByKey: keys, DefaultTokens: map[string]float64{"c": 1},
 			Services:  []service.Service{service.New("s")},
 			Customers: []customer.Customer{customer.New("c", d.Rate, d.Rate, 1, "")},
-			Routes: []route.Route{route.New("r", route.KindService, route.Timeout(2*time.Second), route.Repeatable(true),
-				route.Forward(route.Forwarding{
+			Routes: []route.Route{
+				route.New("r", route.KindService, route.Timeout(2*time.Second), route.Repeatable(true), route.Forward(route.Forwarding{
 					Host: "h.example", Prefix: "/", Services: []route.WeightedService{{Service: "s", Weight: 1}}, Attempts: 2, LatencyObjective: time.Second,
-				}))},
+				})),
+				route.New("stream", route.KindService, route.Timeout(2*time.Second), route.Forward(route.Forwarding{
+					Host: "h.example", Prefix: "/s/", Services: []route.WeightedService{{Service: "s", Weight: 1}}, Attempts: 2, LatencyObjective: 300 * time.Millisecond,
+					Stream: true, Resume: true,
+				})),
+			},
 		}), nil
 	}
 	return nil, nil
@@ -249,7 +254,11 @@
 		n, err := strconv.Atoi(h.Get("Tokens"))
 		return gateway.Request{ID: h.Get("Id"), PromptTokens: n, HasTokenCounts: err == nil, Header: h}, h.Get("Key")
 	},
-	SetTargetHeaders:  func(http.Header, gateway.TargetContext) {},
+	SetTargetHeaders: func(h http.Header, tc gateway.TargetContext) {
+		if tc.LastEventID != "" {
+			h.Set("Last-Event-Id", tc.LastEventID)
+		}
+	},
 	ClassifyResponse:  func(int, http.Header) gateway.ResponseClass { return gateway.ResponseClass{FromTarget: true} },
 	ResponseRequestID: func(http.Header) string { return "" },
 	WriteRefusal:      func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteResponse(w) },
