Let the first piece of a response or its time limit decide an attempt on our own surface

Callers of our own surface got streams that broke off after their first event, and refusals with code deadline long before their deadline. Cause: as on the platform surface, a time limit and the event that it waits for were both acted upon. The limit of the first byte cancelled the attempt, but a piece that had been read by then was passed on; the next read failed and the answer broke off. And a limit that ended between the header and the first event was taken for the call's deadline, so no other target was tried. Evidence: TestFirstByteAtItsLimit failed before, three of four cases: "while it is read" and "right after it is read" with answer_broken after "data: a", "before it" with deadline. Change: firstbyte.Timer decides once, when the first piece has been read. If the limit has ended, relay sends neither the piece nor anything after it, and the attempt counts as one whose first byte was late: it may be retried, and the picker hears of it. The limit of the gaps between pieces has a timer and a cause of its own, which begin with the first piece; TestStallLimit, which passed before as well, keeps it. A whole response that is not a stream, too, is dropped if its limit has ended.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -195,7 +195,7 @@
 	}
 	defer res.Body.Close()
 	c.Result.Target = res.Target
-	return s.relay(ctx, c, res, progressWatch{start: now})
+	return s.relay(ctx, c, res, &progressWatch{start: now})
 }
 
 func (s *Stage) forwardFailure(ctx context.Context, c *call.Call, err error) *failure {
@@ -225,6 +225,11 @@
 	switch {
 	case session.IsKeyWithdrawn(ctx):
 		return &failure{refusal: refusal.Unknown(http.StatusUnauthorized, "key_withdrawn", "the key was withdrawn while the call ran").WithCause(err)}
+	case isFirstByteTimeout(ctx):
+		return &failure{
+			refusal:   refusal.Unknown(http.StatusGatewayTimeout, "target_slow", "the target did not answer in its usual time").WithRetryAfter(targetRetryAfter).WithCause(errFirstByteTimeout),
+			retryable: !c.NonIdempotent && !c.Sink.Started(),
+		}
 	case ctx.Err() != nil:
 		return &failure{refusal: refusal.Unknown(http.StatusGatewayTimeout, "deadline", "the call was sent, and no answer came before its deadline").WithCause(err)}
 	}
@@ -291,21 +296,21 @@
 	sentBefore := c.Result.MaybeSent
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := progressWatch{start: start, target: t.Name(), cancel: cancel}
+	w := &progressWatch{start: start, target: t.Name()}
 	if others && !c.NonIdempotent {
 		firstByteTimeout := s.Picker.FirstByteTimeout(start, s.localTargets(c.Route, nil), c.Deadline.Sub(start))
 		if c.Route.Kind() == route.KindModel && !c.Stream {
 			firstByteTimeout = max(firstByteTimeout, c.Deadline.Sub(start)/2)
 		}
-		w.timer = time.AfterFunc(firstByteTimeout, func() { cancel(errFirstByteTimeout) })
-		defer w.timer.Stop()
+		w.startLimits(firstByteTimeout, cancel)
+		defer w.stopLimits()
 	}
 	res, err := s.Send(ctx, t, c)
 	var notSent *NotSentError
 	sent := !errors.As(err, &notSent)
 	c.Result.MaybeSent = sentBefore || sent
 	if err != nil {
-		return s.sendFailure(ctx, c, t, start, sent, err)
+		return s.sendFailure(ctx, c, w, sent, err)
 	}
 	defer res.Body.Close()
 	if isRefusal(res.Status) && c.Route.Kind() == route.KindModel {
@@ -330,28 +335,35 @@
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-// errFirstByteTimeout is the cancellation cause of an attempt whose first byte is late
-// or whose response stalls.
-var errFirstByteTimeout = errors.New("no first byte in the usual time")
+// The cancellation causes of an attempt whose first byte is late, or whose response
+// stalls after it.
+var (
+	errFirstByteTimeout = errors.New("no first byte in the usual time")
+	errStalled          = errors.New("the response stalled")
+)
+
+func isFirstByteTimeout(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errFirstByteTimeout)
+}
+
+// recordFirstByteTimeout reports to the picker that the target's first byte was late.
+func (s *Stage) recordFirstByteTimeout(now time.Time, w *progressWatch) {
+	s.Picker.RecordFirstByte(now, w.target, 2*now.Sub(w.start))
+	s.Picker.RecordFailure(now, w.target, false)
+}
 
-func (s *Stage) sendFailure(ctx context.Context, c *call.Call, t target.Target, start time.Time, sent bool, err error) *failure {
+func (s *Stage) sendFailure(ctx context.Context, c *call.Call, w *progressWatch, sent bool, err error) *failure {
 	now := s.Now()
-	if !sent && context.Cause(ctx) == nil {
-		s.Picker.RecordFailure(now, t.Name(), true)
+	switch {
+	case !sent && context.Cause(ctx) == nil:
+		s.Picker.RecordFailure(now, w.target, true)
 		return &failure{refusal: noTarget(c).WithCause(err), retryable: true}
-	}
-	if errors.Is(context.Cause(ctx), errFirstByteTimeout) {
-		s.Picker.RecordFirstByte(now, t.Name(), 2*now.Sub(start))
-		s.Picker.RecordFailure(now, t.Name(), false)
-		return &failure{
-			refusal:   refusal.Unknown(http.StatusGatewayTimeout, "target_slow", "the target did not answer in its usual time").WithRetryAfter(targetRetryAfter).WithCause(errFirstByteTimeout),
-			retryable: !c.NonIdempotent,
-		}
-	}
-	if ctx.Err() == nil {
-		s.Picker.RecordFailure(now, t.Name(), false)
-	} else {
-		s.Picker.RecordFirstByte(now, t.Name(), now.Sub(start))
+	case isFirstByteTimeout(ctx):
+		s.recordFirstByteTimeout(now, w)
+	case ctx.Err() == nil:
+		s.Picker.RecordFailure(now, w.target, false)
+	default:
+		s.Picker.RecordFirstByte(now, w.target, now.Sub(w.start))
 	}
 	return s.noUsableResponse(ctx, c, err)
 }
--- a/chervilyard/dispatch/relay.go
+++ b/chervilyard/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilyard.example/chervilyard/call"
+	"chervilyard.example/chervilyard/firstbyte"
 	"chervilyard.example/chervilyard/relay"
 	"chervilyard.example/chervilyard/session"
 	"chervilyard.example/yard/refusal"
@@ -18,16 +19,51 @@
 // to attempts with a first-byte timeout.
 const stallTimeout = 15 * time.Second
 
-// progressWatch holds what is needed to observe the progress of a response.
+// progressWatch observes the progress of a response and limits the time until its next
+// piece.
 type progressWatch struct {
 	start  time.Time
 	target string // empty for a forwarded call
-	cancel context.CancelCauseFunc
-	timer  *time.Timer // cancels the attempt; nil without a first-byte timeout
+
+	// Set by startLimits.
+	cancel    context.CancelCauseFunc // nil if the time is not limited
+	firstByte firstbyte.Timer
+	stall     *time.Timer // nil before the first piece
+}
+
+// startLimits limits the time until the first piece and the gaps between later ones. If
+// a limit ends, cancel is called.
+func (w *progressWatch) startLimits(firstByteTimeout time.Duration, cancel context.CancelCauseFunc) {
+	w.cancel = cancel
+	w.firstByte.Start(firstByteTimeout, func() { cancel(errFirstByteTimeout) })
+}
+
+// recordPiece records that a piece arrived. It returns false if it is the first one and
+// its limit has ended: the attempt is cancelled, and nothing of it may be sent on.
+func (w *progressWatch) recordPiece() bool {
+	if !w.firstByte.Arrive() {
+		return false
+	}
+	switch {
+	case w.cancel == nil:
+	case w.stall == nil:
+		w.stall = time.AfterFunc(stallTimeout, func() { w.cancel(errStalled) })
+	default:
+		w.stall.Reset(stallTimeout)
+	}
+	return true
+}
+
+// stopLimits releases the timers.
+func (w *progressWatch) stopLimits() {
+	w.firstByte.Stop()
+	if w.stall != nil {
+		w.stall.Stop()
+	}
 }
 
 // relay relays a response to the caller and records its usage and outcome.
-func (s *Stage) relay(ctx context.Context, c *call.Call, res *Response, w progressWatch) *failure {
+func (s *Stage) relay(ctx context.Context, c *call.Call, res *Response, w *progressWatch) *failure {
 	h := endToEndHeader(res.Header)
 	h.Set("Chervil-Centre", c.Result.Centre)
 	h.Set("Chervil-Target", res.Target)
@@ -36,7 +72,7 @@
 	relayed, err := s.relayBody(c, &r)
 	s.recordUsage(c, relayed, res.Status)
 	c.Result.Complete = relayed.Complete && err == nil
-	s.recordOutcome(c, w, relayed, err)
+	s.recordOutcome(ctx, c, w, relayed, err)
 	if err == nil {
 		return nil
 	}
@@ -54,29 +90,33 @@
 	return r.Buffered()
 }
 
-// progressFunc returns a function that records the time of the first piece and
-// restarts the stall timer at each piece.
-func (s *Stage) progressFunc(c *call.Call, w progressWatch) func() {
-	return func() {
-		now := s.Now()
-		if c.Result.FirstByteAt.IsZero() {
-			c.Result.FirstByteAt = now
+// progressFunc returns a function that records the arrival of a piece, and reports
+// whether it may be sent on.
+func (s *Stage) progressFunc(c *call.Call, w *progressWatch) func() bool {
+	return func() bool {
+		if !w.recordPiece() {
+			return false
 		}
-		if w.timer != nil {
-			w.timer.Reset(stallTimeout)
+		if c.Result.FirstByteAt.IsZero() {
+			c.Result.FirstByteAt = s.Now()
 		}
+		return true
 	}
 }
 
 // recordOutcome reports the outcome at the target to the picker. An error on the
 // caller's side has no bearing on the target and is not reported.
-func (s *Stage) recordOutcome(c *call.Call, w progressWatch, relayed relay.Result, err error) {
+func (s *Stage) recordOutcome(ctx context.Context, c *call.Call, w *progressWatch, relayed relay.Result, err error) {
 	if w.target == "" {
 		return
 	}
 	now := s.Now()
 	var incomplete *relay.IncompleteError
 	if errors.As(err, &incomplete) && !relayed.Complete {
+		if isFirstByteTimeout(ctx) {
+			s.recordFirstByteTimeout(now, w)
+			return
+		}
 		s.Picker.RecordFailure(now, w.target, false)
 		return
 	}
--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -50,14 +50,18 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Err }
 
+// errRejected is the cause of a response of which OnProgress rejected a piece.
+var errRejected = errors.New("relay: a piece of the response was rejected")
+
 // Relay relays one response. OnProgress is called for each piece received from the
-// target before it is sent on. It may be nil.
+// target before it is sent on. If it returns false, neither the piece nor anything after
+// it is sent, and the response is incomplete. It may be nil.
 type Relay struct {
 	Status     int
 	Header     http.Header
 	Body       io.Reader
 	Sink       *sink.Sink
-	OnProgress func()
+	OnProgress func() bool
 }
 
 // Stream relays an event stream. Nothing is sent before the first event is
@@ -74,7 +78,9 @@
 		if err != nil {
 			return result, &IncompleteError{Err: unexpectedEOF(err)}
 		}
-		r.reportProgress()
+		if !r.reportProgress() {
+			return result, &IncompleteError{Err: errRejected}
+		}
 		last := bytes.Contains(event, doneLine)
 		result.countEvent(event, last)
 		if !r.Sink.Started() {
@@ -105,7 +111,9 @@
 	if err != nil {
 		return Result{}, &IncompleteError{Err: unexpectedEOF(err)}
 	}
-	r.reportProgress()
+	if !r.reportProgress() {
+		return Result{}, &IncompleteError{Err: errRejected}
+	}
 	result := Result{Complete: true}
 	result.parseUsage(body)
 	if err := r.Sink.WriteHeader(r.Status, r.Header); err != nil {
@@ -127,7 +135,9 @@
 	for {
 		n, err := r.Body.Read(buf)
 		if n > 0 {
-			r.reportProgress()
+			if !r.reportProgress() {
+				return result, &IncompleteError{Err: errRejected}
+			}
 			if _, writeErr := r.Sink.Write(buf[:n]); writeErr != nil {
 				return result, &CallerGoneError{Err: writeErr}
 			}
@@ -142,11 +152,8 @@
 	}
 }
 
-func (r *Relay) reportProgress() {
-	if r.OnProgress != nil {
-		r.OnProgress()
-	}
-}
+// reportProgress reports whether the piece may be sent.
+func (r *Relay) reportProgress() bool { return r.OnProgress == nil || r.OnProgress() }
 
 // unexpectedEOF returns err, with io.EOF replaced by io.ErrUnexpectedEOF.
 func unexpectedEOF(err error) error {
