Send the header of a service's response with the first byte of its body

Callers of services got a header and then a cut connection if the target broke, or the limit of its first byte ended, before any byte of the body. Cause: relay.Copy sent the header before it had read from the body. A response that has begun can be neither retried at another target nor replaced by a refusal. Evidence: three cases of TestServiceFailsBeforeFirstByte failed before, with status 200, an empty body and answer_broken. Change: the header goes out with the first piece, or at the end of an empty body. Before that the attempt fails like one without a response: an idempotent call is retried, another one gets a refusal that says that it is not known whether it ran. The end of an empty body now counts as its first byte. Before, the time to it was taken from the zero time: TestEmptyResponseKeepsScore failed with a score of -2562047h, which puts the target before all others.

--- a/chervilyard/dispatch/dispatch_test.go
+++ b/chervilyard/dispatch/dispatch_test.go
@@ -94,9 +94,11 @@
 
 // answer is what a caller got.
 type answer struct {
-	status int
-	body   string
-	err    error
+	headers int // number of headers sent
+	status  int // of the last header
+	body    string
+	err     error
+	score   time.Duration // of the target that would be picked next
 }
 
 // run runs a call of the route on two targets. The first one that is chosen sends the
@@ -145,6 +147,7 @@
 		ID: "1", Document: d, Customer: customer, Route: r, Stream: r.Kind() == route.KindModel, Deadline: time.Now().Add(timeLeft),
 		Sink: &sink.Sink{
 			SendHeader: func(status int, _ http.Header) error {
+				got.headers++
 				got.status = status
 				return nil
 			},
@@ -156,6 +159,8 @@
 	}
 	got.err = s.Run(t.Context(), c)
 	got.body = sent.String()
+	next, _ := s.Picker.Pick(time.Now(), d.Targets(), balancer.Request{})
+	got.score = next.Score
 	return got
 }
 
@@ -223,3 +228,38 @@
 		})
 	}
 }
+
+// Guards against a response of a service that begins and then breaks off, although its
+// target failed before the first byte of the body and another one could be tried.
+func TestServiceFailsBeforeFirstByte(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		pieces []piece
+		want   string
+	}{
+		{name: "broken", pieces: []piece{{err: io.ErrUnexpectedEOF}}, want: completeB},
+		{name: "late", pieces: []piece{{after: firstByteLimit + time.Millisecond, text: "a"}}, want: completeB},
+		{name: "while it is read", pieces: []piece{{after: firstByteLimit + time.Millisecond, received: true, text: "a"}}, want: completeB},
+		{name: "empty", want: ""},
+		{name: "complete", pieces: []piece{{text: "a"}, {text: "b", err: io.EOF}}, want: "ab"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := run(t, "s", test.pieces, 0)
+				if got.headers != 1 || got.status != http.StatusOK || got.body != test.want || got.err != nil {
+					t.Errorf("%d headers, status %d, response %q, %v; want %q", got.headers, got.status, got.body, got.err, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a target that is preferred to all others because the time to the first
+// byte of an empty response counts as negative.
+func TestEmptyResponseKeepsScore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if got := run(t, "s", nil, 0); got.err != nil || got.score < 0 {
+			t.Errorf("score %v, %v", got.score, got.err)
+		}
+	})
+}
--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -125,24 +125,20 @@
 	return result, nil
 }
 
-// Copy relays a service's response as it arrives. The errors are those of Stream.
+// Copy relays a service's response as it arrives. Nothing is sent before the first byte
+// of the body, or its end if it is empty. The errors are those of Stream.
 func (r *Relay) Copy() (Result, error) {
 	var result Result
-	if err := r.Sink.WriteHeader(r.Status, r.Header); err != nil {
-		return result, &CallerGoneError{Err: err}
-	}
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := r.Body.Read(buf)
-		if n > 0 {
-			if !r.reportProgress() {
-				return result, &IncompleteError{Err: errRejected}
-			}
-			if _, writeErr := r.Sink.Write(buf[:n]); writeErr != nil {
-				return result, &CallerGoneError{Err: writeErr}
+		ended := errors.Is(err, io.EOF)
+		if n > 0 || ended && !r.Sink.Started() {
+			if err := r.sendPiece(buf[:n]); err != nil {
+				return result, err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			result.Complete = true
 			return result, nil
 		}
@@ -152,6 +148,26 @@
 	}
 }
 
+// sendPiece sends a piece of the body, which may be empty, and before the first one the
+// header.
+func (r *Relay) sendPiece(piece []byte) error {
+	if !r.reportProgress() {
+		return &IncompleteError{Err: errRejected}
+	}
+	if !r.Sink.Started() {
+		if err := r.Sink.WriteHeader(r.Status, r.Header); err != nil {
+			return &CallerGoneError{Err: err}
+		}
+	}
+	if len(piece) == 0 {
+		return nil
+	}
+	if _, err := r.Sink.Write(piece); err != nil {
+		return &CallerGoneError{Err: err}
+	}
+	return nil
+}
+
 // reportProgress reports whether the piece may be sent.
 func (r *Relay) reportProgress() bool { return r.OnProgress == nil || r.OnProgress() }
 
