Remove fields by every name that a JSON decoder takes for a known one

Callers saw: a chat with 400 characters in its message reserved 418 tokens for the prompt, and 19 when a field "me\u017f\u017fages" with one short message was added, while the target still read the long message. Cause: the gateway dropped names that strings.ToLower makes known, and then decoded the rest with encoding/json, which also folds U+017F to s and U+212A to k and takes the last of equal names. The fields of a message were not looked at: "content" with a later "CONTENT" or a second "content" counted the last, and the target body held both. Change: foldName is the one notion of equal names, for the request and for its messages. It covers Unicode's simple folding (encoding/json), upper and lower case of U+0130 and U+0131, names without "_" and "-" (encoding/json/v2), and camel case (protojson). As before for ASCII case, only the exact name stays, with the last of its values; messages are written again, so this holds inside them too. Why it works: no name that is left folds to a known one but itself, so gateway and target have one field to read. A request or message whose field has only another spelling loses it, as a request with "MESSAGES" did; a message that has only "Content" now goes to the target without it. Evidence: TestFoldedNames failed before in 15 of its cases, such as line 16: 23, {...,"meſſages":[...],"model":"m"}, want 31, {...} TestReservedTokensCoverFoldedNames failed before within 7 draws: reserved 22 tokens for the prompt and 122 in all, the target reads 23 and 123 in {...,"tooLſ":"x","tools":""} Both pass now, the second also with 20,000 draws; FuzzBody passed for 30 s.

--- a/chervilyard/resolve/resolve.go
+++ b/chervilyard/resolve/resolve.go
@@ -7,9 +7,8 @@
 	"encoding/json"
 	"math"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
+	"unicode"
 
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/yard/refusal"
@@ -126,38 +125,40 @@
 // completionRequest holds the fields of a completion request that the gateway
 // reads.
 type completionRequest struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	MaxTokens           *float64        `json:"max_tokens"`
-	MaxCompletionTokens *float64        `json:"max_completion_tokens"`
-	N                   *float64        `json:"n"`
-	BestOf              *float64        `json:"best_of"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []message       `json:"messages"`
-	Tools               json.RawMessage `json:"tools"`
-	Functions           json.RawMessage `json:"functions"`
-	ResponseFormat      json.RawMessage `json:"response_format"`
-}
-
-// message is one message of a chat.
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+	Model               string                       `json:"model"`
+	Stream              bool                         `json:"stream"`
+	MaxTokens           *float64                     `json:"max_tokens"`
+	MaxCompletionTokens *float64                     `json:"max_completion_tokens"`
+	N                   *float64                     `json:"n"`
+	BestOf              *float64                     `json:"best_of"`
+	Prompt              json.RawMessage              `json:"prompt"`
+	Messages            []map[string]json.RawMessage `json:"messages"`
+	Tools               json.RawMessage              `json:"tools"`
+	Functions           json.RawMessage              `json:"functions"`
+	ResponseFormat      json.RawMessage              `json:"response_format"`
 }
 
 // resolveModel resolves a completion request to a model.
 func resolveModel(c *call.Call) error {
-	fields, err := decodeObject(c.Body)
-	if err != nil {
-		return err
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(c.Body, &fields); err != nil {
+		return refusal.NotRun(http.StatusBadRequest, "body_malformed", "the body is not a JSON object").WithCause(err)
 	}
+	removeAliases(fields, requestFields)
 	normalized, err := json.Marshal(fields)
 	if err != nil {
 		return err
 	}
 	var b completionRequest
 	if err := json.Unmarshal(normalized, &b); err != nil {
-		return refusal.NotRun(http.StatusBadRequest, "body_malformed", "the body is not a completion request in JSON").WithCause(err)
+		return malformedRequest(err)
+	}
+	for _, m := range b.Messages {
+		removeAliases(m, messageFields)
+	}
+	prompt, err := b.prompt()
+	if err != nil {
+		return malformedRequest(err)
 	}
 	r, ok := c.Document.Route(b.Model)
 	if !ok || r.Kind() != route.KindModel {
@@ -174,14 +175,19 @@
 	c.Route = r
 	c.Stream = b.Stream
 	c.NonIdempotent = !r.Repeatable()
-	c.Prompt = b.prompt()
-	c.MaxPromptTokens = math.Ceil(float64(b.promptBytes())/r.MinBytesPerToken()) + float64(messageOverheadTokens*max(len(b.Messages), 1))
+	c.Prompt = prompt
+	promptBytes := len(prompt) + len(b.Tools) + len(b.Functions) + len(b.ResponseFormat)
+	c.MaxPromptTokens = math.Ceil(float64(promptBytes)/r.MinBytesPerToken()) + float64(messageOverheadTokens*max(len(b.Messages), 1))
 	c.MaxTokens = c.MaxPromptTokens + float64(answerLimit)
 	c.TargetPath = c.Path
-	c.TargetBody, err = rewriteBody(fields, answerLimit, b.Stream)
+	c.TargetBody, err = rewriteBody(fields, b.Messages, answerLimit, b.Stream)
 	return err
 }
 
+func malformedRequest(err error) error {
+	return refusal.NotRun(http.StatusBadRequest, "body_malformed", "the body is not a completion request in JSON").WithCause(err)
+}
+
 // maxAnswerTokens returns the maximum number of tokens of the answer: the limit
 // that the caller asks for, or else the limit of the route.
 func maxAnswerTokens(b completionRequest, r route.Route) (int, error) {
@@ -205,58 +211,83 @@
 }
 
 // prompt returns the text whose prefix a model engine may have in its cache.
-func (b completionRequest) prompt() []byte {
+func (b completionRequest) prompt() ([]byte, error) {
 	if len(b.Messages) == 0 {
-		return b.Prompt
+		return b.Prompt, nil
 	}
 	var text []byte
 	for _, m := range b.Messages {
-		text = append(text, m.Role...)
-		text = append(text, m.Content...)
+		if raw, ok := m["role"]; ok {
+			var role string
+			if err := json.Unmarshal(raw, &role); err != nil {
+				return nil, err
+			}
+			text = append(text, role...)
+		}
+		text = append(text, m["content"]...)
 	}
-	return text
+	return text, nil
 }
 
-// promptBytes returns the size in bytes of all fields that a model engine turns
-// into prompt tokens.
-func (b completionRequest) promptBytes() int {
-	n := len(b.Tools) + len(b.Functions) + len(b.ResponseFormat)
-	return n + len(b.prompt())
-}
-
-// decodeObject decodes a JSON object. It removes fields whose names differ only
-// in case from one of knownFields, and keeps the last of duplicate fields, so
-// that the target reads the same request as the gateway.
-func decodeObject(raw []byte) (map[string]json.RawMessage, error) {
-	fields := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(raw, &fields); err != nil {
-		return nil, refusal.NotRun(http.StatusBadRequest, "body_malformed", "the body is not a JSON object").WithCause(err)
-	}
+// removeAliases removes fields whose names a decoder may take for one of the known
+// names, so that the target reads the same fields as the gateway.
+func removeAliases(fields map[string]json.RawMessage, known map[string]string) {
 	for name := range fields {
-		lower := strings.ToLower(name)
-		if lower != name && slices.Contains(knownFields, lower) {
+		if exact, ok := known[foldName(name)]; ok && name != exact {
 			delete(fields, name)
 		}
 	}
-	return fields, nil
 }
 
-// knownFields lists the request fields that the gateway reads or sets.
-var knownFields = []string{
-	"model", "stream", "stream_options", "max_tokens", "max_completion_tokens", "n", "best_of",
-	"prompt", "messages", "tools", "functions", "response_format",
+// requestFields and messageFields map the folded names of the fields that the
+// gateway reads or sets to their names.
+var (
+	requestFields = byFoldedName(
+		"model", "stream", "stream_options", "max_tokens", "max_completion_tokens", "n", "best_of",
+		"prompt", "messages", "tools", "functions", "response_format",
+	)
+	messageFields = byFoldedName("role", "content")
+)
+
+func byFoldedName(names ...string) map[string]string {
+	folded := make(map[string]string, len(names))
+	for _, name := range names {
+		folded[foldName(name)] = name
+	}
+	return folded
+}
+
+// foldName returns the form that all names share which some JSON decoder takes for
+// the same field: encoding/json folds case as Unicode does (U+017F to s, U+212A to
+// k), others use upper or lower case (U+0130 and U+0131 to i), encoding/json/v2
+// skips "_" and "-", and protojson also reads the camel case of a name with "_".
+func foldName(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r == '_' || r == '-' {
+			return -1
+		}
+		return unicode.ToLower(unicode.ToUpper(r))
+	}, name)
 }
 
 // rewriteBody encodes the fields with max_tokens set to the answer limit, in
-// place of max_completion_tokens. The stream options are replaced by a request
-// for the usage report if the answer is a stream, and removed otherwise. All
-// other fields keep the values that the caller sent.
-func rewriteBody(fields map[string]json.RawMessage, answerLimit int, stream bool) ([]byte, error) {
-	delete(fields, "max_completion_tokens")
-	delete(fields, "stream_options")
-	fields["max_tokens"] = json.RawMessage(strconv.Itoa(answerLimit))
+// place of max_completion_tokens. The messages replace those of the fields, which
+// may have duplicate names. The stream options are replaced by a request for the
+// usage report if the answer is a stream, and removed otherwise. All other fields
+// keep the values that the caller sent.
+func rewriteBody(fields map[string]json.RawMessage, messages []map[string]json.RawMessage, answerLimit int, stream bool) ([]byte, error) {
+	body := make(map[string]any, len(fields)+2)
+	for name, value := range fields {
+		body[name] = value
+	}
+	if _, ok := fields["messages"]; ok {
+		body["messages"] = messages
+	}
+	delete(body, "max_completion_tokens")
+	delete(body, "stream_options")
+	body["max_tokens"] = answerLimit
 	if stream {
-		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+		body["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	}
-	return json.Marshal(fields)
+	return json.Marshal(body)
 }
