List no dependency as lost that was regained

Cause: addContext took the whole reason for the dependency's name, while the reason of a loss ends with a colon and the cause. Change: the name is the reason up to the first colon, for losses and regains. Why it works: each writer of these entries puts the dependency before the colon ("store, " and the part, or "heartbeats" with the instance as target), and no name has a colon itself. Two losses of one dependency with other causes now count as one, of which the last is listed, as addContext's comment says.

--- a/chervilctl/trace/trace.go
+++ b/chervilctl/trace/trace.go
@@ -141,7 +141,8 @@
 				seen[e.Kind], included[i] = true, true
 			}
 		case "dependency":
-			key := e.Kind + e.Target + e.Reason
+			name, _, _ := strings.Cut(e.Reason, ":") // the cause of a loss follows
+			key := e.Kind + e.Target + name
 			if !seen[key] && e.Choice == "lost" { // a dependency that was regained is not a cause
 				included[i] = true
 			}
--- a/chervilctl/trace/trace_test.go
+++ b/chervilctl/trace/trace_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -65,3 +66,48 @@
 		t.Errorf("error %v, want a ReadError for torn.log:2", err)
 	}
 }
+
+// TestRegainedDependency guards against a dependency that is listed as lost after it
+// was regained. It runs testdata/dependencies.txt, a log with lines "want REQUEST |
+// LOST; ..." that give the losses to be listed for a request.
+func TestRegainedDependency(t *testing.T) {
+	text, err := os.ReadFile("testdata/dependencies.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var logs trace.Logs
+	if err := logs.Read("edge.log", strings.NewReader(string(text))); err != nil {
+		t.Fatal(err)
+	}
+	checked := 0
+	for line := range strings.SplitSeq(string(text), "\n") {
+		rest, ok := strings.CutPrefix(line, "want ")
+		if !ok {
+			continue
+		}
+		checked++
+		id, losses, _ := strings.Cut(rest, " |")
+		var want []string
+		for loss := range strings.SplitSeq(losses, ";") {
+			if loss = strings.TrimSpace(loss); loss != "" {
+				want = append(want, loss)
+			}
+		}
+		entries := logs.ForRequest(id)
+		if len(entries) == 0 {
+			t.Errorf("request %s has no entries", id)
+		}
+		var got []string
+		for _, e := range entries {
+			if e.Kind == "dependency" {
+				got = append(got, strings.TrimSpace(e.Target+" "+e.Reason))
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("request %s lists as lost %q, want %q", id, got, want)
+		}
+	}
+	if checked == 0 {
+		t.Error("no request was checked")
+	}
+}
