Refresh the target list under the lock that applies it

Seen: an instance counts a target that restarted under its name as warm while it is cold, and sends to it without a limit until the next change of the list. Cause: refreshTargets ran beside applyTargets. Its copy of the targets, without cold times, reached the picker after the new list: the picker went back to the old run, and the next refresh brought the new run without its cold time. A refresh during an application also dismissed a possible restart by the age of a list not in effect yet. Change: refreshTargets holds the part's lock and applies a list that it finds changed. The picker gets lists in the order of the view, and the age of a list only with it.

--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -29,6 +29,7 @@
 	remote    map[string][]target.Target // of other regions, by region
 	byHash    map[uint32]string          // names of the region's targets, by targetHash
 	evacuated map[string]bool            // data centres that get no requests
+	digest    uint64                     // of the content that the targets were decoded from
 	readAt    time.Time                  // when the last list was read from the store
 	keepUntil time.Time                  // end of the grace period for missing targets after an outage
 }
@@ -130,7 +131,7 @@
 	}
 	e.targets.mu.Lock()
 	afterOutage := !e.targets.readAt.IsZero() && s.AsOf.Sub(e.targets.readAt) > outageAge
-	e.targets.readAt = s.AsOf
+	e.targets.digest, e.targets.readAt = s.Digest, s.AsOf
 	if afterOutage {
 		e.targets.keepUntil = s.AsOf.Add(missingTargetGrace)
 	}
@@ -172,12 +173,16 @@
 	return "listed"
 }
 
-// refreshTargets applies the target list again if the grace period for missing targets
-// has ended or the store was unavailable. Otherwise it records that the list is still
-// valid.
+// refreshTargets applies the target list if it has changed, the grace period for missing
+// targets has ended or the store was unavailable. Otherwise it records that the list is
+// still valid. It holds the part's lock, since a list that is being applied must not be
+// mixed with the one before it.
 func (e *Edge) refreshTargets(now time.Time) {
+	e.applyLocks[PartTargets].Lock()
+	defer e.applyLocks[PartTargets].Unlock()
 	s := e.views[PartTargets].Snapshot()
 	e.targets.mu.Lock()
+	changed := e.targets.digest != s.Digest
 	graceEnded := !e.targets.keepUntil.IsZero() && now.After(e.targets.keepUntil)
 	if graceEnded {
 		e.targets.keepUntil = time.Time{}
@@ -187,8 +192,8 @@
 		e.targets.readAt = s.AsOf
 	}
 	e.targets.mu.Unlock()
-	if graceEnded || afterOutage {
-		e.applyNewest(now, PartTargets)
+	if changed || graceEnded || afterOutage {
+		e.apply[PartTargets](now, s)
 		return
 	}
 	e.picker.UpdateTargets(s.AsOf, s.ReceivedAt, e.Settings().TargetReportInterval, e.targets.withoutColdTime())
--- a/chervilyard/edge/views_test.go
+++ b/chervilyard/edge/views_test.go
@@ -5,8 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/view"
 )
 
@@ -70,3 +76,102 @@
 		t.Errorf("one of three instances may send %d requests/s", n)
 	}
 }
+
+// restartingTarget is an instance that knows one target, whose run is the revision of
+// the list and which is cold in each run but the first. The instance has no share of
+// the request rate to cold targets.
+type restartingTarget struct {
+	edge *Edge
+	now  time.Time
+}
+
+func newRestartingTarget() *restartingTarget {
+	r := &restartingTarget{edge: &Edge{decisions: decisionlog.NewWithHistory(hclog.NewNullLogger(), 1)}, now: time.Unix(1_700_000_000, 0)}
+	r.edge.now = func() time.Time { return r.now }
+	r.edge.settings.Store(&Settings{Region: "east", TargetReportInterval: 200 * time.Millisecond})
+	r.edge.store.Region = func(string) string { return "east" }
+	r.edge.store.DecodeTargets = func(items []view.Item) (list []target.Target, errs []error) {
+		for _, it := range items {
+			t := target.New(it.Key, "c", "", []string{"s"}, 8, 1, false).WithRunID(it.Revision)
+			if it.Revision > 1 {
+				t = t.WithColdRemaining(time.Minute)
+			}
+			list = append(list, t)
+		}
+		return list, nil
+	}
+	r.edge.buildViews()
+	return r
+}
+
+// read records that the list with the given revision was read from the store.
+func (r *restartingTarget) read(revision int64) {
+	r.edge.views[PartTargets].Update(view.Snapshot{
+		Revision: revision, Digest: uint64(revision), Items: []view.Item{{Key: "a", Revision: revision}}, AsOf: r.now, ReceivedAt: r.now,
+	})
+}
+
+// send returns the ticket of a request, or nil if the target counts as cold.
+func (r *restartingTarget) send() *placement.Ticket {
+	request := placement.Request{Service: service.New("s").WithColdLimit(1)}
+	return r.edge.picker.Choose(r.now, r.edge.targets.usable("s"), request, placement.ColdShare{})
+}
+
+// A target that could not be reached is listed as restarted and cold. Guards against
+// a refresh that dismisses the possible restart before that list is in effect.
+func TestRefreshAwaitsNewList(t *testing.T) {
+	r := newRestartingTarget()
+	r.read(1)
+	r.edge.applyNewest(r.now, PartTargets)
+	r.send().End(r.now, placement.ConnectionBroken)
+	r.now = r.now.Add(time.Second) // longer than an entry can be old, shorter than an outage
+	r.read(2)
+	entered, release := make(chan struct{}), make(chan struct{})
+	r.edge.apply[PartTargets] = func(now time.Time, s view.Snapshot) {
+		entered <- struct{}{}
+		<-release
+		r.edge.applyTargets(now, s)
+	}
+	var done sync.WaitGroup
+	done.Add(2)
+	go func() {
+		defer done.Done()
+		r.edge.applyNewest(r.now, PartTargets)
+	}()
+	<-entered // the list is being applied
+	go func() {
+		defer done.Done()
+		r.edge.refreshTargets(r.now)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if r.send() != nil {
+		t.Error("a request goes to a target that may have restarted")
+	}
+	close(release)
+	done.Wait()
+	if r.send() != nil {
+		t.Error("a request goes to a target that is listed as cold")
+	}
+}
+
+// Refreshes run while a list with a new run of a target is applied. Guards against a
+// refresh that restores the old run after the new one, which loses the cold time.
+func TestRefreshKeepsColdTime(t *testing.T) {
+	r := newRestartingTarget()
+	for revision := int64(1); revision <= 3000; revision++ {
+		r.read(revision)
+		var done sync.WaitGroup
+		for range 32 {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				r.edge.refreshTargets(r.now)
+			}()
+		}
+		r.edge.applyNewest(r.now, PartTargets)
+		done.Wait()
+		if revision > 1 && r.send() != nil {
+			t.Fatalf("a request goes to run %d of the target, which is cold", revision)
+		}
+	}
+}
