Count a target's remaining cold time as content of its entry

Seen: a target that becomes cold again before its cold time is over is taken for warm by all instances at once when the first cold time ends, and gets requests without a limit while it is cold. Cause: the digest of the targets held only whether a target is cold. The later entry of the same run gave the same digest, so the list was not applied and not fetched by the other instances. Change: the digest holds the remaining cold time. While a target is cold, each of its reports (one in BeatMs) is a change that is announced and fetched as any other; reports of warm targets still are none. The bytes of the additional fetches are not measured.

--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -73,7 +73,8 @@
 	// Region returns the region that a data centre belongs to.
 	Region func(centre string) string
 	// SignificantContent returns the content of an item without the values that
-	// differ in each report. An item counts as changed only if this content differs.
+	// differ in each report, but with the remaining cold time of a target. An item
+	// counts as changed only if this content differs.
 	SignificantContent func(part string, it view.Item) string
 }
 
