Count requests whose target became cold while they connected

Seen: a target that becomes cold gets more requests in a second than its limit, the more the longer connections take to make (0.7 s at most). Cause: Ticket.Sent did nothing unless the target was cold at the choice. A request chosen while the target was warm, and sent when it was cold, was in no window. Change: Sent adds such a request to the window, over the limit if need be; the requests after it have that much less. It is still sent. Result: on the old code the script late-connection fails ("line 9: 9 requests find a target, want 7").

--- a/yard/coldlimit/coldlimit.go
+++ b/yard/coldlimit/coldlimit.go
@@ -34,6 +34,12 @@
 	if i := slices.IndexFunc(w.sent, taken.Equal); i >= 0 {
 		w.sent = slices.Delete(w.sent, i, i+1)
 	}
+	w.Add(sent)
+}
+
+// Add records a request sent at sent, even if the window is full. It is for a request
+// that was allowed before the target became cold.
+func (w *Window) Add(sent time.Time) {
 	w.sent = append(w.sent, sent)
 	slices.SortFunc(w.sent, time.Time.Compare)
 }
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -33,6 +33,7 @@
 //	send K 500 x,y -> A  request K with 500 prompt tokens and parts x and y goes to A
 //	send K 500           the same without parts, to any target
 //	sends 20 500 -> 9    9 of 20 requests find a target
+//	sent K               the connection for K is established
 //	first K, end K OUTCOME, pause K 200ms
 //	proved A 0s          a health check after a failure reports how long A stays cold
 //	ask A yes            whether a health check may be sent now
@@ -72,6 +73,8 @@
 		if want := int(s.Number(p.t, 4)); found != want {
 			p.t.Errorf("line %d: %d requests find a target, want %d", s.Line, found, want)
 		}
+	case "sent":
+		p.tickets[s.Words[1]].Sent(s.At)
 	case "first":
 		p.tickets[s.Words[1]].RecordFirstByte(s.At)
 	case "end":
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -32,7 +32,7 @@
 	tokensAhead    int // prompt tokens that waited at the target when it was chosen
 	memoryTokens   int
 	isEngine       bool
-	coldLimited    bool // counts against the rate limit of a cold target
+	coldLimited    bool // counted against the rate limit of a cold target when it was chosen
 	isProbe        bool // sent after an ejection; shows whether the target has recovered
 	gotFirst       bool
 	ended          bool
@@ -44,14 +44,18 @@
 // ExpectedWait returns the expected time to the first byte.
 func (t *Ticket) ExpectedWait() time.Duration { return t.expectedWait }
 
-// Sent records that the connection is established and the request is sent at now.
+// Sent records that the connection is established and the request is sent at now. If
+// the target is cold by then, the request counts against its rate limit.
 func (t *Ticket) Sent(now time.Time) {
-	if !t.coldLimited {
-		return
-	}
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
-	t.picker.state(t.target.Name()).window.MoveTo(t.chosenAt, now)
+	s := t.picker.state(t.target.Name())
+	switch {
+	case t.coldLimited:
+		s.window.MoveTo(t.chosenAt, now)
+	case t.picker.isCold(now, s):
+		s.window.Add(now)
+	}
 }
 
 // RecordFirstByte records that the first byte of the answer arrived at now. Later
