Log what was believed about a cold target

Change: the reason of a request has a part "believed" for each attempt at a target of a service with a cold limit, if the target is cold, was in the last five seconds, may have restarted in them or has a new run: cold or warm, whether it became cold before the request was sent, the cold time left, the time since the last sign of a restart and since its run was first listed, the instance's limit, and its rank and the size of the region. Result: the script belief and TestLogOfColdTarget; neither compiles on the old code, which has no such part.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -186,6 +186,7 @@
 		return
 	}
 	a.dest.ticket.End(now, o)
+	a.x.recordColdBelief(a.dest.ticket)
 	if g.OnSuspectedRestart != nil && (o == placement.Unreachable || o == placement.ConnectionBroken) {
 		g.OnSuspectedRestart(a.dest.ticket.Target())
 	}
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -78,7 +78,10 @@
 
 // testCatalog returns a catalog with one route of each kind: idempotent (read),
 // non-idempotent (order), stream, resumable stream (resume), and public (open).
-func testCatalog() *catalog.Catalog {
+func testCatalog() *catalog.Catalog { return testCatalogOf(service.New("s")) }
+
+// testCatalogOf returns the catalog of testCatalog with the service s.
+func testCatalogOf(s service.Service) *catalog.Catalog {
 	forward := func(name string, kind string, attempts int) route.Route {
 		return route.New(name, route.KindService, route.Timeout(700*time.Millisecond), route.Repeatable(kind == "read"),
 			route.Forward(route.Forwarding{
@@ -93,7 +96,7 @@
 			forward("read", "read", 2), forward("order", "order", 1), forward("stream", "stream", 1),
 			forward("resume", "streams", 2), forward("open", "read", 1),
 		},
-		Services:      []service.Service{service.New("s")},
+		Services:      []service.Service{s},
 		Customers:     []customer.Customer{customer.New("c", 1000, 1000, 1, ""), customer.New("bound", 1e6, 1e6, 1, "").WithAllowedRegions([]string{"far"})},
 		CustomerByKey: map[string]string{"k": "c", "kb": "bound"},
 		DefaultTokens: map[string]float64{"c": 1},
@@ -420,3 +423,24 @@
 		})
 	}
 }
+
+// Guards against a log line that does not say what was believed about a cold target.
+func TestLogOfColdTarget(t *testing.T) {
+	f := newFakeTarget(t, "e", "ok hello")
+	n := newTestInstance(t, "near", []*fakeTarget{f})
+	c := testCatalogOf(service.New("s").WithColdLimit(4))
+	n.gateway.Catalog = func() *catalog.Catalog { return c }
+	n.gateway.ColdShare = func(time.Time) placement.ColdShare { return placement.ColdShare{Instances: 3, Rank: 2, RateFactor: 1} }
+	n.gateway.Picker.MarkCold(time.Now(), []string{"e"}, time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	logged := n.gateway.Decisions.Run(ctx)
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK {
+		t.Fatalf("response %d %s", status, body)
+	}
+	cancel()
+	<-logged
+	decisions := n.gateway.Decisions.History("1")
+	if len(decisions) != 1 || !strings.Contains(decisions[0].Reason, " believed=e,cold,left=") || !strings.Contains(decisions[0].Reason, ",limit=1,rank=2/3,") {
+		t.Errorf("decisions %+v", decisions)
+	}
+}
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilyard.example/chervilyard/decisionlog"
+	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
 )
 
@@ -60,12 +61,23 @@
 	if x.expectedFirstByte > 0 {
 		parts = append(parts, "expected="+x.expectedFirstByte.Round(time.Millisecond).String())
 	}
+	for _, belief := range x.coldBeliefs {
+		parts = append(parts, "believed="+belief)
+	}
 	if x.forwarded {
 		parts = append(parts, "hop")
 	}
 	return strings.Join(parts, " ")
 }
 
+// recordColdBelief keeps what was believed about the target of an ended attempt, if it
+// was cold or had been recently.
+func (x *exchange) recordColdBelief(ticket *placement.Ticket) {
+	if belief := ticket.ColdBelief(); belief != "" {
+		x.coldBeliefs = append(x.coldBeliefs, belief)
+	}
+}
+
 func nonEmpty(list ...string) []string {
 	var out []string
 	for _, s := range list {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -75,6 +75,7 @@
 	lastReadAt        time.Time     // when stream data was last read
 	maxGap            time.Duration // longest gap between reads of the stream
 	lastDestination   string        // target or instance of the last attempt
+	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
 	remoteRetryAfter  time.Duration // earliest retry delay that another region reported with a refusal; 0 for none
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -127,7 +127,10 @@
 		s := p.state(t.Name())
 		s.lastListed = readAt
 		if s.run != t.RunID() {
-			*s = targetState{run: t.RunID(), lastListed: readAt, open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window}
+			*s = targetState{
+				run: t.RunID(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
+				open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
+			}
 		}
 		if t.ColdRemaining() > 0 {
 			s.coldUntil = receivedAt.Add(t.ColdRemaining())
@@ -249,8 +252,8 @@
 		s.window.Take(now, p.coldLimit(r, coldShare))
 	}
 	ticket := &Ticket{
-		coldLimited: cold,
-		picker:      p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
+		coldLimited: cold, belief: p.coldBelief(now, s, r, coldShare),
+		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
 		uncachedTokens: max(r.PromptTokens-p.cachedPrefix(now, s, r.Parts, false), 0), memoryTokens: r.PromptTokens + r.MaxOutputTokens, isEngine: r.Service.Slots() > 0,
 	}
 	if r.MaxEventGap > 0 {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -35,6 +35,7 @@
 //	sends 20 500 -> 9    9 of 20 requests find a target
 //	sent K               the connection for K is established
 //	first K, end K OUTCOME, pause K 200ms
+//	believed K TEXT      the description of what was believed for K; - if it is empty
 //	proved A 0s          a health check after a failure reports how long A stays cold
 //	ask A yes            whether a health check may be sent now
 //	peer P A 3 900       peer P reports 3 open requests and 900 waiting tokens at A
@@ -79,6 +80,10 @@
 		p.tickets[s.Words[1]].RecordFirstByte(s.At)
 	case "end":
 		p.tickets[s.Words[1]].End(s.At, outcomes[s.Words[2]])
+	case "believed":
+		if got := p.tickets[s.Words[1]].ColdBelief(); got != strings.TrimPrefix(s.Words[2], "-") {
+			p.t.Errorf("line %d: the belief is %q, want %q", s.Line, got, s.Words[2])
+		}
 	case "pause":
 		p.tickets[s.Words[1]].RecordPause(s.At, s.Duration(p.t, 2))
 	case "ask":
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -15,6 +15,7 @@
 // targetState is the state of one target as seen by this instance.
 type targetState struct {
 	run           int64
+	runListed     time.Time // when the run was first listed
 	lastListed    time.Time
 	open          int
 	probing       int // requests sent to the target after an ejection that have no first byte yet
@@ -27,6 +28,7 @@
 	answerMS      float64   // moving average; 0 if unknown
 	coldUntil     time.Time
 	suspectSince  time.Time            // last sign of a possible restart; zero if there is none
+	lastSuspected time.Time            // as suspectSince, but kept when the restart is dismissed
 	window        coldlimit.Window     // requests sent while the target was cold
 	partsUsed     map[string]time.Time // last use of each prompt part, by ID
 	slowdown      float64              // time to the first byte relative to the fit of the service; 0 if unknown
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -32,8 +32,11 @@
 	tokensAhead    int // prompt tokens that waited at the target when it was chosen
 	memoryTokens   int
 	isEngine       bool
-	coldLimited    bool // counted against the rate limit of a cold target when it was chosen
-	isProbe        bool // sent after an ejection; shows whether the target has recovered
+	belief         *coldBelief // about the target when it was chosen; see Picker.coldBelief
+	sentAt         time.Time   // zero until Sent is called
+	becameCold     bool        // the target was warm when it was chosen and cold at sentAt
+	coldLimited    bool        // counted against the rate limit of a cold target when it was chosen
+	isProbe        bool        // sent after an ejection; shows whether the target has recovered
 	gotFirst       bool
 	ended          bool
 }
@@ -50,10 +53,12 @@
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
 	s := t.picker.state(t.target.Name())
+	t.sentAt = now
 	switch {
 	case t.coldLimited:
 		s.window.MoveTo(t.chosenAt, now)
 	case t.picker.isCold(now, s):
+		t.becameCold = true
 		s.window.Add(now)
 	}
 }
@@ -148,12 +153,12 @@
 	case Unreachable:
 		s.recordFailure(now)
 		t.eject(now, s)
-		s.suspectSince = now
+		s.suspectSince, s.lastSuspected = now, now
 	case ConnectionBroken:
 		// Only a failure to connect ejects a target: the last target of a
 		// service must stay usable while some of its answers break.
 		s.recordFailure(now)
-		s.suspectSince = now
+		s.suspectSince, s.lastSuspected = now, now
 	case TimedOut:
 		s.recordFailure(now)
 	case Replaced:
