Read nothing of a connection that another request may use

Nothing was seen of callers: a stream's relay asked, after the read that ended the body, how much of the connection is buffered, to decide on a flush; the connection was back in the pool by then, and another request could be reading from it. Change: after the end of a body nothing is buffered for it. The soak keeps logs of all runs of an instance for requests that fail, and each edge test has a loopback address of its own: callers of a stopped instance had reached that of another soak, which got its port, with the same identifiers.

--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"chervilyard.example/chervilyard/decisionlog"
@@ -44,10 +46,13 @@
 // process takes an address before its instance listens on it.
 type listeners map[string]net.Listener
 
-// open opens a listener on a free port of the loopback interface and returns its address.
+// open opens a listener on a free port and returns its address. Each test has a loopback
+// address of its own, so that no test gets connections meant for a stopped instance of
+// another.
 func (ls listeners) open(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	h := xxhash.Sum64String(fmt.Sprint(os.Getpid(), t.Name()))
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+h%254, h>>8%254, 1+h>>16%254))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +84,7 @@
 func (f *fleet) start(region string, n int) *edge.Edge {
 	f.t.Helper()
 	name := fmt.Sprintf("%s-%d", region, n)
-	log := decisionlog.NewWithHistory(hclog.NewNullLogger(), 1000)
+	log := decisionlog.NewWithHistory(hclog.NewNullLogger(), 10000)
 	ctx, cancel := context.WithCancel(context.Background())
 	e, err := edge.Start(ctx, edge.Config{
 		Settings: edge.Settings{
--- a/chervilyard/edge/soak_test.go
+++ b/chervilyard/edge/soak_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/edge"
 )
 
@@ -48,21 +49,23 @@
 
 	mu        sync.Mutex
 	random    *rand.Rand
-	instances []*edge.Edge   // running or stopping
-	runs      map[string]int // by request, how often a target ran it
-	cut       map[string]error
+	logs      []*decisionlog.Log // of all runs of the instances
+	instances []*edge.Edge       // running or stopping
+	runs      map[string]int     // by request, how often a target ran it
+	cut       map[string]error   // by request without a whole answer
+	denied    map[string]string  // by request that was refused as not run, its answer
 	outcomes  map[string]int
 }
 
 func runSoak(t *testing.T, random *rand.Rand) {
-	s := &soak{t: t, f: newFleet(t), random: random, runs: make(map[string]int), cut: make(map[string]error), outcomes: make(map[string]int)}
+	s := &soak{t: t, f: newFleet(t), random: random, runs: make(map[string]int), cut: make(map[string]error), denied: make(map[string]string), outcomes: make(map[string]int)}
 	s.f.now = s.stallingClock
 	s.f.store.put("configuration/document", document{Version: 1, Rate: 1e6, Keys: []string{"k"}})
 	for _, target := range []string{"east-1", "east-2", "west-1"} {
 		s.f.addTarget(target, target[:4]+"-a", s.target)
 	}
 	for n := range 2 {
-		s.instances = append(s.instances, s.f.start("east", n), s.f.start("west", n))
+		s.instances = append(s.instances, s.start("east", n), s.start("west", n))
 	}
 	s.f.waitReady()
 	ctx, cancel := context.WithTimeout(context.Background(), soakTime)
@@ -80,12 +83,28 @@
 	defer s.mu.Unlock()
 	for id, err := range s.cut {
 		if s.runs[id] > 0 {
-			t.Errorf("request %s ran %d times and got no whole answer: %v", id, s.runs[id], err)
+			t.Errorf("request %s ran %d times and got no whole answer: %v%s", id, s.runs[id], err, s.history(id))
+		}
+	}
+	for id, answer := range s.denied {
+		if s.runs[id] > 0 {
+			t.Errorf("request %s ran %d times and was refused as not run: %s%s", id, s.runs[id], answer, s.history(id))
 		}
 	}
 	t.Logf("outcomes: %v, connections closed without an answer: %d", s.outcomes, len(s.cut))
 }
 
+// history returns what all instances logged of a request.
+func (s *soak) history(id string) string {
+	text := ""
+	for _, log := range s.logs {
+		for _, d := range log.History(id) {
+			text += fmt.Sprintf("\n\t%s %s %.0f ms, run %s: %s", d.Centre, d.Choice, d.DurationMS, d.Run, d.Reason)
+		}
+	}
+	return text
+}
+
 func (s *soak) intN(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,8 +201,8 @@
 		return false
 	}
 	s.outcomes[strconv.Itoa(resp.StatusCode)]++
-	if resp.StatusCode == http.StatusServiceUnavailable && s.runs[id] > 0 {
-		s.t.Errorf("request %s ran %d times and was refused as not run: %s", id, s.runs[id], body)
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		s.denied[id] = string(body)
 	}
 	return !resp.Close
 }
@@ -199,6 +218,16 @@
 	return nil
 }
 
+func (s *soak) start(region string, number int) *edge.Edge {
+	s.starting.Lock()
+	defer s.starting.Unlock()
+	e := s.f.start(region, number)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logs = append(s.logs, s.f.logs[e.Settings().Name])
+	return e
+}
+
 // restarts stops one of the instances and starts it anew, again and again.
 func (s *soak) restarts(ctx context.Context, n int) {
 	for {
@@ -213,9 +242,7 @@
 		e.Stop()
 		settings := e.Settings()
 		number, _ := strconv.Atoi(settings.Name[len(settings.Region)+1:])
-		s.starting.Lock()
-		e = s.f.start(settings.Region, number)
-		s.starting.Unlock()
+		e = s.start(settings.Region, number)
 		s.mu.Lock()
 		s.instances[n] = e
 		s.mu.Unlock()
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -48,8 +48,13 @@
 }
 
 // Buffered returns the number of bytes received but not yet read, including the
-// framing of a chunked body.
-func (r *Response) Buffered() int { return r.conn.r.Buffered() }
+// framing of a chunked body. It is 0 after the end of the body.
+func (r *Response) Buffered() int {
+	if r.ended { // another request may use the connection
+		return 0
+	}
+	return r.conn.r.Buffered()
+}
 
 // Close ends the response. If its body has not been read to the end, the
 // connection is closed.
