Know a request that was read together with the one before, and an interim response

Callers that send two requests at once could lose the second at a stop: it was read with the first, and the connection counted as idle after the first response. After "100 Continue" the body counted as the begin of a next request, and the connection as in use for ever, which made a stop last until its cutoff. Change: net/http's state says that a request is being served, whenever it was read; bytes that came during a response count as a next request for half a second only.

--- a/chervilyard/handover/conn.go
+++ b/chervilyard/handover/conn.go
@@ -10,6 +10,10 @@
 	"time"
 )
 
+// nextGrace is how long bytes that were received during a response count as the begin of
+// a next request.
+const nextGrace = 500 * time.Millisecond
+
 // conn is a tracked connection. Bytes are received with mu held, so that a connection
 // is closed as idle either before a byte of a request is received or not at all.
 type conn struct {
@@ -21,7 +25,8 @@
 	openedAt   time.Time // zero once a byte has been received
 	received   bool      // a byte of a request was received, and its response has not ended
 	responding bool      // a byte of that response was sent
-	next       bool      // a byte was received after that, which belongs to the next request
+	next       bool      // a byte was received after that, perhaps of the next request
+	idleSince  time.Time // when the last response ended; zero while a request is active
 	closing    bool      // closed as idle; no more bytes may be received
 }
 
@@ -88,7 +93,7 @@
 		return
 	}
 	c.openedAt = time.Time{}
-	c.received = true
+	c.received, c.idleSince = true, time.Time{}
 	c.next = c.next || c.responding
 }
 
@@ -128,17 +133,26 @@
 	return c.Conn.Close()
 }
 
-// endResponse records that a response has ended.
-func (c *conn) endResponse() {
+// beginRequest records that a whole request header was received, which may have been
+// read together with an earlier request.
+func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received, c.responding, c.next = c.next, false, false
+	c.received, c.idleSince = true, time.Time{}
 }
 
-func (c *conn) inUse() bool {
+// endResponse records that a response ended at now.
+func (c *conn) endResponse(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.received
+	c.received, c.responding, c.next, c.idleSince = c.next, false, false, now
+}
+
+// inUse reports whether a request is arriving or being served. Bytes received during a
+// response count as a request for nextGrace only, as they may have been the rest of the
+// request before. The caller must hold mu.
+func (c *conn) inUse(now time.Time) bool {
+	return c.received && (c.idleSince.IsZero() || now.Sub(c.idleSince) < nextGrace)
 }
 
 // closeIfIdle closes the connection unless a request is arriving or being served on
@@ -156,7 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waitsForFirst := !c.openedAt.IsZero() && now.Sub(c.openedAt) < newConnGrace
-	if c.received || waitsForFirst || c.hasUnreadData() {
+	if c.inUse(now) || waitsForFirst || c.hasUnreadData() {
 		return false
 	}
 	c.closing = true
--- a/chervilyard/handover/handover.go
+++ b/chervilyard/handover/handover.go
@@ -32,8 +32,13 @@
 // ConnState records a state change of a connection. It has the signature of
 // http.Server.ConnState, and ignores connections that are not tracked.
 func (t *Tracker) ConnState(c net.Conn, s http.ConnState) {
-	if tracked, ok := c.(*conn); ok && s == http.StateIdle {
-		tracked.endResponse()
+	tracked, ok := c.(*conn)
+	switch {
+	case !ok:
+	case s == http.StateActive:
+		tracked.beginRequest()
+	case s == http.StateIdle:
+		tracked.endResponse(t.now())
 	}
 }
 
@@ -50,18 +55,6 @@
 	return open
 }
 
-// InUse returns the number of connections on which a request has begun to arrive and
-// whose response has not ended.
-func (t *Tracker) InUse() int {
-	n := 0
-	for _, c := range t.list() {
-		if c.inUse() {
-			n++
-		}
-	}
-	return n
-}
-
 func (t *Tracker) now() time.Time {
 	if t.Now == nil {
 		return time.Now()
--- a/chervilyard/handover/handover_test.go
+++ b/chervilyard/handover/handover_test.go
@@ -107,8 +107,9 @@
 		_, _ = io.WriteString(w, "end")
 	})
 	c, r := dial(t, address)
+	time.Sleep(100 * time.Millisecond) // until the connection has been accepted
 	_, _ = io.WriteString(c, request[:10])
-	waitInUse(t, &tracker)
+	time.Sleep(100 * time.Millisecond) // until the bytes have arrived
 	if n := tracker.CloseIdle(time.Now().Add(time.Hour)); n != 1 {
 		t.Fatalf("%d connections open after a part of a request", n)
 	}
@@ -136,13 +137,19 @@
 		t.Fatal(err)
 	}
 	fresh, freshReader := dial(t, address)
-	for deadline := time.Now().Add(3 * time.Second); tracker.CloseIdle(time.Now()) != 1; time.Sleep(time.Millisecond) {
+	closed := make(chan error, 1)
+	go func() {
+		_, err := r.Peek(1)
+		closed <- err
+	}()
+	for deadline := time.Now().Add(3 * time.Second); len(closed) == 0; time.Sleep(time.Millisecond) {
+		tracker.CloseIdle(time.Now())
 		if time.Now().After(deadline) {
 			t.Fatal("the idle connection stays open")
 		}
 	}
-	if _, err := r.Peek(1); err == nil {
-		t.Error("the idle connection is open")
+	if err := <-closed; err == nil {
+		t.Error("the idle connection got bytes")
 	}
 	if err := roundTrip(fresh, freshReader); err != nil {
 		t.Errorf("a new connection: %v", err)
@@ -154,11 +161,58 @@
 	}
 }
 
-func waitInUse(t *testing.T, tracker *handover.Tracker) {
-	t.Helper()
-	for deadline := time.Now().Add(3 * time.Second); tracker.InUse() == 0; time.Sleep(time.Millisecond) {
+// Two requests arrive together. Guards against closing the connection while the second
+// one is served.
+func TestRequestsReadTogether(t *testing.T) {
+	var tracker handover.Tracker
+	second, proceed := make(chan struct{}), make(chan struct{})
+	var runs atomic.Int32
+	address := serve(t, &tracker, func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) == 2 {
+			close(second)
+			<-proceed
+		}
+	})
+	c, r := dial(t, address)
+	_, _ = io.WriteString(c, request+request)
+	<-second
+	if n := tracker.CloseIdle(time.Now().Add(time.Hour)); n != 1 {
+		t.Errorf("%d connections open while the second request is served", n)
+	}
+	close(proceed)
+	for n := range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", n+1, err)
+		}
+		_ = resp.Body.Close() // it is empty
+	}
+}
+
+// Guards against a connection that stays in use because a body followed an interim
+// response.
+func TestInterimResponse(t *testing.T) {
+	var tracker handover.Tracker
+	address := serve(t, &tracker, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	c, r := dial(t, address)
+	for _, part := range []struct {
+		request string
+		status  int // of the response to it
+	}{
+		{"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", http.StatusContinue},
+		{"ab", http.StatusOK},
+	} {
+		_, _ = io.WriteString(c, part.request)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != part.status {
+			t.Fatalf("response %v, %v, want status %d", resp, err, part.status)
+		}
+		_ = resp.Body.Close() // it is empty
+	}
+	closed := func() bool { return tracker.CloseIdle(time.Now()) == 0 }
+	for deadline := time.Now().Add(3 * time.Second); !closed(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("no connection is in use")
+			t.Fatal("the idle connection stays open")
 		}
 	}
 }
