Measure exchanges between instances of a grown fleet

Cause: BenchmarkHeartbeat covers the encoding of a heartbeat, which is a small part of what an exchange of heartbeats costs. Change: BenchmarkExchange sends heartbeats over a loopback connection, in a fleet of 81 instances in three regions, and reports the processor time of both instances.

--- a/chervilyard/gossip/bench_test.go
+++ b/chervilyard/gossip/bench_test.go
@@ -1,7 +1,10 @@
 package gossip
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,6 +52,94 @@
 	}
 }
 
+// BenchmarkExchange measures the processor time that a heartbeat and its reply take in
+// both instances together, over a loopback connection. The fleet has 81 instances in three
+// regions. A pause before each exchange lets the threads become idle, as in operation.
+func BenchmarkExchange(b *testing.B) {
+	for _, c := range []struct {
+		name, replier string
+		intervalCount int
+	}{{"usual", "region0-01", 1}, {"list", "region0-01", 0}, {"remote", "region1-00", 1}} {
+		b.Run(c.name, func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			sender, replier := fleetGossiper("region0-00", "", c.intervalCount), fleetGossiper(c.replier, l.Addr().String(), c.intervalCount)
+			s := NewServer(replier, func(time.Time, string) *fleet.Content { return nil })
+			done := make(chan error, 1)
+			go func() { done <- s.Serve(l) }()
+			to := replier.Self(time.Now())
+			ctx := context.Background()
+			for range 3 { // until each knows the other's state
+				sender.exchange(ctx, to)
+			}
+			if sender.RoundTripTime(to.Name) == 0 {
+				b.Fatal("the heartbeat is not answered")
+			}
+			b.ReportAllocs()
+			began := processorTime(b)
+			for b.Loop() {
+				time.Sleep(500 * time.Microsecond)
+				sender.exchange(ctx, to)
+			}
+			b.ReportMetric(float64((processorTime(b)-began).Nanoseconds())/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(0, "ns/op") // most of it is the pause
+			sender.close()
+			s.Stop()
+			if err := <-done; err != nil {
+				b.Error(err)
+			}
+		})
+	}
+}
+
+// BenchmarkInterval measures the choice of peers in one interval, in a fleet of 81
+// instances in three regions.
+func BenchmarkInterval(b *testing.B) {
+	g := fleetGossiper("region0-00", "", 0)
+	now := time.Now()
+	self := g.Self(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.intervalCount++
+		g.Members.Evict(now, memberRetention)
+		members := g.Members.All()
+		g.logSilentMembers(now, members)
+		g.choosePeers(now, self, members)
+	}
+}
+
+// fleetGossiper returns one of 81 instances in three regions, which knows the 80 others.
+func fleetGossiper(name, address string, intervalCount int) *Gossiper {
+	g := &Gossiper{
+		Self: func(now time.Time) membership.Member {
+			return membership.Member{Name: name, Run: 1, Region: name[:len("region0")], Peers: address, Heard: now}
+		},
+		Members: &membership.Table{}, Now: time.Now, Payload: payload, intervalCount: intervalCount,
+		HandlePayload: func(time.Time, time.Time, membership.Member, *fleet.Heartbeat) {},
+	}
+	for i := range 81 {
+		m := membership.Member{
+			Name: fmt.Sprintf("region%d-%02d", i%3, i/3), Run: 1, Region: fmt.Sprintf("region%d", i%3), Centre: "a",
+			Callers: "10.1.200.25:8221", Forward: "10.1.200.25:7600", Peers: "10.1.200.25:8229", Ready: true, Heard: time.Now(),
+		}
+		if m.Name != name {
+			g.Members.Update(m)
+		}
+	}
+	return g
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // payload returns the part of a heartbeat that Gossiper.Payload supplies, for an
 // instance with 36 requests open at 33 targets.
 func payload(time.Time, membership.Member) *fleet.Heartbeat {
