Exchange heartbeats within a region in turn, half as often

Cause: an instance of a region of 27 sent or answered 80 heartbeats a second within its region, and peers were chosen at random: a load report was on average as old as the mean time between two exchanges of a pair, and at times older than the 1.5 s for which it counts. Change: in regions of more than five instances heartbeats go out every 100 ms in place of 50, to those peers whose last exchange, started by either side, is the longest ago. Smaller regions keep 50 ms. The list of members, once a second, still goes to peers at random: in turn it would go to one peer of two, four, five or ten (TestListGoesToAllPeers fails so). At most 5 peers get a heartbeat at once in place of 4, which makes at most 100 heartbeats a second in place of 160. The check of TestHeartbeatFanout that a pair exchanges heartbeats every 400 ms is replaced: it held for random peers, where that is the mean age of loads. TestLoadAge simulates the region and keeps 400 ms as the bound of the mean age for 65 instances, with lower ones for smaller regions, and bounds the oldest report and the number of heartbeats as well. The old choice fails it.

--- a/chervilyard/gossip/connection.go
+++ b/chervilyard/gossip/connection.go
@@ -84,6 +84,7 @@
 	}
 	unknown := func(name string) bool { return !known[name] }
 	maps.DeleteFunc(g.roundTrips, func(name string, _ time.Duration) bool { return unknown(name) })
+	maps.DeleteFunc(g.lastExchange, func(name string, _ int) bool { return unknown(name) })
 	maps.DeleteFunc(g.loggedSilent, func(name string, _ bool) bool { return unknown(name) })
 	maps.DeleteFunc(g.pending.requests, func(name string, _ []uint64) bool { return unknown(name) })
 	maps.DeleteFunc(g.pending.replies, func(name string, _ []uint64) bool { return unknown(name) })
--- a/chervilyard/gossip/fanout.go
+++ b/chervilyard/gossip/fanout.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,13 +12,16 @@
 )
 
 const (
-	// In each interval an instance sends heartbeats to one in localFanoutDivisor of
-	// the other live instances of its region, at most to maxLocalFanout. In regions
-	// of up to about 65 instances any two thus exchange heartbeats every 400 ms on
-	// average. An instance sends or answers 40 to 160 heartbeats/s, which costs part
-	// of a core.
-	localFanoutDivisor = 16
-	maxLocalFanout     = 4
+	// An instance sends heartbeats to one in localFanoutDivisor of the other live
+	// instances of its region at once, at most to maxLocalFanout. It does so in every
+	// interval if there are at most smallRegionPeers, and in every localIntervals-th
+	// otherwise. It thus sends or answers at most 100 heartbeats/s in the region on
+	// average, and in regions of up to 65 instances any two exchange heartbeats about
+	// every 700 ms or more often.
+	localFanoutDivisor = 15
+	maxLocalFanout     = 5
+	smallRegionPeers   = 4
+	localIntervals     = 2
 	// remoteIntervals is the number of intervals between heartbeats to other
 	// regions, and maxRemoteRegions bounds the regions that get one each time. The
 	// links between regions have little bandwidth.
@@ -31,20 +36,23 @@
 	silentProbeIntervals = 20
 )
 
-// choosePeers returns the members to send a heartbeat to in this interval. It reorders
+// choosePeers returns the members to send a heartbeat to in this interval. Within the
+// region it prefers those whose last exchange is the longest ago: exchanges at regular
+// distances keep loads half as old, on average, as exchanges at random ones. It reorders
 // the slice members.
 func (g *Gossiper) choosePeers(now time.Time, self membership.Member, members []membership.Member) []membership.Member {
 	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	intervalCount := g.intervalCount
-	g.mu.Unlock()
-	var live, silent, list []membership.Member
+	var live []*membership.Member
+	var silent, list []membership.Member
 	remoteRegions := make(map[string]bool)
-	for _, m := range members {
+	for i, m := range members {
 		switch {
 		case m.Name == self.Name:
 		case m.Region == self.Region && now.Sub(m.Heard) <= silentAfter:
-			live = append(live, m)
+			live = append(live, &members[i])
 		case m.Region == self.Region:
 			silent = append(silent, m)
 		case intervalCount%remoteIntervals == 0 && !remoteRegions[m.Region] && len(remoteRegions) < maxRemoteRegions && connectsTo(now, self, m, members):
@@ -55,8 +63,36 @@
 	if len(silent) > 0 && (len(live) == 0 || intervalCount%silentProbeIntervals == 0) {
 		list = append(list, silent[0])
 	}
-	fanout := min((len(live)+localFanoutDivisor-1)/localFanoutDivisor, maxLocalFanout)
-	return append(list, live[:fanout]...)
+	// Lists of members go to peers at random: in turn, they could go to the same ones
+	// each time.
+	if intervalCount%memberListIntervals != 0 {
+		slices.SortFunc(live, func(a, b *membership.Member) int { return cmp.Compare(g.lastExchange[a.Name], g.lastExchange[b.Name]) })
+	}
+	for _, m := range live[:localFanout(intervalCount, len(live))] {
+		list = append(list, *m)
+	}
+	return list
+}
+
+// localFanout returns the number of heartbeats to send within the region in an interval,
+// given the number of live peers there.
+func localFanout(intervalCount, peers int) int {
+	if peers > smallRegionPeers && intervalCount%localIntervals != 0 {
+		return 0
+	}
+	return min((peers+localFanoutDivisor-1)/localFanoutDivisor, maxLocalFanout)
+}
+
+// recordExchange records that an exchange with the member has begun, whether this
+// instance or the member started it.
+func (g *Gossiper) recordExchange(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lastExchange == nil {
+		g.lastExchange = make(map[string]int)
+	}
+	g.exchangeCount++
+	g.lastExchange[name] = g.exchangeCount
 }
 
 // broadcastPeers returns the members that are notified of new store content at once:
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats of an instance to others in
-	// its region. Loads older than the duration of a few requests would mislead the
-	// choice of targets.
+	// heartbeatInterval is the shortest time between two heartbeats of an instance to
+	// others in its region. Loads older than the duration of a few requests would
+	// mislead the choice of targets.
 	heartbeatInterval = 50 * time.Millisecond
 	// memberListIntervals is the number of intervals between heartbeats within
 	// the region that list all members.
@@ -72,6 +72,8 @@
 	lastUsed      map[string]time.Time        // when the connection was last used, by address
 	inFlight      map[string]bool             // addresses that a heartbeat is in flight to
 	roundTrips    map[string]time.Duration    // average, by member name
+	exchangeCount int                         // exchanges begun since the start
+	lastExchange  map[string]int              // exchangeCount at the last exchange, by member name
 	loggedSilent  map[string]bool             // by member name; whether it was last logged as lost
 	pending       pendingUpdates
 }
@@ -143,6 +145,7 @@
 // startExchange exchanges a heartbeat with a member in the background. It does
 // nothing while an earlier exchange with the same address is in flight.
 func (g *Gossiper) startExchange(ctx context.Context, m membership.Member) {
+	g.recordExchange(m.Name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.inFlight == nil {
@@ -228,6 +231,7 @@
 	if latency == 0 {
 		latency = remoteTimeout
 	}
+	g.recordExchange(h.GetName())
 	return g.receive(now, now.Add(-latency), h)
 }
 
