Keep the members sorted and fingerprinted in their table

Cause: every list of members was sorted anew from a map, each listed member was copied twice and its fingerprint computed again, and a heartbeat from a listed member copied its state to the map. A heartbeat to another region always lists the members, and each interval and each request's share of cold targets needs them all. Change: Table keeps its entries in order of names, each with its fingerprint, and VisitLive passes them on without copying the list. What the methods return is as before; TestTableStaysConsistent covers the indexes.

--- a/chervilyard/gossip/updates.go
+++ b/chervilyard/gossip/updates.go
@@ -31,9 +31,7 @@
 	selfFingerprint := self.Fingerprint()
 	h.Name = self.Name
 	h.Marks, h.Ages = []uint64{selfFingerprint}, []int64{0}
-	for _, m := range g.listedMembers(now, self, to) {
-		h.Marks, h.Ages = append(h.Marks, m.Fingerprint()), append(h.Ages, AgeMillis(now, m.Heard))
-	}
+	g.listMembers(now, self, to, h)
 	replies, requests, selfChanged := g.takePending(now, selfFingerprint, to.Name)
 	h.Unknown = requests
 	if selfChanged || to.Heard.IsZero() {
@@ -65,24 +63,22 @@
 	return replies, requests, now.Sub(p.changedAt) < selfUpdatePeriod
 }
 
-// listedMembers returns the members to list in a heartbeat. A member of the same
-// region gets the full list if it has not been heard yet, and otherwise once in
+// listMembers adds the other members to a heartbeat. A member of the same region gets
+// the full list if it has not been heard yet, and otherwise once in
 // memberListIntervals. A member of another region always gets this region's members.
-func (g *Gossiper) listedMembers(now time.Time, self, to membership.Member) []membership.Member {
+func (g *Gossiper) listMembers(now time.Time, self, to membership.Member, h *fleet.Heartbeat) {
 	g.mu.Lock()
 	listDue := g.intervalCount%memberListIntervals == 0
 	g.mu.Unlock()
 	remote := to.Region != "" && to.Region != self.Region
 	if !listDue && !to.Heard.IsZero() && !remote {
-		return nil
+		return
 	}
-	var list []membership.Member
-	for _, m := range g.Members.Live(now, memberRetention) {
+	g.Members.VisitLive(now, memberRetention, func(m membership.Member, fingerprint uint64) {
 		if m.Name != to.Name && (!remote || m.Region == self.Region) {
-			list = append(list, m)
+			h.Marks, h.Ages = append(h.Marks, fingerprint), append(h.Ages, AgeMillis(now, m.Heard))
 		}
-	}
-	return list
+	})
 }
 
 // mergeMembers updates the member table from a heartbeat and returns the sender. If the
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -54,9 +54,16 @@
 // Table holds all known members except the instance itself. The zero value is
 // an empty table. A Table is safe for concurrent use.
 type Table struct {
-	mu                sync.Mutex
-	members           map[string]Member
-	nameByFingerprint map[uint64]string
+	mu            sync.Mutex
+	sorted        []*entry // by name
+	byName        map[string]*entry
+	byFingerprint map[uint64]*entry
+}
+
+// entry is a member of a table with its fingerprint.
+type entry struct {
+	Member
+	fingerprint uint64
 }
 
 // Update stores a member's state as of m.Heard, unless the table holds a state that
@@ -65,15 +72,13 @@
 func (t *Table) Update(m Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.members == nil {
-		t.members = make(map[string]Member)
-	}
-	old, ok := t.members[m.Name]
-	if ok && !m.Heard.After(old.Heard) {
+	old := t.byName[m.Name]
+	if old != nil && !m.Heard.After(old.Heard) {
 		return false
 	}
+	isNew := old == nil || old.Run != m.Run
 	t.put(m)
-	return !ok || old.Run != m.Run
+	return isNew
 }
 
 // RecordHeartbeat records a heartbeat, at the given time, of the member with the given
@@ -81,13 +86,12 @@
 func (t *Table) RecordHeartbeat(fingerprint uint64, heard time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	name, ok := t.nameByFingerprint[fingerprint]
-	if !ok {
+	e := t.byFingerprint[fingerprint]
+	if e == nil {
 		return false
 	}
-	if m := t.members[name]; heard.After(m.Heard) {
-		m.Heard = heard
-		t.members[name] = m
+	if heard.After(e.Heard) {
+		e.Heard = heard
 	}
 	return true
 }
@@ -97,28 +101,50 @@
 func (t *Table) ByFingerprint(fingerprint uint64) (Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	name, ok := t.nameByFingerprint[fingerprint]
-	return t.members[name], ok
+	if e := t.byFingerprint[fingerprint]; e != nil {
+		return e.Member, true
+	}
+	return Member{}, false
 }
 
 // Get returns the member with the given name, or false if there is none.
 func (t *Table) Get(name string) (Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m, ok := t.members[name]
-	return m, ok
+	if e := t.byName[name]; e != nil {
+		return e.Member, true
+	}
+	return Member{}, false
 }
 
 // put stores a member and replaces its index entry. The caller must hold t.mu.
 func (t *Table) put(m Member) {
-	if t.nameByFingerprint == nil {
-		t.nameByFingerprint = make(map[uint64]string)
+	if t.byName == nil {
+		t.byName, t.byFingerprint = make(map[string]*entry), make(map[uint64]*entry)
 	}
-	if old, ok := t.members[m.Name]; ok {
-		delete(t.nameByFingerprint, old.Fingerprint())
+	e := t.byName[m.Name]
+	if e == nil {
+		e = &entry{}
+		t.byName[m.Name] = e
+		i, _ := slices.BinarySearchFunc(t.sorted, m.Name, compareName)
+		t.sorted = slices.Insert(t.sorted, i, e)
+	} else {
+		delete(t.byFingerprint, e.fingerprint)
 	}
-	t.members[m.Name] = m
-	t.nameByFingerprint[m.Fingerprint()] = m.Name
+	e.Member, e.fingerprint = m, m.Fingerprint()
+	t.byFingerprint[e.fingerprint] = e
+}
+
+// deleteFunc removes the members for which del returns true. The caller must hold t.mu.
+func (t *Table) deleteFunc(del func(*entry) bool) {
+	t.sorted = slices.DeleteFunc(t.sorted, func(e *entry) bool {
+		if !del(e) {
+			return false
+		}
+		delete(t.byName, e.Name)
+		delete(t.byFingerprint, e.fingerprint)
+		return true
+	})
 }
 
 // MergeListing merges the members of a directory listing. A listing carries no
@@ -128,45 +154,48 @@
 func (t *Table) MergeListing(members []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.members == nil {
-		t.members = make(map[string]Member)
-	}
 	listed := make(map[string]bool, len(members))
 	for _, m := range members {
 		listed[m.Name] = true
-		old, ok := t.members[m.Name]
-		if !ok || (old.Run != m.Run && old.Heard.IsZero()) {
+		old := t.byName[m.Name]
+		if old == nil || (old.Run != m.Run && old.Heard.IsZero()) {
 			m.Heard = time.Time{}
 			t.put(m)
 		}
 	}
-	for name, m := range t.members {
-		if m.Heard.IsZero() && !listed[name] {
-			delete(t.members, name)
-			delete(t.nameByFingerprint, m.Fingerprint())
-		}
-	}
+	t.deleteFunc(func(e *entry) bool { return e.Heard.IsZero() && !listed[e.Name] })
 }
 
 // Live returns the members whose last heartbeat is at most maxAge old, sorted by
 // name. Members known only from a listing are not live.
 func (t *Table) Live(now time.Time, maxAge time.Duration) []Member {
-	return t.selectSorted(func(m Member) bool { return now.Sub(m.Heard) <= maxAge })
+	return t.selectSorted(func(e *entry) bool { return now.Sub(e.Heard) <= maxAge })
 }
 
 // All returns all members, sorted by name.
-func (t *Table) All() []Member { return t.selectSorted(func(Member) bool { return true }) }
+func (t *Table) All() []Member { return t.selectSorted(func(*entry) bool { return true }) }
+
+// VisitLive calls visit for each member that Live returns, with the member's
+// fingerprint. The function visit must not call methods of the table.
+func (t *Table) VisitLive(now time.Time, maxAge time.Duration, visit func(m Member, fingerprint uint64)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.sorted {
+		if now.Sub(e.Heard) <= maxAge {
+			visit(e.Member, e.fingerprint)
+		}
+	}
+}
 
-func (t *Table) selectSorted(keep func(Member) bool) []Member {
+func (t *Table) selectSorted(keep func(*entry) bool) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]Member, 0, len(t.members))
-	for _, m := range t.members {
-		if keep(m) {
-			list = append(list, m)
+	list := make([]Member, 0, len(t.sorted))
+	for _, e := range t.sorted {
+		if keep(e) {
+			list = append(list, e.Member)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -175,14 +204,11 @@
 func (t *Table) Evict(now time.Time, maxAge time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, m := range t.members {
-		if !m.Heard.IsZero() && now.Sub(m.Heard) > maxAge {
-			delete(t.members, name)
-			delete(t.nameByFingerprint, m.Fingerprint())
-		}
-	}
+	t.deleteFunc(func(e *entry) bool { return !e.Heard.IsZero() && now.Sub(e.Heard) > maxAge })
 }
 
+func compareName(e *entry, name string) int { return cmp.Compare(e.Name, name) }
+
 // Rank returns the position, from 0, of the name self in the sorted order of self
 // and the names of the others.
 func Rank(self string, others []Member) int {
--- a/yard/membership/membership_test.go
+++ b/yard/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,50 @@
 	}
 }
 
+// The table finds its members by name, by fingerprint and in order, also after changes of
+// state, evictions and listings.
+func TestTableStaysConsistent(t *testing.T) {
+	var table membership.Table
+	member := func(name string, run int64, heard time.Duration) membership.Member {
+		return membership.Member{Name: name, Run: run, Heard: start.Add(heard)}
+	}
+	for i, name := range []string{"c", "a", "d", "b"} {
+		table.Update(member(name, 1, time.Duration(i)*time.Second))
+	}
+	table.Update(member("c", 2, 10*time.Second)) // another state
+	table.RecordHeartbeat(member("d", 1, 0).Fingerprint(), start.Add(9*time.Second))
+	table.MergeListing([]membership.Member{{Name: "e", Run: 1}, {Name: "f", Run: 1}})
+	table.MergeListing([]membership.Member{{Name: "f", Run: 2}})
+	table.Evict(start.Add(12*time.Second), 10*time.Second) // a, heard after 1 s
+	want := []membership.Member{member("b", 1, 3*time.Second), member("c", 2, 10*time.Second), member("d", 1, 9*time.Second), {Name: "f", Run: 2}}
+	if all := table.All(); !slices.Equal(all, want) {
+		t.Errorf("members are %+v", all)
+	}
+	for _, m := range want {
+		if got, ok := table.Get(m.Name); !ok || got != m {
+			t.Errorf("%s is %+v", m.Name, got)
+		}
+		if got, ok := table.ByFingerprint(m.Fingerprint()); !ok || got != m {
+			t.Errorf("by its fingerprint, %s is %+v", m.Name, got)
+		}
+	}
+	for _, gone := range []membership.Member{member("a", 1, 0), member("c", 1, 0), {Name: "e", Run: 1}, {Name: "f", Run: 1}} {
+		if got, ok := table.ByFingerprint(gone.Fingerprint()); ok || table.RecordHeartbeat(gone.Fingerprint(), start) {
+			t.Errorf("a former state is found: %+v", got)
+		}
+	}
+	var visited []membership.Member
+	table.VisitLive(start.Add(12*time.Second), 5*time.Second, func(m membership.Member, fingerprint uint64) {
+		if fingerprint != m.Fingerprint() {
+			t.Errorf("%s has the fingerprint of another state", m.Name)
+		}
+		visited = append(visited, m)
+	})
+	if live := table.Live(start.Add(12*time.Second), 5*time.Second); !slices.Equal(visited, live) || len(live) != 2 {
+		t.Errorf("visited %+v, live are %+v", visited, live)
+	}
+}
+
 func TestRank(t *testing.T) {
 	others := []membership.Member{{Name: "a"}, {Name: "c"}}
 	if membership.Rank("b", others) != 1 || membership.Rank("0", others) != 0 || membership.Rank("d", others) != 2 {
