Make the content of heartbeats cheaper

Cause: each reply carried requests for tokens, which the other side does not answer, and for which the buckets of all customers were brought up to date; the slices of loads grew step by step; each report of a peer got a new map; and the share of cold targets was computed anew, over all members, for each service in a heartbeat to another region. Loads have their size from the start, a peer's map is reused (TestPeerLoadsReplaced), and the share is computed once. The messages are as before, and instances of either kind understand each other.

--- a/chervilyard/edge/bench_test.go
+++ b/chervilyard/edge/bench_test.go
@@ -17,8 +17,9 @@
 )
 
 // BenchmarkHeartbeatPayload measures an instance's own part of an exchange: to write the
-// content of a heartbeat, and to process one of the same size. The instance has requests
-// open at 33 targets, 26 peers with as many, and 230 customers, a tenth of them active.
+// content of a heartbeat and the tokens that it requests, and to process one of the same
+// size. The instance has requests open at 33 targets, 26 peers with as many, and 230
+// customers, a tenth of them active.
 func BenchmarkHeartbeatPayload(b *testing.B) {
 	now := time.Unix(1_700_000_000, 0)
 	e := &Edge{started: now.Add(-time.Minute)}
@@ -59,6 +60,13 @@
 		}
 		b.ReportMetric(float64(size), "bytes")
 	})
+	b.Run("wants", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			now = now.Add(25 * time.Millisecond)
+			e.wantedTokens(now)
+		}
+	})
 	b.Run("process", func(b *testing.B) {
 		h := e.heartbeatPayload(now, peer)
 		h.Name, h.Marks = peer.Name, []uint64{1}
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -38,7 +38,7 @@
 	e.gossiper = &gossip.Gossiper{
 		Self: e.self, Members: &e.memberTable, Now: e.now, Decisions: e.decisions,
 		Seeds:   func() []string { return e.Settings().Seeds },
-		Payload: e.heartbeatPayload, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare,
+		Payload: e.heartbeatPayload, Wants: e.wantedTokens, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare,
 	}
 }
 
@@ -50,8 +50,8 @@
 	}
 }
 
-// heartbeatPayload returns the content of a heartbeat to a member: digests, requests for
-// tokens, and loads within the region or waiting times to other regions.
+// heartbeatPayload returns the content of a heartbeat or a reply to a member: digests, and
+// loads within the region or waiting times to other regions.
 func (e *Edge) heartbeatPayload(now time.Time, to membership.Member) *fleet.Heartbeat {
 	h := &fleet.Heartbeat{Digests: e.digests(now)}
 	if to.Region == e.Settings().Region {
@@ -59,10 +59,16 @@
 	} else {
 		h.Rooms = e.localWaits(now)
 	}
+	return h
+}
+
+// wantedTokens returns the tokens to request with a heartbeat.
+func (e *Edge) wantedTokens(now time.Time) []*fleet.Tokens {
+	var list []*fleet.Tokens
 	for customer, n := range e.quota.Deficits(now) {
-		h.Wants = append(h.Wants, &fleet.Tokens{Customer: customer, Amount: n})
+		list = append(list, &fleet.Tokens{Customer: customer, Amount: n})
 	}
-	return h
+	return list
 }
 
 // localWaits returns how long a new request would wait in this region, by service.
@@ -71,9 +77,10 @@
 	if c == nil {
 		return nil
 	}
+	coldShare := e.coldTargetShare(now)
 	var list []*fleet.Room
 	for _, name := range e.targets.services() {
-		if wait, ok := e.picker.QueueWait(now, e.targets.usable(name), c.Service(name), e.coldTargetShare(now)); ok {
+		if wait, ok := e.picker.QueueWait(now, e.targets.usable(name), c.Service(name), coldShare); ok {
 			list = append(list, &fleet.Room{Service: name, Wait: wait.Seconds() * 1000})
 		}
 	}
--- a/chervilyard/edge/loads.go
+++ b/chervilyard/edge/loads.go
@@ -12,7 +12,10 @@
 
 // encodeLoads converts loads to their form in heartbeats.
 func encodeLoads(list []placement.Load) *fleet.Loads {
-	h := &fleet.Loads{}
+	h := &fleet.Loads{
+		Targets: make([]uint32, 0, len(list)), Open: make([]uint32, 0, len(list)),
+		Waiting: make([]uint32, 0, len(list)), Memory: make([]uint32, 0, len(list)),
+	}
 	for _, l := range list {
 		h.Targets = append(h.Targets, targetHash(l.Target))
 		h.Open = append(h.Open, uint32(l.Open))
--- a/chervilyard/gossip/bench_test.go
+++ b/chervilyard/gossip/bench_test.go
@@ -117,6 +117,7 @@
 			return membership.Member{Name: name, Run: 1, Region: name[:len("region0")], Peers: address, Heard: now}
 		},
 		Members: &membership.Table{}, Now: time.Now, Payload: payload, intervalCount: intervalCount,
+		Wants:         func(time.Time) []*fleet.Tokens { return nil },
 		HandlePayload: func(time.Time, time.Time, membership.Member, *fleet.Heartbeat) {},
 	}
 	for i := range 81 {
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -58,9 +58,11 @@
 	Decisions *decisionlog.Log
 	// Seeds returns the addresses to send heartbeats to while no member is known.
 	Seeds func() []string
-	// Payload returns the content of a heartbeat to a member, except the membership
-	// fields, which Gossiper fills in.
+	// Payload returns the content of a heartbeat to a member or of a reply, except the
+	// membership fields, which Gossiper fills in.
 	Payload func(now time.Time, to membership.Member) *fleet.Heartbeat
+	// Wants returns the tokens to request with a heartbeat. Replies request none.
+	Wants func(now time.Time) []*fleet.Tokens
 	// HandlePayload processes a heartbeat from a member. The sender wrote it no
 	// earlier than written. A reply to RequestTokens is passed to it as a heartbeat
 	// that has only the member's name and the granted tokens.
@@ -182,7 +184,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, g.Heartbeat(now, m))
+	h := g.Heartbeat(now, m)
+	h.Wants = g.Wants(now)
+	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, h)
 	if err != nil {
 		return // logSilentMembers logs a failure that lasts
 	}
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -151,7 +151,11 @@
 	if p.peers == nil {
 		p.peers = make(map[string]peerLoads)
 	}
-	byTarget := make(map[string]Load, len(loads))
+	byTarget := p.peers[peer].loads
+	if byTarget == nil {
+		byTarget = make(map[string]Load, len(loads))
+	}
+	clear(byTarget)
 	for _, l := range loads {
 		byTarget[l.Target] = l
 	}
@@ -164,7 +168,7 @@
 func (p *Picker) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []Load
+	list := make([]Load, 0, len(p.targets))
 	for name, s := range p.targets {
 		if s.open > 0 {
 			list = append(list, Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens})
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -150,6 +150,31 @@
 	}
 }
 
+// A report of a peer replaces its earlier one. Guards against load that stays at targets
+// that the newer report omits.
+func TestPeerLoadsReplaced(t *testing.T) {
+	var p placement.Picker
+	now := time.Unix(0, 0)
+	list := []target.Target{target.New("a", "c", "", []string{"m"}, 8, 1, false), target.New("b", "c", "", []string{"m"}, 8, 1, false)}
+	load := placement.Load{Open: 5, WaitingTokens: 50_000, MemoryTokens: 60_000}
+	for _, busy := range []string{"a", "b", "a"} {
+		load.Target = busy
+		p.UpdatePeerLoads(now, "peer", []placement.Load{load})
+		ticket := p.Choose(now, list, placement.Request{Service: engineService, PromptTokens: 1000}, coldShare)
+		if ticket == nil || ticket.Target().Name() == busy {
+			t.Fatalf("with load at %s alone, the ticket is %+v", busy, ticket)
+		}
+		ticket.End(now, placement.Answered)
+	}
+	p.UpdatePeerLoads(now, "peer", nil)
+	for _, alone := range list {
+		wait, ok := p.QueueWait(now, []target.Target{alone}, engineService, coldShare)
+		if !ok || wait != 0 {
+			t.Errorf("without load, a request at %s waits %v", alone.Name(), wait)
+		}
+	}
+}
+
 // Checks that the load of a target returns to zero after all its requests have
 // ended, in any order and with any outcome.
 func TestCountsReturnToZero(t *testing.T) {
