Compute the rank among readers without copying the members

Cause: each of the three readers of the store computes its rank every 50 ms and copied all members for it, 17 KB each time in a fleet of 81. In a profile of such a fleet, idle and in one process, that was 8% of the processor time. Change: readRank visits the live members and counts. TestReadRank states what counts; it passes with the former code as well.

--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -127,13 +127,13 @@
 // not stopping. The instance of rank 0 reads the store first.
 func (e *Edge) readRank(now time.Time) int {
 	s := e.Settings()
-	var others []membership.Member
-	for _, m := range e.memberTable.Live(now, liveTimeout) {
-		if m.Region == s.Region && !m.Leaving {
-			others = append(others, m)
+	rank := 0
+	e.memberTable.VisitLive(now, liveTimeout, func(m membership.Member, _ uint64) {
+		if m.Region == s.Region && !m.Leaving && m.Name < s.Name {
+			rank++
 		}
-	}
-	return membership.Rank(s.Name, others)
+	})
+	return rank
 }
 
 // contentChanged applies new content. Content that is new to the region is announced to
--- a/chervilyard/edge/views_test.go
+++ b/chervilyard/edge/views_test.go
@@ -70,3 +70,25 @@
 		t.Errorf("one of three instances may send %d requests/s", n)
 	}
 }
+
+// An instance reads the store after the live instances of its region that precede it by
+// name and are not stopping.
+func TestReadRank(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	e := &Edge{}
+	e.settings.Store(&Settings{Name: "east-5", Region: "east"})
+	for _, m := range []membership.Member{
+		{Name: "east-1", Region: "east", Heard: now},
+		{Name: "east-2", Region: "east", Heard: now.Add(-liveTimeout - time.Millisecond)},
+		{Name: "east-3", Region: "east", Heard: now, Leaving: true},
+		{Name: "east-4", Region: "east", Heard: now.Add(-liveTimeout)},
+		{Name: "east-6", Region: "east", Heard: now},
+		{Name: "central-1", Region: "central", Heard: now},
+	} {
+		e.memberTable.Update(m)
+	}
+	e.memberTable.MergeListing([]membership.Member{{Name: "east-0", Region: "east"}}) // not heard yet
+	if rank := e.readRank(now); rank != 2 {
+		t.Errorf("the rank is %d after east-1 and east-4", rank)
+	}
+}
