--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats of an instance to others in
-	// its region. Loads older than the duration of a few requests would mislead the
-	// choice of targets.
+	// heartbeatInterval is the shortest time between two heartbeats of an instance to
+	// others in its region. Loads older than the duration of a few requests would
+	// mislead the choice of targets.
 	heartbeatInterval = 50 * time.Millisecond
 	// memberListIntervals is the number of intervals between heartbeats within
 	// the region that list all members.
@@ -42,6 +42,9 @@
 	dialTimeout = time.Second
 	// maxMessageBytes bounds a message; it exceeds the largest value in the store.
 	maxMessageBytes = 4 << 20
+	// windowBytes is the flow control window of connections. Without a fixed window,
+	// gRPC measures the bandwidth with a ping for each message that it receives.
+	windowBytes = 1 << 20
 )
 
 // Gossiper exchanges heartbeats with the other instances. Its exported fields must be
@@ -55,9 +58,11 @@
 	Decisions *decisionlog.Log
 	// Seeds returns the addresses to send heartbeats to while no member is known.
 	Seeds func() []string
-	// Payload returns the content of a heartbeat to a member, except the membership
-	// fields, which Gossiper fills in.
+	// Payload returns the content of a heartbeat to a member or of a reply, except the
+	// membership fields, which Gossiper fills in.
 	Payload func(now time.Time, to membership.Member) *fleet.Heartbeat
+	// Wants returns the tokens to request with a heartbeat. Replies request none.
+	Wants func(now time.Time) []*fleet.Tokens
 	// HandlePayload processes a heartbeat from a member. The sender wrote it no
 	// earlier than written. A reply to RequestTokens is passed to it as a heartbeat
 	// that has only the member's name and the granted tokens.
@@ -72,6 +77,8 @@
 	lastUsed      map[string]time.Time        // when the connection was last used, by address
 	inFlight      map[string]bool             // addresses that a heartbeat is in flight to
 	roundTrips    map[string]time.Duration    // average, by member name
+	exchangeCount int                         // exchanges begun since the start
+	lastExchange  map[string]int              // exchangeCount at the last exchange, by member name
 	loggedSilent  map[string]bool             // by member name; whether it was last logged as lost
 	pending       pendingUpdates
 }
@@ -143,6 +150,7 @@
 // startExchange exchanges a heartbeat with a member in the background. It does
 // nothing while an earlier exchange with the same address is in flight.
 func (g *Gossiper) startExchange(ctx context.Context, m membership.Member) {
+	g.recordExchange(m.Name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.inFlight == nil {
@@ -176,7 +184,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, g.Heartbeat(now, m))
+	h := g.Heartbeat(now, m)
+	h.Wants = g.Wants(now)
+	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, h)
 	if err != nil {
 		return // logSilentMembers logs a failure that lasts
 	}
@@ -228,6 +238,7 @@
 	if latency == 0 {
 		latency = remoteTimeout
 	}
+	g.recordExchange(h.GetName())
 	return g.receive(now, now.Add(-latency), h)
 }
 
