Charge nothing for a request that was not sent

Customers lost tokens of requests whose caller left before anything was sent. Cause: a request whose connection had ended was logged as "run unknown" and kept its tokens, and an attempt that was cancelled before its first byte still counted as one that may have run; at a deadline that made a 504 of a 503 "not run". Evidence: TestUnsentRequestIsRefunded failed before: 429 after five requests that were never sent. Change: what was not sent is taken back before the cause of the failure is looked at, and a request that no target may have run is "run no", refunded like other refusals.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -42,7 +42,7 @@
 			return g.deadlineExceeded(ctx, x)
 		}
 		if ctx.Err() != nil {
-			return g.cutOffOrGone(now, context.Cause(ctx))
+			return g.cutOffOrGone(now, x, context.Cause(ctx))
 		}
 		dest, err := g.chooseDestination(now, x)
 		if err != nil {
@@ -171,6 +171,10 @@
 	sent := !errors.As(err, &poolErr) || poolErr.MaybeSent
 	cause := context.Cause(ctx)
 	x.detail = err.Error()
+	if !sent {
+		x.possibleRuns--
+		x.deliveries--
+	}
 	switch {
 	case errors.Is(cause, errFirstByteTimeout):
 		g.endAttempt(a, now, placement.TimedOut)
@@ -179,15 +183,13 @@
 		return false, g.deadlineExceeded(ctx, x)
 	case ctx.Err() != nil:
 		g.endAttempt(a, now, placement.Canceled)
-		return false, g.cutOffOrGone(now, cause)
+		return false, g.cutOffOrGone(now, x, cause)
 	case sent:
 		g.endAttempt(a, now, placement.ConnectionBroken)
 	default:
 		g.endAttempt(a, now, placement.Unreachable)
 	}
 	if !sent {
-		x.possibleRuns--
-		x.deliveries--
 		return true, nil
 	}
 	if errors.Is(cause, errFirstByteTimeout) && x.mayRunAgain() { // giveUp has drawn on the retry budget
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -238,7 +238,7 @@
 	now := g.Now()
 	if ctx.Err() != nil && now.Before(a.x.deadline) {
 		g.endAttempt(a, now, placement.Canceled)
-		return g.cutOffOrGone(now, context.Cause(ctx))
+		return g.cutOffOrGone(now, a.x, context.Cause(ctx))
 	}
 	g.endAttempt(a, now, placement.ConnectionBroken)
 	return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the target's answer broke off").WithCause(err)
--- a/chervilyard/gateway/shutdown.go
+++ b/chervilyard/gateway/shutdown.go
@@ -32,11 +32,15 @@
 
 // cutOffOrGone returns the refusal of a request whose connection has ended: because the
 // instance has cut it off, or else because the caller disconnected.
-func (g *Gateway) cutOffOrGone(now time.Time, cause error) error {
+func (g *Gateway) cutOffOrGone(now time.Time, x *exchange, cause error) error {
+	r := &refusal.Refusal{Status: statusConnectionEnded, Code: codeCallerGone, Message: "the caller left", Run: refusal.RunUnknown, Cause: cause}
+	if x.possibleRuns == 0 {
+		r.Run = refusal.RunNo
+	}
 	if cutoff, shuttingDown := g.Cutoff(); shuttingDown && !now.Before(cutoff) {
-		return &refusal.Refusal{Status: statusConnectionEnded, Code: codeCutOff, Message: "the instance stopped", Run: refusal.RunUnknown, Cause: cause}
+		r.Code, r.Message = codeCutOff, "the instance stopped"
 	}
-	return &refusal.Refusal{Status: statusConnectionEnded, Code: codeCallerGone, Message: "the caller left", Run: refusal.RunUnknown, Cause: cause}
+	return r
 }
 
 // untilCutoff formats how long after the arrival of the request a stopping instance
--- a/chervilyard/gateway/shutdown_test.go
+++ b/chervilyard/gateway/shutdown_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +57,25 @@
 		t.Errorf("the stopping instance sent %d requests to its target", len(f.requests()))
 	}
 }
+
+// Guards against charging a customer for a request that was never sent, because its
+// caller had left.
+func TestUnsentRequestIsRefunded(t *testing.T) {
+	f := newFakeTarget(t, "e", "ok x")
+	n := newTestInstance(t, "near", []*fakeTarget{f})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 5 { // together more than the customer's burst
+		r := httptest.NewRequestWithContext(ctx, http.MethodGet, "http://h.example/read/x", nil)
+		r.RequestURI = "/read/x"
+		r.Header.Set("Key", "k")
+		r.Header.Set("Tokens", "500")
+		func() {
+			defer func() { _ = recover() }() // the handler cuts the connection
+			n.gateway.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+	}
+	if status, body, _ := roundTrip(t, n, strings.Replace(getRequest("/read/x"), "Tokens: 1\r", "Tokens: 500\r", 1)); status != http.StatusOK {
+		t.Errorf("response %d %s", status, body)
+	}
+}
