Limit the first byte of a buffered response, not its last

Callers got 502, or targets ran a request twice, where a response had begun in time and its end was late: the time limit of the first byte ran until the whole body had been read. Evidence: TestSlowBodyIsAwaited failed before: the request was sent to two targets. Change: the limit ends when the first read of the body returns.

--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -17,6 +17,7 @@
 //	ok TEXT          200 with the body TEXT
 //	status N [run]   an error status; without "run" it states that nothing ran
 //	events A,B,C     a complete event stream
+//	slow TEXT        200 with the body TEXT, its last byte 400 ms after the others
 //	paused A,B       the first event, and 50 ms later the others
 //	torn A,B         the events and half of another, then a connection reset
 //	reset            a connection reset after the request was read
@@ -131,6 +132,10 @@
 		return write(c, "HTTP/1.1 "+code+" Refused\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case "events":
 		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
+	case "slow":
+		write(c, head("200 OK", "Content-Length: "+itoa(len(rest))+"\r\n")+rest[:len(rest)-1])
+		time.Sleep(400 * time.Millisecond)
+		return write(c, rest[len(rest)-1:])
 	case "paused":
 		first, others, _ := strings.Cut(rest, ",")
 		write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(first)))
--- a/chervilyard/gateway/first_byte_test.go
+++ b/chervilyard/gateway/first_byte_test.go
@@ -50,3 +50,15 @@
 		t.Errorf("the target received the request %d times", len(only.requests()))
 	}
 }
+
+// Guards against giving up a target whose response has begun, because its end is late.
+func TestSlowBodyIsAwaited(t *testing.T) {
+	slow, other := newFakeTarget(t, "e", "slow done"), newFakeTarget(t, "f", "slow done")
+	n := newTestInstance(t, "near", []*fakeTarget{slow, other})
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK || body != "done" {
+		t.Errorf("response %d %q", status, body)
+	}
+	if sent := len(slow.requests()) + len(other.requests()); sent != 1 {
+		t.Errorf("the request was sent %d times", sent)
+	}
+}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -107,14 +107,11 @@
 // sent to another destination.
 func (g *Gateway) relayBuffered(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody))
+	body, err := io.ReadAll(io.LimitReader(&firstByteReader{Reader: resp, mark: func() bool { return a.markFirstByte(g.Now()) }}, maxBufferedBody))
 	if err != nil {
 		return g.handleFailure(ctx, a, &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: err})
 	}
 	now := g.Now()
-	if !a.markFirstByte(now) && len(body) == maxBufferedBody { // a whole body is used all the same
-		return g.handleFailure(ctx, a, a.firstByteTimeoutError())
-	}
 	failure := resp.Status >= http.StatusInternalServerError
 	if len(body) == maxBufferedBody {
 		return false, g.relayUnbuffered(ctx, a, resp, body)
@@ -209,6 +206,25 @@
 	return &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: errFirstByteTimeout}
 }
 
+// firstByteReader calls mark when the first read has returned, and fails if mark reports
+// false.
+type firstByteReader struct {
+	io.Reader
+	mark func() bool
+	read bool // something has been read
+}
+
+func (r *firstByteReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if first := !r.read && (n > 0 || errors.Is(err, io.EOF)); first {
+		r.read = true
+		if !r.mark() {
+			return 0, errFirstByteTimeout
+		}
+	}
+	return n, err
+}
+
 // recordRead records the time of a read from a stream and the gap before it.
 func (a *attempt) recordRead(now time.Time) {
 	x := a.x
