Tell each of a few remote members of a stop

Callers of the OpenAI paths could be sent by /locate to an instance that had stopped. Cause: a stopping instance announces its departure to three members of other data centres drawn at random, each by itself; of two, one was missed in a quarter of the stops, and heard of it only by later gossip. Change: consecutive members are taken from a random one on.

--- a/chervilyard/heartbeat/heartbeat.go
+++ b/chervilyard/heartbeat/heartbeat.go
@@ -129,14 +129,15 @@
 func (s *Sender) syncPeers(now time.Time, round int, immediate bool) []string {
 	var addresses []string
 	if immediate {
-		for range immediateFanout {
-			addresses = s.addRemote(now, addresses)
+		first := rand.Uint64()
+		for n := range uint64(immediateFanout) { // consecutive numbers select different members
+			addresses = s.addRemote(now, addresses, first+n)
 		}
 		return addresses
 	}
 	syncRounds := 1 + len(s.Members.Live(now))*memberBytes/gossipBytesPerSecond
 	if round%syncRounds == 0 {
-		addresses = s.addRemote(now, addresses)
+		addresses = s.addRemote(now, addresses, rand.Uint64())
 	}
 	if round%seedRetryRounds != 0 {
 		return addresses
@@ -149,10 +150,10 @@
 	return addresses
 }
 
-// addRemote returns addresses with the address of a random member of another data
-// centre appended, unless there is none or it is already present.
-func (s *Sender) addRemote(now time.Time, addresses []string) []string {
-	m := s.Members.GossipPartner(now, rand.Uint64())
+// addRemote returns addresses with the address of the member of another data centre that
+// the random number selects appended, unless there is none or it is already present.
+func (s *Sender) addRemote(now time.Time, addresses []string, random uint64) []string {
+	m := s.Members.GossipPartner(now, random)
 	if m == nil || slices.Contains(addresses, m.GetAddress()) {
 		return addresses
 	}
