--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"chervilyard.example/chervilyard/decisionlog"
@@ -30,23 +32,27 @@
 	seeds     []string
 	listeners listeners
 	drain     time.Duration // drain timeout of the instances
+	now       func() time.Time
 	// wrapListener wraps the listeners of the instances. It may be nil.
 	wrapListener func(net.Listener) net.Listener
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), logs: make(map[string]*decisionlog.Log), listeners: make(listeners), drain: 4 * time.Second}
+	return &fleet{t: t, store: newMemoryStore(), edges: make(map[string]*edge.Edge), logs: make(map[string]*decisionlog.Log), listeners: make(listeners), drain: 4 * time.Second, now: time.Now}
 }
 
 // listeners are open listeners by address. They are opened in advance, so that no other
 // process takes an address before its instance listens on it.
 type listeners map[string]net.Listener
 
-// open opens a listener on a free port of the loopback interface and returns its address.
+// open opens a listener on a free port and returns its address. Each test has a loopback
+// address of its own, so that no test gets connections meant for a stopped instance of
+// another.
 func (ls listeners) open(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	h := xxhash.Sum64String(fmt.Sprint(os.Getpid(), t.Name()))
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+h%254, h>>8%254, 1+h>>16%254))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +84,7 @@
 func (f *fleet) start(region string, n int) *edge.Edge {
 	f.t.Helper()
 	name := fmt.Sprintf("%s-%d", region, n)
-	log := decisionlog.NewWithHistory(hclog.NewNullLogger(), 1000)
+	log := decisionlog.NewWithHistory(hclog.NewNullLogger(), 10000)
 	ctx, cancel := context.WithCancel(context.Background())
 	e, err := edge.Start(ctx, edge.Config{
 		Settings: edge.Settings{
@@ -86,7 +92,7 @@
 			Seeds: f.seeds, DrainTimeout: f.drain, DirectoryTTL: 100 * time.Millisecond, TargetReportInterval: time.Second,
 			RetryLimits: retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 0.2, ExtraRetries: 20}, ColdRateFactor: 1.5, ColdExtraRequests: 3,
 		},
-		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: time.Now, Listen: f.listen,
+		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: f.now, Listen: f.listen,
 	})
 	if err != nil {
 		cancel()
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -73,7 +73,8 @@
 	// Region returns the region that a data centre belongs to.
 	Region func(centre string) string
 	// SignificantContent returns the content of an item without the values that
-	// differ in each report. An item counts as changed only if this content differs.
+	// differ in each report, but with the remaining cold time of a target. An item
+	// counts as changed only if this content differs.
 	SignificantContent func(part string, it view.Item) string
 }
 
@@ -127,13 +128,13 @@
 // not stopping. The instance of rank 0 reads the store first.
 func (e *Edge) readRank(now time.Time) int {
 	s := e.Settings()
-	var others []membership.Member
-	for _, m := range e.memberTable.Live(now, liveTimeout) {
-		if m.Region == s.Region && !m.Leaving {
-			others = append(others, m)
+	rank := 0
+	e.memberTable.VisitLive(now, liveTimeout, func(m membership.Member, _ uint64) {
+		if m.Region == s.Region && !m.Leaving && m.Name < s.Name {
+			rank++
 		}
-	}
-	return membership.Rank(s.Name, others)
+	})
+	return rank
 }
 
 // contentChanged applies new content. Content that is new to the region is announced to
--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -50,14 +50,18 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Err }
 
+// errRejected is the cause of a response of which OnProgress rejected a piece.
+var errRejected = errors.New("relay: a piece of the response was rejected")
+
 // Relay relays one response. OnProgress is called for each piece received from the
-// target before it is sent on. It may be nil.
+// target before it is sent on. If it returns false, neither the piece nor anything after
+// it is sent, and the response is incomplete. It may be nil.
 type Relay struct {
 	Status     int
 	Header     http.Header
 	Body       io.Reader
 	Sink       *sink.Sink
-	OnProgress func()
+	OnProgress func() bool
 }
 
 // Stream relays an event stream. Nothing is sent before the first event is
@@ -74,7 +78,9 @@
 		if err != nil {
 			return result, &IncompleteError{Err: unexpectedEOF(err)}
 		}
-		r.reportProgress()
+		if !r.reportProgress() {
+			return result, &IncompleteError{Err: errRejected}
+		}
 		last := bytes.Contains(event, doneLine)
 		result.countEvent(event, last)
 		if !r.Sink.Started() {
@@ -105,7 +111,9 @@
 	if err != nil {
 		return Result{}, &IncompleteError{Err: unexpectedEOF(err)}
 	}
-	r.reportProgress()
+	if !r.reportProgress() {
+		return Result{}, &IncompleteError{Err: errRejected}
+	}
 	result := Result{Complete: true}
 	result.parseUsage(body)
 	if err := r.Sink.WriteHeader(r.Status, r.Header); err != nil {
@@ -117,22 +125,20 @@
 	return result, nil
 }
 
-// Copy relays a service's response as it arrives. The errors are those of Stream.
+// Copy relays a service's response as it arrives. Nothing is sent before the first byte
+// of the body, or its end if it is empty. The errors are those of Stream.
 func (r *Relay) Copy() (Result, error) {
 	var result Result
-	if err := r.Sink.WriteHeader(r.Status, r.Header); err != nil {
-		return result, &CallerGoneError{Err: err}
-	}
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := r.Body.Read(buf)
-		if n > 0 {
-			r.reportProgress()
-			if _, writeErr := r.Sink.Write(buf[:n]); writeErr != nil {
-				return result, &CallerGoneError{Err: writeErr}
+		ended := errors.Is(err, io.EOF)
+		if n > 0 || ended && !r.Sink.Started() {
+			if err := r.sendPiece(buf[:n]); err != nil {
+				return result, err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			result.Complete = true
 			return result, nil
 		}
@@ -142,12 +148,29 @@
 	}
 }
 
-func (r *Relay) reportProgress() {
-	if r.OnProgress != nil {
-		r.OnProgress()
+// sendPiece sends a piece of the body, which may be empty, and before the first one the
+// header.
+func (r *Relay) sendPiece(piece []byte) error {
+	if !r.reportProgress() {
+		return &IncompleteError{Err: errRejected}
 	}
+	if !r.Sink.Started() {
+		if err := r.Sink.WriteHeader(r.Status, r.Header); err != nil {
+			return &CallerGoneError{Err: err}
+		}
+	}
+	if len(piece) == 0 {
+		return nil
+	}
+	if _, err := r.Sink.Write(piece); err != nil {
+		return &CallerGoneError{Err: err}
+	}
+	return nil
 }
 
+// reportProgress reports whether the piece may be sent.
+func (r *Relay) reportProgress() bool { return r.OnProgress == nil || r.OnProgress() }
+
 // unexpectedEOF returns err, with io.EOF replaced by io.ErrUnexpectedEOF.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -127,7 +127,10 @@
 		s := p.state(t.Name())
 		s.lastListed = readAt
 		if s.run != t.RunID() {
-			*s = targetState{run: t.RunID(), lastListed: readAt, open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window}
+			*s = targetState{
+				run: t.RunID(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
+				open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
+			}
 		}
 		if t.ColdRemaining() > 0 {
 			s.coldUntil = receivedAt.Add(t.ColdRemaining())
@@ -151,7 +154,11 @@
 	if p.peers == nil {
 		p.peers = make(map[string]peerLoads)
 	}
-	byTarget := make(map[string]Load, len(loads))
+	byTarget := p.peers[peer].loads
+	if byTarget == nil {
+		byTarget = make(map[string]Load, len(loads))
+	}
+	clear(byTarget)
 	for _, l := range loads {
 		byTarget[l.Target] = l
 	}
@@ -164,7 +171,7 @@
 func (p *Picker) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []Load
+	list := make([]Load, 0, len(p.targets))
 	for name, s := range p.targets {
 		if s.open > 0 {
 			list = append(list, Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens})
@@ -249,8 +256,8 @@
 		s.window.Take(now, p.coldLimit(r, coldShare))
 	}
 	ticket := &Ticket{
-		coldLimited: cold,
-		picker:      p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
+		coldLimited: cold, belief: p.coldBelief(now, s, r, coldShare),
+		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
 		uncachedTokens: max(r.PromptTokens-p.cachedPrefix(now, s, r.Parts, false), 0), memoryTokens: r.PromptTokens + r.MaxOutputTokens, isEngine: r.Service.Slots() > 0,
 	}
 	if r.MaxEventGap > 0 {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -33,7 +33,9 @@
 //	send K 500 x,y -> A  request K with 500 prompt tokens and parts x and y goes to A
 //	send K 500           the same without parts, to any target
 //	sends 20 500 -> 9    9 of 20 requests find a target
+//	sent K               the connection for K is established
 //	first K, end K OUTCOME, pause K 200ms
+//	believed K TEXT      the description of what was believed for K; - if it is empty
 //	proved A 0s          a health check after a failure reports how long A stays cold
 //	ask A yes            whether a health check may be sent now
 //	peer P A 3 900       peer P reports 3 open requests and 900 waiting tokens at A
@@ -72,10 +74,16 @@
 		if want := int(s.Number(p.t, 4)); found != want {
 			p.t.Errorf("line %d: %d requests find a target, want %d", s.Line, found, want)
 		}
+	case "sent":
+		p.tickets[s.Words[1]].Sent(s.At)
 	case "first":
 		p.tickets[s.Words[1]].RecordFirstByte(s.At)
 	case "end":
 		p.tickets[s.Words[1]].End(s.At, outcomes[s.Words[2]])
+	case "believed":
+		if got := p.tickets[s.Words[1]].ColdBelief(); got != strings.TrimPrefix(s.Words[2], "-") {
+			p.t.Errorf("line %d: the belief is %q, want %q", s.Line, got, s.Words[2])
+		}
 	case "pause":
 		p.tickets[s.Words[1]].RecordPause(s.At, s.Duration(p.t, 2))
 	case "ask":
@@ -150,6 +158,31 @@
 	}
 }
 
+// A report of a peer replaces its earlier one. Guards against load that stays at targets
+// that the newer report omits.
+func TestPeerLoadsReplaced(t *testing.T) {
+	var p placement.Picker
+	now := time.Unix(0, 0)
+	list := []target.Target{target.New("a", "c", "", []string{"m"}, 8, 1, false), target.New("b", "c", "", []string{"m"}, 8, 1, false)}
+	load := placement.Load{Open: 5, WaitingTokens: 50_000, MemoryTokens: 60_000}
+	for _, busy := range []string{"a", "b", "a"} {
+		load.Target = busy
+		p.UpdatePeerLoads(now, "peer", []placement.Load{load})
+		ticket := p.Choose(now, list, placement.Request{Service: engineService, PromptTokens: 1000}, coldShare)
+		if ticket == nil || ticket.Target().Name() == busy {
+			t.Fatalf("with load at %s alone, the ticket is %+v", busy, ticket)
+		}
+		ticket.End(now, placement.Answered)
+	}
+	p.UpdatePeerLoads(now, "peer", nil)
+	for _, alone := range list {
+		wait, ok := p.QueueWait(now, []target.Target{alone}, engineService, coldShare)
+		if !ok || wait != 0 {
+			t.Errorf("without load, a request at %s waits %v", alone.Name(), wait)
+		}
+	}
+}
+
 // Checks that the load of a target returns to zero after all its requests have
 // ended, in any order and with any outcome.
 func TestCountsReturnToZero(t *testing.T) {
