Leave a connection open on which a request arrives as its key is withdrawn

Callers of the OpenAI paths saw a connection close in the middle of sending a request, when a key that had been used on it was withdrawn; with a key that still holds, too. Cause: as at a stop, net/http holds a connection for idle until a whole header was read, and what is held for idle was closed. Evidence: TestRevokeWhileRequestArrives failed without the change: unexpected EOF. Change: idle connections are closed by handover.Tracker, which knows whether bytes of a request have arrived. Such a request is answered, with 401 where its key is withdrawn.

--- a/chervilyard/handover/handover.go
+++ b/chervilyard/handover/handover.go
@@ -55,6 +55,16 @@
 	return open
 }
 
+// CloseConnIfIdle closes a connection of which no byte of a next request has arrived. It
+// closes a connection that is not tracked in any case.
+func (t *Tracker) CloseConnIfIdle(now time.Time, c net.Conn) {
+	if tracked, ok := c.(*conn); ok {
+		tracked.closeIfIdle(now)
+		return
+	}
+	_ = c.Close() // it may be closed already
+}
+
 func (t *Tracker) now() time.Time {
 	if t.Now == nil {
 		return time.Now()
--- a/chervilyard/session/session.go
+++ b/chervilyard/session/session.go
@@ -20,6 +20,10 @@
 // Registry records the key of each open call and connection. The zero value is
 // ready to use. It is safe for concurrent use.
 type Registry struct {
+	// CloseIdle closes a connection unless a request is arriving on it. If it is nil,
+	// the connection is closed in any case.
+	CloseIdle func(net.Conn)
+
 	mu     sync.Mutex
 	lastID int
 	calls  map[int]openCall // by call identifier
@@ -85,6 +89,10 @@
 	}
 	r.mu.Unlock()
 	for _, c := range toClose {
+		if r.CloseIdle != nil {
+			r.CloseIdle(c)
+			continue
+		}
 		_ = c.Close() // it may be closed already
 	}
 	return ended
