Log how a response without a length ended, and streams that end inside an event

The decision line now has framing=close and ended=inside_event, and chervil_response_ends_total counts such ends. What is relayed has not changed.

--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -66,6 +66,10 @@
 	RequestDone func(route, code string, status int, duration, firstByte time.Duration)
 	// Retry is called for each retry.
 	Retry func(service, reason string)
+	// ResponseEnd is called for each response that only the end of its connection ends,
+	// or that ended inside an event: with its framing, and with "whole", "inside_event"
+	// or "broken" for the end that the connection gave it.
+	ResponseEnd func(framing, end string)
 }
 
 // Gateway serves requests. Its fields must be set before use and not changed
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"strconv"
 	"strings"
 	"time"
 
 	"chervilyard.example/chervilyard/decisionlog"
+	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
 )
@@ -61,6 +64,12 @@
 	if x.expectedFirstByte > 0 {
 		parts = append(parts, "expected="+x.expectedFirstByte.Round(time.Millisecond).String())
 	}
+	if x.framing != "" {
+		parts = append(parts, "framing="+x.framing)
+	}
+	if x.insideEvent {
+		parts = append(parts, "ended=inside_event")
+	}
 	for _, belief := range x.coldBeliefs {
 		parts = append(parts, "believed="+belief)
 	}
@@ -70,6 +79,26 @@
 	return strings.Join(parts, " ")
 }
 
+// recordEnd keeps how a response ended that was not delimited, or that ended inside an
+// event, and counts it.
+func (g *Gateway) recordEnd(x *exchange, resp *pool.Response, err error) {
+	x.framing, x.insideEvent = "", resp.InsideEvent()
+	if resp.Framing() == pool.FramedByClose {
+		x.framing = pool.FramedByClose
+	}
+	if g.Metrics.ResponseEnd == nil || x.framing == "" && !x.insideEvent {
+		return
+	}
+	end := "whole"
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		end = "broken"
+	case x.insideEvent:
+		end = "inside_event"
+	}
+	g.Metrics.ResponseEnd(resp.Framing(), end)
+}
+
 // recordColdBelief keeps what was believed about the target of an ended attempt, if it
 // was cold or had been recently.
 func (x *exchange) recordColdBelief(ticket *placement.Ticket) {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -108,6 +108,9 @@
 func (g *Gateway) relayBuffered(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
 	body, err := io.ReadAll(io.LimitReader(&firstByteReader{Reader: resp, mark: func() bool { return a.markFirstByte(g.Now()) }}, maxBufferedBody))
+	if len(body) < maxBufferedBody {
+		g.recordEnd(x, resp, err)
+	}
 	if err != nil {
 		return g.handleFailure(ctx, a, &pool.Error{Op: "read", Address: a.dest.name(), MaybeSent: true, Err: err})
 	}
@@ -156,7 +159,9 @@
 	x := a.x
 	x.writeHeader(resp, resp.Length)
 	x.writeBody(prefix)
-	if _, err := io.Copy(x.w, resp); err != nil {
+	_, err := io.Copy(x.w, resp)
+	g.recordEnd(x, resp, err)
+	if err != nil {
 		return g.failBroken(ctx, a, err)
 	}
 	g.endAttempt(a, g.Now(), placement.Answered)
@@ -184,6 +189,9 @@
 			}
 			x.writeEvents(resp, out, resp.Buffered() == 0)
 		}
+		if err != nil {
+			g.recordEnd(x, resp, err)
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -74,6 +74,8 @@
 	expectedFirstByte time.Duration // expected wait for the first byte at lastDestination
 	lastReadAt        time.Time     // when stream data was last read
 	maxGap            time.Duration // longest gap between reads of the stream
+	framing           string        // of the last response, if only the end of its connection ends it
+	insideEvent       bool          // the last stream ended inside an event
 	lastDestination   string        // target or instance of the last attempt
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	status            int
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -57,6 +57,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_repeats_total{service=%q,reason=%q}`, service, reason)).Inc()
 }
 
+// CountResponseEnd counts a response that only the end of its connection ended, or that
+// ended inside an event, by its framing and its end.
+func (m *Meter) CountResponseEnd(framing, end string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_response_ends_total{framing=%q,end=%q}`, framing, end)).Inc()
+}
+
 // CountConnection counts a new connection to a target or to another instance.
 func (m *Meter) CountConnection() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
 
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -4,7 +4,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
+
+	"chervilyard.example/yard/boundary"
+)
+
+// How the end of a response body is determined.
+const (
+	FramedByLength = "length"
+	FramedByChunks = "chunks"
+	FramedByClose  = "close" // by the end of the connection
 )
 
 var errIncompleteWrite = errors.New("pool: the response ended before the request was sent in full")
@@ -19,6 +29,8 @@
 
 	conn        *conn
 	body        io.ReadCloser
+	framing     string
+	events      *boundary.Finder // follows an event stream; nil for other bodies
 	reusable    bool
 	bodyWritten chan error  // receives the result of a concurrent write of the request body; nil if there is none
 	stopClose   func() bool // keeps the connection open when the context is done
@@ -31,16 +43,46 @@
 	if d, ok := keepAliveTimeout(r.Header); ok {
 		c.idleTimeout = min(maxIdleTime, time.Duration(float64(d)*idleTimeFraction))
 	}
-	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return &Response{
+	resp := &Response{
 		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
-		conn: c, body: r.Body, reusable: !r.Close && framed && c.idleTimeout > 0,
+		conn: c, body: r.Body, framing: framingOf(r),
+	}
+	resp.reusable = !r.Close && resp.framing != FramedByClose && c.idleTimeout > 0
+	if r.Body != http.NoBody && isEventStream(r.Header) {
+		resp.events = &boundary.Finder{}
+	}
+	return resp
+}
+
+func framingOf(r *http.Response) string {
+	switch {
+	case r.ContentLength >= 0:
+		return FramedByLength
+	case len(r.TransferEncoding) > 0:
+		return FramedByChunks
 	}
+	return FramedByClose
+}
+
+func isEventStream(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// Framing returns how the end of the body is determined: FramedByLength, FramedByChunks
+// or FramedByClose.
+func (r *Response) Framing() string { return r.framing }
+
+// InsideEvent reports whether the part of an event stream that has been read ends inside
+// an event. It is false for other bodies.
+func (r *Response) InsideEvent() bool { return r.events != nil && r.events.InsideEvent() }
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if r.events != nil {
+		r.events.Add(p[:n])
+	}
 	if errors.Is(err, io.EOF) {
 		r.finish()
 	}
