--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"chervilyard.example/chervilyard/pool"
 )
 
 // fakeTarget is a target with scripted responses. It answers each request with the
@@ -28,6 +31,9 @@
 //	unframed TEXT    200 without a length, ended by closing the connection
 //	early            an error status before the body is read
 //	extra            200 followed by surplus bytes
+//	rest A,B         a complete stream of the events after the last one that the caller has
+//	part N END FRAMING TYPE A,B  the first N bytes of a response with the events as its body,
+//	                 then END: "close" or "reset"; FRAMING is one of package pool's
 type fakeTarget struct {
 	t        *testing.T
 	listener net.Listener
@@ -132,6 +138,24 @@
 		return write(c, "HTTP/1.1 "+code+" Refused\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case "events":
 		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
+	case "rest":
+		_, left, _ := strings.Cut(","+rest, ","+req.Header.Get("After")+",")
+		if req.Header.Get("After") == "" {
+			left = rest
+		}
+		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(left))+"0\r\n\r\n")
+	case "part":
+		var n int
+		var end, framing, mediaType, list string
+		if _, err := fmt.Sscan(rest, &n, &end, &framing, &mediaType, &list); err != nil {
+			f.t.Errorf("%q: %v", response, err)
+			return false
+		}
+		write(c, framed(framing, head, mediaType, events(list))[:n])
+		if end == "reset" {
+			time.Sleep(2 * time.Millisecond)
+			reset(c)
+		}
 	case "slow":
 		write(c, head("200 OK", "Content-Length: "+itoa(len(rest))+"\r\n")+rest[:len(rest)-1])
 		time.Sleep(400 * time.Millisecond)
@@ -166,6 +190,18 @@
 	return false
 }
 
+// framed returns a response of status 200 whose body is delimited by the framing.
+func framed(framing string, head func(status, more string) string, mediaType, body string) string {
+	fields := "Content-Type: " + mediaType + "\r\n"
+	switch framing {
+	case pool.FramedByLength:
+		return head("200 OK", fields+"Content-Length: "+itoa(len(body))+"\r\n") + body
+	case pool.FramedByChunks:
+		return head("200 OK", fields+"Transfer-Encoding: chunked\r\n") + chunked(body) + "0\r\n\r\n"
+	}
+	return head("200 OK", fields) + body
+}
+
 func write(c net.Conn, text string) bool {
 	_, err := io.WriteString(c, text)
 	return err == nil
