Report an event stream that ends inside an event as broken off

Cause: pool.Response took the end that the framing gives as the completion of the body. An answer with neither a length nor chunks ends with its connection, and a target that breaks it off may close that in good order; gateway's relayStream then passed on half an event and ended its own chunked answer properly. So the caller, or the next instance, could not know either.

Response.Read now follows the events of a text/event-stream and returns an IncompleteError where the stream ends inside one, whatever its framing, or without any event where only the connection ends it. All readers of responses share it: streams, buffered answers, both surfaces, the hop. What they do after a reset applies: resume, retry, or cut the caller's connection. An orderly end between two events cannot be told from the end.

--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -23,6 +23,7 @@
 //	slow TEXT        200 with the body TEXT, its last byte 400 ms after the others
 //	paused A,B       the first event, and 50 ms later the others
 //	torn A,B         the events and half of another, then a connection reset
+//	half A,B         the events and half of another in chunks that end properly
 //	reset            a connection reset after the request was read
 //	silent           no response after the request was read
 //	foreign          the response to another request, then the right one
@@ -166,9 +167,11 @@
 		time.Sleep(50 * time.Millisecond)
 		return write(c, chunked(events(others))+"0\r\n\r\n")
 	case "torn":
-		write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest)+"id: half\nda"))
+		write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest)+halfEvent))
 		time.Sleep(30 * time.Millisecond)
 		reset(c)
+	case "half":
+		return write(c, framed(pool.FramedByChunks, head, "text/event-stream", events(rest)+halfEvent))
 	case "reset":
 		reset(c)
 	case "silent":
@@ -214,6 +217,9 @@
 	_ = c.Close()
 }
 
+// halfEvent is the start of an event.
+const halfEvent = "id: half\nda"
+
 func events(list string) string {
 	var b strings.Builder
 	for id := range strings.SplitSeq(list, ",") {
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -67,8 +67,9 @@
 	// Retry is called for each retry.
 	Retry func(service, reason string)
 	// ResponseEnd is called for each response that only the end of its connection ends,
-	// or that ended inside an event: with its framing, and with "whole", "inside_event"
-	// or "broken" for the end that the connection gave it.
+	// or that ended inside an event: with its framing, and with its end, which is "whole",
+	// "inside_event", "empty" for a stream without events, or "broken" for an error of the
+	// connection.
 	ResponseEnd func(framing, end string)
 }
 
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -206,10 +206,13 @@
 				t.Errorf("status %s, want %s", got, fields[2])
 			}
 			text, truncated := strings.CutSuffix(fields[3], " cut")
-			want := strings.NewReplacer("EVENTS(", "", ")", "").Replace(text)
+			want := strings.NewReplacer("EVENTS(", "", "HALF(", "", ")", "").Replace(text)
 			if strings.HasPrefix(text, "EVENTS(") {
 				want = events(want)
 			}
+			if strings.HasPrefix(text, "HALF(") {
+				want = events(want) + halfEvent
+			}
 			if truncated {
 				want += "cut"
 			}
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -82,7 +82,8 @@
 // recordEnd keeps how a response ended that was not delimited, or that ended inside an
 // event, and counts it.
 func (g *Gateway) recordEnd(x *exchange, resp *pool.Response, err error) {
-	x.framing, x.insideEvent = "", resp.InsideEvent()
+	var incomplete *pool.IncompleteError
+	x.framing, x.insideEvent = "", errors.As(err, &incomplete) && incomplete.InsideEvent
 	if resp.Framing() == pool.FramedByClose {
 		x.framing = pool.FramedByClose
 	}
@@ -91,10 +92,12 @@
 	}
 	end := "whole"
 	switch {
-	case err != nil && !errors.Is(err, io.EOF):
-		end = "broken"
 	case x.insideEvent:
 		end = "inside_event"
+	case incomplete != nil:
+		end = "empty"
+	case err != nil && !errors.Is(err, io.EOF):
+		end = "broken"
 	}
 	g.Metrics.ResponseEnd(resp.Framing(), end)
 }
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -17,6 +17,24 @@
 	FramedByClose  = "close" // by the end of the connection
 )
 
+// IncompleteError is the error of an event stream that ended inside an event, or without
+// any event where only the end of its connection ends it. It wraps io.ErrUnexpectedEOF.
+type IncompleteError struct {
+	Framing     string // see Response.Framing
+	InsideEvent bool
+}
+
+// Error returns how the stream ended.
+func (e *IncompleteError) Error() string {
+	if e.InsideEvent {
+		return "pool: the stream ended inside an event; framing: " + e.Framing
+	}
+	return "pool: the stream ended without an event; framing: " + e.Framing
+}
+
+// Unwrap returns io.ErrUnexpectedEOF.
+func (e *IncompleteError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 var errIncompleteWrite = errors.New("pool: the response ended before the request was sent in full")
 
 // Response is a response whose body has not been read yet. It is not safe for
@@ -73,11 +91,9 @@
 // or FramedByClose.
 func (r *Response) Framing() string { return r.framing }
 
-// InsideEvent reports whether the part of an event stream that has been read ends inside
-// an event. It is false for other bodies.
-func (r *Response) InsideEvent() bool { return r.events != nil && r.events.InsideEvent() }
-
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Read reads the body. It returns io.EOF only if the body is complete, and an
+// *IncompleteError if an event stream ended without an error of the connection but is not
+// complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if r.events != nil {
@@ -85,10 +101,27 @@
 	}
 	if errors.Is(err, io.EOF) {
 		r.finish()
+		if e := r.incomplete(); e != nil {
+			return n, e
+		}
 	}
 	return n, err
 }
 
+// incomplete returns an error if the body is an event stream that has ended but is not
+// complete. The end of a connection alone does not show that a stream is: a target that
+// crashes may close it in good order.
+func (r *Response) incomplete() error {
+	if r.events == nil {
+		return nil
+	}
+	inside := r.events.InsideEvent()
+	if inside || r.framing == FramedByClose && !r.events.SeenComplete() {
+		return &IncompleteError{Framing: r.framing, InsideEvent: inside}
+	}
+	return nil
+}
+
 // Buffered returns the number of bytes received but not yet read, including the
 // framing of a chunked body. It is 0 after the end of the body.
 func (r *Response) Buffered() int {
