--- a/chervilstand/dev/dev_test.go
+++ b/chervilstand/dev/dev_test.go
@@ -252,6 +252,35 @@
 	}
 }
 
+// TestBrokenServiceStream guards against a service's event stream that ends inside an
+// event and is passed on, or kept for repeats of its idempotency key, as if it were whole.
+func TestBrokenServiceStream(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	for _, entry := range []int{0, 1} { // in the data centre of the service, and in another
+		for _, stream := range []string{"", "d", "data: a\n\ndata", "data: a\n\ndata: b\n"} {
+			t.Run(fmt.Sprintf("instance %d after %d bytes", entry, len(stream)), func(t *testing.T) {
+				d := start(t)
+				d.Booking.SetRawResponse([]byte(header + stream))
+				for i := range 3 { // the last two are repeats at other instances
+					c := call{instance: (entry + i) % 3, path: "/s/booking/deposits", key: "dev-key", body: "{}", idempotency: "k"}
+					res, err := http.DefaultClient.Do(c.request(t.Context(), d))
+					if err != nil {
+						continue // cut before the header
+					}
+					body, err := io.ReadAll(res.Body)
+					_ = res.Body.Close()
+					if err == nil && res.StatusCode < 300 {
+						t.Errorf("request %d got a complete response with %q", i, body)
+					}
+				}
+				if n := d.Booking.Count("/deposits"); n != 1 {
+					t.Errorf("%d deposits", n)
+				}
+			})
+		}
+	}
+}
+
 // operatorClient returns a client that changes the environment as an operator does.
 func operatorClient(d *dev.Environment) *environment.Environment {
 	return &environment.Environment{Store: store.New(d.StoreURL), Name: "dev", Author: "test"}
--- a/chervilstand/service/service.go
+++ b/chervilstand/service/service.go
@@ -21,6 +21,15 @@
 	counts map[string]int // objects by path
 	keys   map[string]int // POSTs by idempotency key
 	cut    bool           // cut the connections of POSTs
+	raw    []byte         // response to POSTs; nil for the usual one
+}
+
+// SetRawResponse sets the bytes that are sent in response to a POST after it has taken
+// effect. The connection is then closed in good order.
+func (s *Service) SetRawResponse(raw []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw = raw
 }
 
 // CutConnections sets whether the connection of a POST is cut after it has taken
@@ -76,19 +85,24 @@
 		writeJSON(w, http.StatusOK, countResponse{Count: s.Count(r.URL.Path)})
 	case http.MethodPost:
 		time.Sleep(s.Latency)
-		n, cut := s.create(r)
-		if cut {
+		n, cut, raw := s.create(r)
+		switch {
+		case cut:
 			panic(http.ErrAbortHandler)
+		case raw != nil:
+			writeRaw(w, raw)
+		default:
+			writeJSON(w, http.StatusCreated, createResponse{ID: n, Count: n})
 		}
-		writeJSON(w, http.StatusCreated, createResponse{ID: n, Count: n})
 	default:
 		http.Error(w, "use GET or POST", http.StatusMethodNotAllowed)
 	}
 }
 
 // create counts a POST and the idempotency key, if any. It returns the number of
-// objects of the path, and whether to cut the connection.
-func (s *Service) create(r *http.Request) (n int, cut bool) {
+// objects of the path, whether to cut the connection, and the bytes to respond with
+// if they are not the usual ones.
+func (s *Service) create(r *http.Request) (n int, cut bool, raw []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.counts == nil {
@@ -99,7 +113,17 @@
 	if k := r.Header.Get("Idempotency-Key"); k != "" {
 		s.keys[k]++
 	}
-	return s.counts[r.URL.Path], s.cut
+	return s.counts[r.URL.Path], s.cut, s.raw
+}
+
+// writeRaw sends the bytes and closes the connection.
+func writeRaw(w http.ResponseWriter, raw []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = c.Write(raw) // fails only if the client has disconnected
+	_ = c.Close()       // no request uses it
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
