Check a model's JSON that ends with its connection

JSON shows its own end: where nothing else does, it has to be valid, else the attempt is broken off and may be retried. A plain service's body that is neither JSON of a model nor an event stream still ends with its connection, as HTTP has it.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	Header http.Header
 	Body   io.ReadCloser
 	Target string
+	// EndsWithConnection states that the body has neither a length nor chunks.
+	EndsWithConnection bool
 }
 
 // Stage dispatches calls. Its exported fields must be set before use. A Stage is
--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"chervilyard.example/chervilyard/sink"
 )
@@ -53,15 +54,26 @@
 // errRejected is the cause of a response of which OnProgress rejected a piece.
 var errRejected = errors.New("relay: a piece of the response was rejected")
 
+// errIncompleteJSON is the cause of a response that ended with its connection before its
+// JSON did.
+var errIncompleteJSON = errors.New("relay: the JSON of a response without a length is incomplete")
+
+func isJSON(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "application/json")
+}
+
 // Relay relays one response. OnProgress is called for each piece received from the
 // target before it is sent on. If it returns false, neither the piece nor anything after
 // it is sent, and the response is incomplete. It may be nil.
 type Relay struct {
-	Status     int
-	Header     http.Header
-	Body       io.Reader
-	Sink       *sink.Sink
-	OnProgress func() bool
+	Status int
+	Header http.Header
+	Body   io.Reader
+	// EndsWithConnection states that the body has neither a length nor chunks.
+	EndsWithConnection bool
+	Sink               *sink.Sink
+	OnProgress         func() bool
 }
 
 // Stream relays an event stream. Nothing is sent before the first event is
@@ -101,13 +113,17 @@
 	}
 }
 
-// Buffered reads a model's response that is not a stream in full and then relays it.
-// The errors are those of Stream.
+// Buffered reads a model's response that is not a stream in full and then relays it. JSON
+// that ends with its connection has to be valid, since the end alone does not show that it
+// is complete. The errors are those of Stream.
 func (r *Relay) Buffered() (Result, error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodySize+1))
 	if err == nil && len(body) > maxBodySize {
 		err = errors.New("the response is over the size limit")
 	}
+	if err == nil && r.EndsWithConnection && isJSON(r.Header) && !json.Valid(body) {
+		err = errIncompleteJSON
+	}
 	if err != nil {
 		return Result{}, &IncompleteError{Err: unexpectedEOF(err)}
 	}
--- a/chervilyard/targetclient/targetclient.go
+++ b/chervilyard/targetclient/targetclient.go
@@ -58,7 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &dispatch.Response{Status: res.Status, Header: res.Header, Body: responseBody{res}}, nil
+	return &dispatch.Response{
+		Status: res.Status, Header: res.Header, Body: responseBody{res},
+		EndsWithConnection: res.Framing() == pool.FramedByClose,
+	}, nil
 }
 
 // RunIdleSweep starts a goroutine that closes expired idle connections at a fixed
