Split streams whose lines end with CRLF or CR at their events

A stream with CRLF reached its caller in one piece at its end, as one incomplete event, and could not be resumed after a break. The splitter now takes its boundaries from package boundary, as the check of a stream's end does, so that both agree. TestAnyReadSizes draws the line end too; it failed on the first CR stream before.

--- a/yard/event/event.go
+++ b/yard/event/event.go
@@ -1,13 +1,18 @@
 // Package event splits a stream of server-sent events at event boundaries, so that
 // a stream that breaks off within an event can be resumed without forwarding the
-// incomplete event. Lines must end with LF.
+// incomplete event.
 package event
 
-import "bytes"
+import (
+	"bytes"
+
+	"chervilyard.example/yard/boundary"
+)
 
 // Splitter buffers a stream and returns complete events. The zero value is ready to
 // use. A Splitter is not safe for concurrent use.
 type Splitter struct {
+	boundaries  boundary.Finder
 	buf         []byte // the incomplete event
 	lastEventID string
 }
@@ -15,14 +20,13 @@
 // Add appends bytes of the stream. It returns a copy of the events that p completes,
 // with their terminating blank lines, or nil if there are none.
 func (s *Splitter) Add(p []byte) []byte {
-	s.buf = append(s.buf, p...)
-	end := bytes.LastIndex(s.buf, []byte("\n\n"))
-	if end < 0 {
+	end := s.boundaries.Add(p)
+	if end == 0 {
+		s.buf = append(s.buf, p...)
 		return nil
 	}
-	end += 2
-	complete := bytes.Clone(s.buf[:end])
-	s.buf = append(s.buf[:0], s.buf[end:]...)
+	complete := append(bytes.Clone(s.buf), p[:end]...)
+	s.buf = append(s.buf[:0], p[end:]...)
 	if id, ok := lastID(complete); ok {
 		s.lastEventID = id
 	}
@@ -40,14 +44,13 @@
 // lastID returns the last event ID in a sequence of complete events, and false if
 // none has one.
 func lastID(complete []byte) (string, bool) {
-	start := bytes.LastIndex(complete, []byte("\nid:"))
-	if start < 0 {
-		if !bytes.HasPrefix(complete, []byte("id:")) {
-			return "", false
+	const field = "id:"
+	for end := len(complete); end > 0; {
+		start := bytes.LastIndexAny(complete[:end], "\r\n") + 1
+		if value, ok := bytes.CutPrefix(complete[start:end], []byte(field)); ok {
+			return string(bytes.TrimSpace(value)), true
 		}
-		start = -1
+		end = start - 1
 	}
-	idText := complete[start+len("\nid:"):]
-	end := bytes.IndexByte(idText, '\n')
-	return string(bytes.TrimSpace(idText[:end])), true
+	return "", false
 }
--- a/yard/event/event_test.go
+++ b/yard/event/event_test.go
@@ -14,13 +14,15 @@
 func TestAnyReadSizes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(0, 8).Draw(t, "events")
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
 		var complete strings.Builder
 		lastID := ""
 		for i := range n {
 			lastID = string(rune('a' + i))
-			complete.WriteString("id: " + lastID + "\ndata: " + strings.Repeat("x", i) + "\n\n")
+			complete.WriteString(strings.ReplaceAll("id: "+lastID+"\ndata: "+strings.Repeat("x", i)+"\n\n", "\n", lineEnd))
 		}
 		incomplete := rapid.SampledFrom([]string{"", "i", "id: z\n", "id: z\ndata: y\n"}).Draw(t, "incomplete")
+		incomplete = strings.ReplaceAll(incomplete, "\n", lineEnd)
 		stream := complete.String() + incomplete
 		var s event.Splitter
 		var got strings.Builder
