Reset the connection of an aborted response to a caller of HTTP/1.0

To HTTP/1.0 a response goes without chunks, and net/http closes the connection of an aborted one in good order, so that a broken stream or long body was complete for such a caller, on both surfaces. The new package abort resets that connection, also below TLS, whose proper end would say the same. HTTP/1.1 is as before.

--- a/chervilstand/dev/dev_test.go
+++ b/chervilstand/dev/dev_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -453,6 +455,27 @@
 	}
 }
 
+// TestCutStreamHTTP10 guards against a stream that an engine cuts midway and that looks
+// complete to a caller of HTTP/1.0.
+func TestCutStreamHTTP10(t *testing.T) {
+	d := start(t)
+	for _, e := range d.Engines {
+		e.SetFaults(engine.Faults{CutRate: 1}, 0)
+	}
+	c, err := net.Dial("tcp", d.Instances[0].CallerAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const body = `{"model":"assistant","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"x"}]}`
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer dev-key\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+	got, err := io.ReadAll(c)
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection ended with %v after %q", err, got)
+	}
+}
+
 // TestServedByOtherRegion lets all engines of a region refuse requests and checks
 // that the region's requests are served by other regions, except for those of a
 // customer bound to the region, which are refused as not run.
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"google.golang.org/grpc"
 
+	"chervilyard.example/chervilyard/abort"
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/gateway"
 	"chervilyard.example/chervilyard/gossip"
@@ -182,7 +183,7 @@
 	e.callerConns.Now, e.forwardConns.Now = e.now, e.now
 	e.callerListener = e.callerConns.Listener(listeners[0])
 	e.callerServer = &http.Server{
-		Handler: &e.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: abort.Handler(&e.gateway), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: e.callerConns.ConnState,
 	}
 	e.forwardServer = &http.Server{
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -221,6 +221,27 @@
 	eventually(t, 3*time.Second, "the missing target is gone", func() bool { s, _ := call(e, "k", 1); return s == http.StatusServiceUnavailable })
 }
 
+// Guards against a response that its target breaks off and that looks complete to a
+// caller of HTTP/1.0.
+func TestBrokenResponseHTTP10(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.put("configuration/document", document{Version: 1, Rate: 1e6, Keys: []string{"k"}})
+	f.addTarget("a", "east-a", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 512<<10)) // more than the instance buffers
+		panic(http.ErrAbortHandler)
+	})
+	e := f.start("east", 0)
+	f.waitReady()
+	c := dialKept(t, e)
+	_, _ = io.WriteString(c, strings.Replace(keptRequest, "HTTP/1.1", "HTTP/1.0", 1))
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	got, err := io.ReadAll(c)
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || len(got) == 0 {
+		t.Errorf("the connection ended with %v after %d bytes", err, len(got))
+	}
+}
+
 // An evacuated data centre must get no requests; another region serves them meanwhile.
 func TestEvacuation(t *testing.T) {
 	t.Parallel()
--- a/chervilyard/handover/conn.go
+++ b/chervilyard/handover/conn.go
@@ -127,6 +127,15 @@
 	return nil
 }
 
+// SetLinger sets how Close treats unsent data, as (*net.TCPConn).SetLinger does. It does
+// nothing if the connection does not support it.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close closes the connection, which is not tracked any more.
 func (c *conn) Close() error {
 	c.tracker.remove(c)
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"chervilyard.example/chervilyard/abort"
 	"chervilyard.example/chervilyard/accept"
 	"chervilyard.example/chervilyard/admit"
 	"chervilyard.example/chervilyard/authenticate"
@@ -240,7 +241,7 @@
 func (i *Instance) startServing(ctx context.Context, creds credentials.TransportCredentials) {
 	limits := i.settings.Limits()
 	i.callerServer = &http.Server{
-		Handler:           i,
+		Handler:           abort.Handler(i),
 		ReadHeaderTimeout: limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
