Let a forwarded request earn repeats at one instance only

Cause: a request that is forwarded was recorded as a first attempt by the instance that took it and by each that it was forwarded to, and each allowed a fifth of a repeat for it. Now only the instance that took the request records it, so that the sum over the instances is the budget of their requests. A data centre with forwarded calls only keeps the ten retries that each instance begins with.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -94,7 +94,9 @@
 func (s *Stage) Run(ctx context.Context, c *call.Call) error {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	s.RetryBudget.RecordRequest()
+	if c.Hops == 0 { // the instance that forwarded a call has recorded it
+		s.RetryBudget.RecordRequest()
+	}
 	tried := make(map[string]bool)
 	last := noTarget(c)
 	for c.Result.Attempts = 1; c.Result.Attempts <= maxAttempts; c.Result.Attempts++ {
--- a/chervilyard/dispatch/dispatch_test.go
+++ b/chervilyard/dispatch/dispatch_test.go
@@ -263,3 +263,36 @@
 		}
 	})
 }
+
+// Guards against more retries over the instances than their budgets, because a call that
+// is forwarded earns retries at the instance that it is forwarded to as well.
+func TestForwardedCallEarnsNoRetry(t *testing.T) {
+	const calls, initialRetries = 100, 10
+	d, err := document.Parse("x", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sends := 0
+	s := dispatch.Stage{
+		Centre: "c", Document: func() *document.Document { return d }, Now: time.Now,
+		Picker:      &balancer.Picker{Random: func(int) int { return 0 }},
+		RetryBudget: &retrybudget.Budget{}, Decisions: decisionlog.New(hclog.NewNullLogger()),
+		MaxWaitingPerCustomer: 10,
+		Send: func(context.Context, target.Target, *call.Call) (*dispatch.Response, error) {
+			sends++
+			return &dispatch.Response{Status: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+		},
+	}
+	r, _ := d.Route("m")
+	customer, _ := d.Customer("k")
+	for range calls {
+		s.Picker = &balancer.Picker{Random: func(int) int { return 0 }} // forgets failures
+		c := &call.Call{ID: "1", Document: d, Customer: customer, Route: r, Hops: 1, Deadline: time.Now().Add(timeLeft), Sink: &sink.Sink{}}
+		if err := s.Run(t.Context(), c); err == nil {
+			t.Fatal("a call was answered")
+		}
+	}
+	if retries := sends - calls; retries > initialRetries {
+		t.Errorf("%d retries of %d forwarded calls, at most %d", retries, calls, initialRetries)
+	}
+}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := g.Now()
-	if len(x.tried) == 0 {
+	if len(x.tried) == 0 && !x.forwarded { // the forwarding instance has recorded it
 		g.RetryBudget.RecordRequest(now, g.RetryLimits(), x.service)
 	}
 	a := &attempt{x: x, dest: dest}
--- a/chervilyard/retrybudget/retrybudget.go
+++ b/chervilyard/retrybudget/retrybudget.go
@@ -5,37 +5,33 @@
 import "sync"
 
 const (
-	retryRatio = 0.2 // retries allowed per first attempt
-	maxTokens  = 20  // capacity of the bucket; one token allows one retry
+	retryRatio    = 0.2 // retries allowed per first attempt
+	initialTokens = 10  // in a new bucket; one token allows one retry
+	maxTokens     = 20  // capacity of the bucket
 )
 
 // Budget is a token bucket for retries that is filled by first attempts. The
-// zero value is ready to use: it allows no retry before the first RecordRequest,
-// which fills the bucket to half of its capacity. It is safe for concurrent use.
+// zero value is ready to use, with initialTokens in the bucket. It is safe for
+// concurrent use.
 type Budget struct {
-	mu          sync.Mutex
-	tokens      float64
-	initialized bool
+	mu     sync.Mutex
+	earned float64 // tokens added less tokens taken
 }
 
 // RecordRequest counts a first attempt.
 func (b *Budget) RecordRequest() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.initialized {
-		b.initialized = true
-		b.tokens = maxTokens / 2
-	}
-	b.tokens = min(b.tokens+retryRatio, maxTokens)
+	b.earned = min(b.earned+retryRatio, maxTokens-initialTokens)
 }
 
 // AllowRetry reports whether a retry is allowed. If so, it counts the retry.
 func (b *Budget) AllowRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if initialTokens+b.earned < 1 {
 		return false
 	}
-	b.tokens--
+	b.earned--
 	return true
 }
