Give a process no share of the extra repeats in its first window

A new process counts from zero and had a share of the fleet's extra repeats, though the run before it may have used one in the same window, and a whole slack of them while it knew no other instance. TestRestartsEarnNoExtraRepeats had 56 repeats of 80 requests at an instance started four times, 36 allowed; now 16. TestReloadChangesRetries relied on the share of a new process; it now raises the repeats for each request, and asks for the same ten answers.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -142,7 +142,7 @@
 		targets, _ := e.views[PartTargets].Age(now)
 		return configuration, targets
 	}
-	g.Instances = func(time.Time) int { return e.instanceCount() }
+	g.RetrySharers = e.retrySharers
 	g.RetryLimits = func() retry.Limits { return e.Settings().RetryLimits }
 	g.Picker, g.Limiter, g.RetryBudget, g.Pool, g.Decisions = &e.picker, &e.quota, &e.budget, &e.pool, e.decisions
 	g.Metrics = gateway.Metrics{Retry: e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, RequestDone: func(route, code string, status int, duration, firstByte time.Duration) {
@@ -242,6 +242,18 @@
 // instances count for shareRetention, since they may still serve requests.
 func (e *Edge) instanceCount() int { return 1 + len(e.sharingMembers(e.now())) }
 
+// retrySharers returns the number of instances that share the extra retries, or 0 if this
+// one must not use a share: its last run may have used it within the window, or it knows
+// neither another instance nor the store's list of them.
+func (e *Edge) retrySharers(now time.Time) int {
+	others := len(e.sharingMembers(now))
+	known := others > 0 || e.views[PartMembers].Loaded()
+	if !known || now.Sub(e.started) < e.Settings().RetryLimits.Window {
+		return 0
+	}
+	return 1 + others
+}
+
 // sharingMembers returns the other members that may use a share of fleet-wide limits:
 // those heard within shareRetention, and those known only from the store.
 func (e *Edge) sharingMembers(now time.Time) []membership.Member {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -124,7 +124,7 @@
 	if x.deliveries == 0 {
 		return true
 	}
-	return g.RetryBudget.AllowRetry(now, g.RetryLimits(), x.service, g.Instances(now))
+	return g.RetryBudget.AllowRetry(now, g.RetryLimits(), x.service, g.RetrySharers(now))
 }
 
 // firstByteTimeout returns how long the destination may take to send the first
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -102,9 +102,10 @@
 	// StateAges returns the ages of the known configuration and of the target states.
 	// It may be nil.
 	StateAges func(now time.Time) (configuration, targets time.Duration)
-	// Instances returns the number of instances that share fleet-wide limits.
-	Instances   func(now time.Time) int
-	RetryLimits func() retry.Limits // current limits of the retry budget
+	// RetrySharers returns the number of instances among which the extra retries are
+	// divided, or 0 if this one has no share.
+	RetrySharers func(now time.Time) int
+	RetryLimits  func() retry.Limits // current limits of the retry budget
 	Picker      *placement.Picker
 	Limiter     *ratelimit.Limiter
 	// CollectTokens takes a request's tokens from the customer's quota, borrowing from
--- a/yard/retry/retry.go
+++ b/yard/retry/retry.go
@@ -59,13 +59,18 @@
 
 // AllowRetry counts a retry and returns true, or returns false if the retry would
 // exceed the budget of this instance: RetriesPerRequest for each of its own first
-// attempts in the window, plus ExtraRetries divided by the number of instances.
+// attempts in the window, plus ExtraRetries divided by the number of instances. If that
+// is 0, the instance has no share of them.
 func (b *Budget) AllowRetry(now time.Time, limits Limits, service string, instances int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(now, limits, service)
 	firstAttempts, retries := c.sums()
-	if float64(retries+1) > limits.RetriesPerRequest*float64(firstAttempts)+limits.ExtraRetries/float64(max(instances, 1)) {
+	allowed := limits.RetriesPerRequest * float64(firstAttempts)
+	if instances > 0 {
+		allowed += limits.ExtraRetries / float64(instances)
+	}
+	if float64(retries+1) > allowed {
 		return false
 	}
 	c.retries[c.current%retryBuckets]++
