Charge a repeat that reached no target only once

Callers got 503 retries_spent although the one repeat that had been charged was never delivered: an instance of another region refused it without sending it, and the next destination was charged again. An exchange now knows how many deliveries have been allowed.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -119,12 +119,16 @@
 
 // allowRetry reports whether the request may be sent again, and draws on the
 // retry budget of the fleet for it. A request that has not reached any target
-// needs no budget.
+// needs no budget, nor does one whose last retry has not reached any.
 func (g *Gateway) allowRetry(now time.Time, x *exchange) bool {
-	if x.deliveries == 0 {
+	if x.deliveries < x.allowedDeliveries {
 		return true
 	}
-	return g.RetryBudget.AllowRetry(now, g.RetryLimits(), x.service, g.RetrySharers(now))
+	if !g.RetryBudget.AllowRetry(now, g.RetryLimits(), x.service, g.RetrySharers(now)) {
+		return false
+	}
+	x.allowedDeliveries = x.deliveries + 1
+	return true
 }
 
 // firstByteTimeout returns how long the destination may take to send the first
@@ -193,6 +197,7 @@
 		return true, nil
 	}
 	if errors.Is(cause, errFirstByteTimeout) && x.mayRunAgain() { // giveUp has drawn on the retry budget
+		x.allowedDeliveries = x.deliveries + 1
 		g.countRetry(x, "no answer")
 		return true, nil
 	}
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -48,7 +48,7 @@
 func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI, forwarded: true}
+	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI, allowedDeliveries: 1, forwarded: true}
 	internal := r.Header.Clone()
 	removeInternalHeaders(r.Header)
 	x.req, _ = g.Protocol.ParseRequest(r)
--- a/chervilyard/gateway/retry_budget_test.go
+++ b/chervilyard/gateway/retry_budget_test.go
@@ -48,3 +48,17 @@
 		t.Errorf("%d repeats of %d requests, at most %v", repeats, requests, ratio*requests)
 	}
 }
+
+// Guards against a refusal because a retry was charged again after it had reached no
+// target.
+func TestUndeliveredRetryIsChargedOnce(t *testing.T) {
+	full, ok := newFakeTarget(t, "full", "status 503"), newFakeTarget(t, "ok", "ok done")
+	empty, sound := newTestInstance(t, "empty", nil), newTestInstance(t, "sound", []*fakeTarget{ok})
+	near := newTestInstance(t, "near", []*fakeTarget{full}, empty, sound)
+	limits := retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 1.2}
+	near.gateway.RetryLimits = func() retry.Limits { return limits }
+	near.gateway.RetryBudget = &retry.Budget{} // the request earns one retry
+	if status, body, _ := roundTrip(t, near, getRequest("/read/x")); status != http.StatusOK || body != "done" {
+		t.Errorf("response %d %s", status, body)
+	}
+}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -68,6 +68,7 @@
 	maxAttempts       int // how many targets the request may be sent to
 	possibleRuns      int // how many targets may have run it
 	deliveries        int // how many targets it reached, whether or not they ran it
+	allowedDeliveries int // how many it may reach without drawing on the retry budget again
 	tried             []string
 	started           bool          // the response header has been sent
 	firstByteAt       time.Time     // zero until the first byte of a response has been read
@@ -87,7 +88,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI}
+	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI, allowedDeliveries: 1}
 	var key string
 	x.req, key = g.Protocol.ParseRequest(r)
 	g.awaitConfiguration(r.Context())
