Track a connection that is accepted as the listener closes

TestStopServesNewConnections failed once, in a run of its whole package: the request on the last connection got EOF. Forty runs alone, ten of the package's stop and soak tests and three more of the package passed. By the code, a stop asks for open connections right after it has closed the listener, and one that Accept has taken but not yet tracked is cut off without an answer; that this was the failure is inferred. Close now waits for such an Accept. With a listener that takes 100 ms, TestCloseAwaitsAcceptedConnection saw no connection before, and sees it now.

--- a/chervilyard/handover/handover.go
+++ b/chervilyard/handover/handover.go
@@ -100,9 +100,13 @@
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	// accepting is held for reading until an accepted connection is tracked.
+	accepting sync.RWMutex
 }
 
 func (l *listener) Accept() (net.Conn, error) {
+	l.accepting.RLock()
+	defer l.accepting.RUnlock()
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -111,3 +115,12 @@
 	l.tracker.add(c)
 	return c, nil
 }
+
+// Close closes the listener. When it returns, all connections that were accepted are
+// tracked.
+func (l *listener) Close() error {
+	err := l.Listener.Close() // ends a waiting Accept
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
+	return err
+}
--- a/chervilyard/handover/handover_test.go
+++ b/chervilyard/handover/handover_test.go
@@ -216,3 +216,40 @@
 		}
 	}
 }
+
+// slowListener returns a connection some time after it has accepted it.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	time.Sleep(100 * time.Millisecond)
+	return c, err
+}
+
+// Guards against a stop that does not know of a connection which is being accepted as the
+// listener is closed, and cuts it off without an answer.
+func TestCloseAwaitsAcceptedConnection(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tracker handover.Tracker
+	l := tracker.Listener(slowListener{inner})
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			t.Error(err)
+		}
+		accepted <- c
+	}()
+	dial(t, inner.Addr().String())
+	time.Sleep(30 * time.Millisecond) // until it has been accepted
+	_ = l.Close()                     // its error shows in Accept
+	if n := tracker.CloseIdle(time.Now()); n != 1 {
+		t.Errorf("%d open connections after the listener was closed, want the accepted one", n)
+	}
+	if c := <-accepted; c != nil {
+		_ = c.Close() // the test has ended
+	}
+}
