Keep requests from a target for as long as it asked with Retry-After

A target is now left out of every choice, also of health checks, until that time is over; a new run of it is not bound. If all targets of a region wait, the caller is refused at once with the soonest time at which one of them, or another region, takes the request. The project's own surface does the same, and its calls do not queue for targets that wait.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -4,11 +4,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,7 @@
 	"chervilyard.example/yard/document"
 	"chervilyard.example/yard/queue"
 	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/retryafter"
 	"chervilyard.example/yard/route"
 	"chervilyard.example/yard/target"
 )
@@ -98,10 +101,13 @@
 		s.RetryBudget.RecordRequest()
 	}
 	tried := make(map[string]bool)
-	last := noTarget(c)
+	last := s.noTarget(c)
 	for c.Result.Attempts = 1; c.Result.Attempts <= maxAttempts; c.Result.Attempts++ {
 		dest, ok := s.chooseDestination(c, tried)
 		if !ok {
+			if last.Run == refusal.RunNo {
+				last.RetryAfter = s.retryAfter(c)
+			}
 			break
 		}
 		f := s.attempt(ctx, c, dest, tried)
@@ -116,15 +122,28 @@
 	return last
 }
 
-func noTarget(c *call.Call) *refusal.Refusal {
-	return refusal.NotRun(http.StatusServiceUnavailable, "no_target", "no target inside the call's residency can be reached for "+c.Route.Name()).WithRetryAfter(targetRetryAfter)
+func (s *Stage) noTarget(c *call.Call) *refusal.Refusal {
+	return refusal.NotRun(http.StatusServiceUnavailable, "no_target", "no target inside the call's residency can be reached for "+c.Route.Name()).WithRetryAfter(s.retryAfter(c))
+}
+
+// retryAfter returns when the caller of a call that no target takes may return: when the
+// first target of this data centre wants requests again, if they want none for a while.
+func (s *Stage) retryAfter(c *call.Call) time.Duration {
+	now := s.Now()
+	first := time.Duration(0)
+	for _, t := range s.listedTargets(c.Route) {
+		if left := s.Picker.DeferralLeft(now, t.Name()); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return cmp.Or(first, targetRetryAfter)
 }
 
 // chooseDestination chooses between this data centre and another one. It returns
 // false if neither can be used.
 func (s *Stage) chooseDestination(c *call.Call, tried map[string]bool) (destination, bool) {
 	now := s.Now()
-	local := s.localTargets(c.Route, tried)
+	local := s.localTargets(now, c.Route, tried)
 	if c.Hops > 0 {
 		return destination{local: local, reason: "forwarded"}, len(local) > 0
 	}
@@ -164,11 +183,19 @@
 }
 
 // localTargets returns the targets of this data centre that serve the route, are not
-// draining and have not been tried.
-func (s *Stage) localTargets(r route.Route, tried map[string]bool) []target.Target {
+// draining, want requests now and have not been tried.
+func (s *Stage) localTargets(now time.Time, r route.Route, tried map[string]bool) []target.Target {
+	return slices.DeleteFunc(s.listedTargets(r), func(t target.Target) bool {
+		return tried[t.Name()] || s.Picker.DeferralLeft(now, t.Name()) > 0
+	})
+}
+
+// listedTargets returns the targets of this data centre that serve the route and are not
+// draining.
+func (s *Stage) listedTargets(r route.Route) []target.Target {
 	var found []target.Target
 	for _, t := range s.Document().Targets() {
-		if t.Centre() == s.Centre && t.Serves(r.Name()) && !t.Draining() && !tried[t.Name()] {
+		if t.Centre() == s.Centre && t.Serves(r.Name()) && !t.Draining() {
 			found = append(found, t)
 		}
 	}
@@ -209,7 +236,7 @@
 	}
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
-		return &failure{refusal: noTarget(c).WithCause(err), retryable: true}
+		return &failure{refusal: s.noTarget(c).WithCause(err), retryable: true}
 	}
 	return s.noUsableResponse(ctx, c, err)
 }
@@ -255,9 +282,9 @@
 		BlockTokens:  blockTokens,
 		Exclude:      func(name string) bool { return tried[name] },
 	}
-	selection, ok := s.Picker.Pick(now, s.localTargets(c.Route, tried), req)
+	selection, ok := s.Picker.Pick(now, s.localTargets(now, c.Route, tried), req)
 	if !ok {
-		return &failure{refusal: noTarget(c), retryable: true}
+		return &failure{refusal: s.noTarget(c), retryable: true}
 	}
 	t := selection.Target
 	tried[t.Name()] = true
@@ -268,7 +295,7 @@
 		s.Picker.End(t.Name())
 		s.queueFor(c.Route).Admit(s.Now())
 	}()
-	return s.sendTo(ctx, c, t, len(s.localTargets(c.Route, tried)) > 0)
+	return s.sendTo(ctx, c, t, len(s.localTargets(now, c.Route, tried)) > 0)
 }
 
 // awaitTurn blocks until the queue admits the call, or returns why it did not.
@@ -302,7 +329,7 @@
 	defer cancel(nil)
 	w := &progressWatch{start: start, target: t.Name()}
 	if others && !c.NonIdempotent {
-		firstByteTimeout := s.Picker.FirstByteTimeout(start, s.localTargets(c.Route, nil), c.Deadline.Sub(start))
+		firstByteTimeout := s.Picker.FirstByteTimeout(start, s.localTargets(start, c.Route, nil), c.Deadline.Sub(start))
 		if c.Route.Kind() == route.KindModel && !c.Stream {
 			firstByteTimeout = max(firstByteTimeout, c.Deadline.Sub(start)/2)
 		}
@@ -317,6 +344,7 @@
 		return s.sendFailure(ctx, c, w, sent, err)
 	}
 	defer res.Body.Close()
+	s.recordRequestedWait(res, t.Name())
 	if isRefusal(res.Status) && c.Route.Kind() == route.KindModel {
 		s.Picker.RecordFailure(s.Now(), t.Name(), false)
 		c.Result.MaybeSent = sentBefore
@@ -333,6 +361,17 @@
 	return s.relay(ctx, c, res, w)
 }
 
+// recordRequestedWait keeps calls from a target that turned one away for the time that it
+// asked for. A value that cannot be read changes nothing.
+func (s *Stage) recordRequestedWait(res *Response, targetName string) {
+	if !isRefusal(res.Status) {
+		return
+	}
+	if wait, _, err := retryafter.Parse(res.Header.Get("Retry-After")); err == nil {
+		s.Picker.Defer(s.Now(), targetName, wait)
+	}
+}
+
 // isRefusal reports whether the status of a model engine means that it did not run
 // the call.
 func isRefusal(status int) bool {
@@ -361,7 +400,7 @@
 	switch {
 	case !sent && context.Cause(ctx) == nil:
 		s.Picker.RecordFailure(now, w.target, true)
-		return &failure{refusal: noTarget(c).WithCause(err), retryable: true}
+		return &failure{refusal: s.noTarget(c).WithCause(err), retryable: true}
 	case isFirstByteTimeout(ctx):
 		s.recordFirstByteTimeout(now, w)
 	case ctx.Err() == nil:
@@ -381,7 +420,7 @@
 	q, ok := s.queues[r.Name()]
 	if !ok {
 		q = &queue.Queue{MaxWaitingPerCustomer: s.MaxWaitingPerCustomer, FreeSlots: func(now time.Time) int {
-			free, _ := s.Picker.Capacity(now, s.localTargets(r, nil))
+			free, _ := s.Picker.Capacity(now, s.localTargets(now, r, nil))
 			return free
 		}}
 		s.queues[r.Name()] = q
--- a/chervilyard/dispatch/dispatch_test.go
+++ b/chervilyard/dispatch/dispatch_test.go
@@ -296,3 +296,50 @@
 		t.Errorf("%d retries of %d forwarded calls, at most %d", retries, calls, initialRetries)
 	}
 }
+
+// Guards against calls to targets that turned one away with Retry-After before that time is
+// over, against calls that wait for these in the queue, and against a refusal that tells
+// callers to return sooner.
+func TestRequestedWaitIsKept(t *testing.T) {
+	d, err := document.Parse("x", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	sends := 0
+	s := dispatch.Stage{
+		Centre: "c", Document: func() *document.Document { return d }, Now: func() time.Time { return now },
+		Picker:      &balancer.Picker{Random: func(int) int { return 0 }},
+		RetryBudget: &retrybudget.Budget{}, Decisions: decisionlog.New(hclog.NewNullLogger()),
+		MaxWaitingPerCustomer: 10,
+		Remotes:               func(time.Time, route.Route) []dispatch.RemoteCentre { return nil },
+		Send: func(_ context.Context, to target.Target, _ *call.Call) (*dispatch.Response, error) {
+			sends++
+			wait := map[string]string{"a": "20", "b": "7"}[to.Name()]
+			return &dispatch.Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {wait}}, Body: http.NoBody}, nil
+		},
+	}
+	r, _ := d.Route("m")
+	customer, _ := d.Customer("k")
+	run := func() *refusal.Refusal {
+		c := &call.Call{ID: "1", Document: d, Customer: customer, Route: r, Deadline: now.Add(timeLeft), Sink: &sink.Sink{}}
+		var refused *refusal.Refusal
+		if err := s.Run(t.Context(), c); !errors.As(err, &refused) {
+			t.Fatal(err)
+		}
+		return refused
+	}
+	for range 10 {
+		if refused := run(); refused.RetryAfter != 7*time.Second || refused.Run != refusal.RunNo {
+			t.Errorf("refused with %v, return in %v", refused, refused.RetryAfter)
+		}
+	}
+	if sends != 2 {
+		t.Errorf("%d calls reached targets that wanted none, want the first two", sends)
+	}
+	now = now.Add(8 * time.Second)
+	run()
+	if sends != 3 {
+		t.Errorf("%d calls reached targets after the wait of one of them, want 3", sends)
+	}
+}
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -51,10 +51,11 @@
 	switch {
 	case !ok:
 		x.detail = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, dest.request, dest.coldShare))
+		x.deferral, _ = g.Picker.DeferralLeft(now, candidates)
 		return destination{}, g.noTarget(x)
 	case local.Wait > waitLimit:
 		x.detail = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), local.Wait.Round(time.Millisecond), waitLimit.Round(time.Millisecond))
-		return destination{}, g.refuse(x, "overloaded", "the targets would not answer in time", local.Wait/2)
+		return destination{}, g.refuse(x, "overloaded", "the targets would not answer in time", max(local.Wait/2, x.remoteRetryAfter))
 	}
 	return dest, nil
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -256,14 +257,19 @@
 // refuse returns a refusal that states correctly whether the request may have run.
 func (g *Gateway) refuse(x *exchange, code, message string, retryAfter time.Duration) error {
 	if x.possibleRuns == 0 {
-		return refusal.NotRun(http.StatusServiceUnavailable, code, message).WithRetryAfter(max(retryAfter, x.remoteRetryAfter, shortRetryAfter))
+		return refusal.NotRun(http.StatusServiceUnavailable, code, message).WithRetryAfter(max(retryAfter, shortRetryAfter))
 	}
 	return refusal.Unknown(http.StatusBadGateway, code, message)
 }
 
-// noTarget returns the refusal of a request that no target can serve.
+// noTarget returns the refusal of a request that no target can serve. The caller may
+// return when the first target of this region or another one is expected to take it.
 func (g *Gateway) noTarget(x *exchange) error {
-	return g.refuse(x, "targets_none", "no target may take the request now", shortRetryAfter)
+	retryAfter := cmp.Or(x.deferral, x.remoteRetryAfter)
+	if x.remoteRetryAfter > 0 {
+		retryAfter = min(retryAfter, x.remoteRetryAfter)
+	}
+	return g.refuse(x, "targets_none", "no target may take the request now", retryAfter)
 }
 
 // deadlineExceeded returns the refusal of a request whose deadline has passed.
--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -19,6 +19,7 @@
 //
 //	ok TEXT          200 with the body TEXT
 //	status N [run]   an error status; without "run" it states that nothing ran
+//	busy WAIT        a refusal of status 503 with the Retry-After WAIT
 //	events A,B,C     a complete event stream
 //	slow TEXT        200 with the body TEXT, its last byte 400 ms after the others
 //	paused A,B       the first event, and 50 ms later the others
@@ -137,6 +138,8 @@
 			return write(c, head(code+" Failed", "Content-Length: 0\r\n"))
 		}
 		return write(c, "HTTP/1.1 "+code+" Refused\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	case "busy":
+		return write(c, "HTTP/1.1 503 Busy\r\nId: "+id+"\r\nNot-Run: 1\r\nRetry-After: "+rest+"\r\nContent-Length: 0\r\n\r\n")
 	case "events":
 		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
 	case "rest":
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -71,6 +71,9 @@
 	// "inside_event", "empty" for a stream without events, or "broken" for an error of the
 	// connection.
 	ResponseEnd func(framing, end string)
+	// RequestedWait is called for each target that turned a request away with a time to
+	// wait: "kept", "reduced" to the longest one, or "malformed".
+	RequestedWait func(result string)
 }
 
 // Gateway serves requests. Its fields must be set before use and not changed
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -14,6 +14,7 @@
 	"chervilyard.example/yard/event"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/retryafter"
 )
 
 const (
@@ -45,6 +46,9 @@
 		}
 	}
 	class := g.Protocol.ClassifyResponse(resp.Status, resp.Header)
+	if a.dest.ticket != nil {
+		g.recordRequestedWait(a, resp)
+	}
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case class.Replaced:
@@ -63,6 +67,27 @@
 	return g.relayBuffered(ctx, a, resp)
 }
 
+// recordRequestedWait keeps requests from a target that turned one away for the time that
+// it asked for. A value that cannot be read changes nothing.
+func (g *Gateway) recordRequestedWait(a *attempt, resp *pool.Response) {
+	values := resp.Header["Retry-After"]
+	if resp.Status != http.StatusServiceUnavailable || len(values) == 0 {
+		return
+	}
+	wait, reduced, err := retryafter.Parse(values[0])
+	result := "kept"
+	switch {
+	case err != nil:
+		result = "malformed"
+	case reduced:
+		result = "reduced"
+	}
+	if g.Metrics.RequestedWait != nil {
+		g.Metrics.RequestedWait(result)
+	}
+	a.dest.ticket.Defer(g.Now(), wait)
+}
+
 // handleFailedResume handles an error response of a target that was asked to
 // resume a stream. That response must not follow the events already sent.
 func (g *Gateway) handleFailedResume(a *attempt, status int) (bool, error) {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -81,6 +81,7 @@
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
+	deferral          time.Duration // until the first of this region's targets wants requests again, if none does now
 	remoteRetryAfter  time.Duration // earliest retry delay that another region reported with a refusal; 0 for none
 }
 
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -63,6 +63,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_response_ends_total{framing=%q,end=%q}`, framing, end)).Inc()
 }
 
+// CountRequestedWait counts a target's request to wait, by what was made of it.
+func (m *Meter) CountRequestedWait(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_requested_waits_total{result=%q}`, result)).Inc()
+}
+
 // CountConnection counts a new connection to a target or to another instance.
 func (m *Meter) CountConnection() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
 
--- a/yard/balancer/balancer.go
+++ b/yard/balancer/balancer.go
@@ -72,6 +72,7 @@
 	failures         int // consecutive
 	ejectedUntil     time.Time
 	recoveredAt      time.Time
+	deferredUntil    time.Time // until when the target wants no requests of this instance
 }
 
 // UpdateLoad stores a load report of the named target. A report that is not newer
@@ -318,6 +319,24 @@
 	return free, total
 }
 
+// Defer records that the named target wants no requests of this instance for d from now
+// on. A shorter time does not end a longer one.
+func (p *Picker) Defer(now time.Time, name string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.state(name); s.deferredUntil.Before(now.Add(d)) {
+		s.deferredUntil = now.Add(d)
+	}
+}
+
+// DeferralLeft returns the time until the named target wants requests again, 0 if it does
+// now. Pick does not consider it: deferred targets must not be among its candidates.
+func (p *Picker) DeferralLeft(now time.Time, name string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.state(name).deferredUntil.Sub(now), 0)
+}
+
 // Load returns the number of requests that Pick assumes at the named target.
 func (p *Picker) Load(now time.Time, name string) int {
 	p.mu.Lock()
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -37,6 +37,8 @@
 //	first K, end K OUTCOME, pause K 200ms
 //	believed K TEXT      the description of what was believed for K; - if it is empty
 //	proved A 0s          a health check after a failure reports how long A stays cold
+//	defer K 2s           the target of K wants no requests for 2 s
+//	deferral A B -> 2s   when the first of the targets wants requests again; - if one of them does now
 //	ask A yes            whether a health check may be sent now
 //	peer P A 3 900       peer P reports 3 open requests and 900 waiting tokens at A
 type player struct {
@@ -86,6 +88,17 @@
 		}
 	case "pause":
 		p.tickets[s.Words[1]].RecordPause(s.At, s.Duration(p.t, 2))
+	case "defer":
+		p.tickets[s.Words[1]].Defer(s.At, s.Duration(p.t, 2))
+	case "deferral":
+		n := len(s.Words)
+		got := "-"
+		if d, ok := p.picker.DeferralLeft(s.At, p.named(s.Words[1:n-2])); ok {
+			got = d.String()
+		}
+		if want := s.Words[n-1]; got != want {
+			p.t.Errorf("line %d: the deferral is %s, want %s", s.Line, got, want)
+		}
 	case "ask":
 		if got, want := p.picker.AllowHealthCheck(s.At, s.Words[1], engineService, coldShare), s.Words[2] == "yes"; got != want {
 			p.t.Errorf("line %d: a health check may be sent: %v, want %v", s.Line, got, want)
@@ -99,6 +112,10 @@
 	}
 }
 
+func (p *player) named(names []string) []target.Target {
+	return slices.DeleteFunc(slices.Clone(p.targets), func(t target.Target) bool { return !slices.Contains(names, t.Name()) })
+}
+
 func (p *player) list(s scripttest.Step) {
 	p.targets = nil
 	for _, word := range s.Words[1:] {
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -23,6 +23,7 @@
 	memoryTokens  int
 	failures      int // consecutive ejections; 0 after a first byte or an answer
 	ejectedUntil  time.Time
+	deferredUntil time.Time // until when the target wants no requests of this instance
 	failureRate   float64   // moving average of the fraction of failed requests, as of failureRateAt
 	failureRateAt time.Time // when failureRate was last updated
 	answerMS      float64   // moving average; 0 if unknown
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// Defer records that the target wants no requests of this instance for d from now on. A
+// shorter time does not end a longer one.
+func (t *Ticket) Defer(now time.Time, d time.Duration) {
+	t.picker.mu.Lock()
+	defer t.picker.mu.Unlock()
+	if s := t.picker.state(t.target.Name()); s.deferredUntil.Before(now.Add(d)) {
+		s.deferredUntil = now.Add(d)
+	}
+}
+
 // End removes the request from the load of the target and records its outcome.
 // Later calls have no effect.
 func (t *Ticket) End(now time.Time, o Outcome) {
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -12,13 +12,16 @@
 	"chervilyard.example/yard/target"
 )
 
-// AllowHealthCheck reports whether a health check may be sent to the named target.
-// If the target is cold, the health check counts against its rate limit like a
-// request.
+// AllowHealthCheck reports whether a health check may be sent to the named target,
+// which Defer can prevent. If the target is cold, the health check counts against its
+// rate limit like a request.
 func (p *Picker) AllowHealthCheck(now time.Time, name string, s service.Service, coldShare ColdShare) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ts := p.state(name)
+	if now.Before(ts.deferredUntil) {
+		return false
+	}
 	return !p.isCold(now, ts) || ts.window.Take(now, p.coldLimit(Request{Service: s}, coldShare))
 }
 
@@ -60,6 +63,22 @@
 	}
 }
 
+// DeferralLeft returns the time until the first of the candidates wants requests again, and
+// false if none of them is deferred or one of them is not.
+func (p *Picker) DeferralLeft(now time.Time, candidates []target.Target) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := time.Duration(math.MaxInt64)
+	for i := range candidates {
+		d := p.state(candidates[i].Name()).deferredUntil.Sub(now)
+		if d <= 0 {
+			return 0, false
+		}
+		left = min(left, d)
+	}
+	return left, len(candidates) > 0
+}
+
 // Explain returns a comma-separated list of the candidates that cannot get the
 // request now, each with the reason.
 func (p *Picker) Explain(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) string {
@@ -72,6 +91,8 @@
 		switch {
 		case slices.Contains(r.Exclude, t.Name()):
 			list = append(list, t.Name()+" tried")
+		case now.Before(s.deferredUntil):
+			list = append(list, t.Name()+" wants no request for "+s.deferredUntil.Sub(now).Round(time.Millisecond).String())
 		case now.Before(s.ejectedUntil):
 			list = append(list, t.Name()+" failed "+strconv.Itoa(s.failures)+" times")
 		case !p.usable(now, t, r, coldShare) && p.isCold(now, s):
@@ -86,7 +107,7 @@
 // usable reports whether the target can get the request now.
 func (p *Picker) usable(now time.Time, t *target.Target, r Request, coldShare ColdShare) bool {
 	s := p.state(t.Name())
-	if now.Before(s.ejectedUntil) {
+	if now.Before(s.ejectedUntil) || now.Before(s.deferredUntil) {
 		return false
 	}
 	if s.failures > 0 && s.probing > 0 {
