Take the word of a target that says in a response that it leaves

The run of the target now gets no new requests from the instance, for ten minutes; its entry in the store changes nothing, a new run of the same name is free.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -136,6 +136,7 @@
 	g.ColdShare = e.coldTargetShare
 	g.Remotes = e.remoteInstances
 	g.OnRemoteLeaving = e.recordLeaving
+	g.OnTargetLeaving = e.recordTargetLeaving
 	g.PreferredTarget = e.preferredTarget
 	g.StateAges = func(now time.Time) (time.Duration, time.Duration) {
 		configuration, _ := e.views[PartConfiguration].Age(now)
@@ -223,6 +224,7 @@
 	return pause.Every(ctx, maintenanceInterval, func() {
 		now := e.now()
 		e.pool.CloseExpired(now)
+		e.targets.leaving.evict(now)
 		e.divideQuota(now)
 		e.refreshTargets(now)
 	})
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -109,11 +109,13 @@
 	return e
 }
 
-// addTarget runs a target and adds its entry to the store.
-func (f *fleet) addTarget(name, centre string, h http.HandlerFunc) {
+// addTarget runs a target, adds its entry to the store and returns the entry.
+func (f *fleet) addTarget(name, centre string, h http.HandlerFunc) targetEntry {
 	s := httptest.NewServer(h)
 	f.t.Cleanup(s.Close)
-	f.store.put("targets/"+name, targetEntry{Address: s.Listener.Addr().String(), Centre: centre})
+	entry := targetEntry{Address: s.Listener.Addr().String(), Centre: centre}
+	f.store.put("targets/"+name, entry)
+	return entry
 }
 
 func respondWith(text string) http.HandlerFunc {
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -56,6 +56,7 @@
 	h := &fleet.Heartbeat{Digests: e.digests(now)}
 	if to.Region == e.Settings().Region {
 		h.Loads = encodeLoads(e.picker.Loads())
+		h.Leaving = e.targets.leaving.list()
 	} else {
 		h.Rooms = e.localWaits(now)
 	}
@@ -97,6 +98,7 @@
 	}
 	if from.Region == e.Settings().Region {
 		e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
+		e.targets.leaving.tell(now, h.GetLeaving())
 	} else {
 		e.remoteWaits.update(now, h)
 	}
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -72,6 +72,9 @@
 	defer resp.Close()
 	now := e.now()
 	name, cold, healthy := e.gateway.Protocol.ParseHealth(resp.Status, resp.Header)
+	if name == t.Name() && e.gateway.Protocol.ClassifyResponse(resp.Status, resp.Header).Leaving {
+		e.recordTargetLeaving(now, t)
+	}
 	if name != t.Name() || !healthy {
 		e.logDecision("target", "not proved", t.Name()+": status "+itoa(int64(resp.Status))+" from "+name)
 		return
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -122,6 +122,7 @@
 	Address, Centre string
 	Leaving         bool
 	Beat            int
+	Run             int64
 }
 
 func (m *memoryStore) storeFor(name string) edge.Store {
@@ -196,7 +197,7 @@
 		SignificantContent: func(part string, it view.Item) string {
 			var e targetEntry
 			if part == edge.PartTargets && json.Unmarshal(it.Value, &e) == nil {
-				return e.Address + strconv.FormatBool(e.Leaving)
+				return e.Address + strconv.FormatBool(e.Leaving) + strconv.FormatInt(e.Run, 10)
 			}
 			return string(it.Value)
 		},
@@ -243,7 +244,7 @@
 			errs = append(errs, err)
 			continue
 		}
-		list = append(list, target.New(view.Base(it.Key), e.Centre, e.Address, []string{"s"}, 8, 1, e.Leaving))
+		list = append(list, target.New(view.Base(it.Key), e.Centre, e.Address, []string{"s"}, 8, 1, e.Leaving).WithRunID(e.Run))
 	}
 	return list, errs
 }
@@ -259,7 +260,9 @@
 			h.Set("Last-Event-Id", tc.LastEventID)
 		}
 	},
-	ClassifyResponse:  func(int, http.Header) gateway.ResponseClass { return gateway.ResponseClass{FromTarget: true} },
+	ClassifyResponse: func(_ int, h http.Header) gateway.ResponseClass {
+		return gateway.ResponseClass{FromTarget: true, Leaving: h.Get("Leaving") != ""}
+	},
 	ResponseRequestID: func(http.Header) string { return "" },
 	WriteRefusal:      func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteResponse(w) },
 }
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -32,6 +32,7 @@
 	digest    uint64                     // of the content that the targets were decoded from
 	readAt    time.Time                  // when the last list was read from the store
 	keepUntil time.Time                  // end of the grace period for missing targets after an outage
+	leaving   leavingRuns
 }
 
 // usable returns the region's targets of a service that may get requests.
@@ -50,7 +51,7 @@
 // isUsable reports whether the target may get requests of the service. The caller must
 // hold t.mu.
 func (t *targetList) isUsable(candidate target.Target, service string) bool {
-	return candidate.Serves(service) && !candidate.Draining() && !t.evacuated[candidate.Centre()]
+	return candidate.Serves(service) && !candidate.Draining() && !t.evacuated[candidate.Centre()] && !t.leaving.includes(candidate)
 }
 
 // usableRemote returns the targets of a service that may get requests in the other
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -45,6 +45,7 @@
 	FromTarget bool // sent by a target that processed the request
 	NotRun     bool // the target did not run the request
 	Replaced   bool // a different target now has this address
+	Leaving    bool // the target is leaving and wants no new requests
 }
 
 // Protocol translates between the gateway and the protocols of callers and targets.
@@ -97,6 +98,9 @@
 	// OnRemoteLeaving is called with an instance that refused a forwarded request
 	// because it is stopping. It may be nil.
 	OnRemoteLeaving func(now time.Time, m membership.Member)
+	// OnTargetLeaving is called with a target that said in a response that it is leaving.
+	// It may be nil.
+	OnTargetLeaving func(now time.Time, t target.Target)
 	// PreferredTarget returns the target that all instances prefer for the shared
 	// parts of a prompt, so that its cache holds them, and the region of that
 	// target. Only regions for which reachable returns true are considered. Both
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -48,6 +48,9 @@
 	class := g.Protocol.ClassifyResponse(resp.Status, resp.Header)
 	if a.dest.ticket != nil {
 		g.recordRequestedWait(a, resp)
+		if class.Leaving && !class.Replaced && g.OnTargetLeaving != nil {
+			g.OnTargetLeaving(g.Now(), a.dest.ticket.Target())
+		}
 	}
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -68,6 +68,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_requested_waits_total{result=%q}`, result)).Inc()
 }
 
+// CountLeavingTarget counts a run of a target that said in a response that it leaves.
+func (m *Meter) CountLeavingTarget() {
+	m.set.GetOrCreateCounter(`chervil_leaving_targets_total`).Inc()
+}
+
 // CountConnection counts a new connection to a target or to another instance.
 func (m *Meter) CountConnection() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
 
