--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -101,10 +101,13 @@
 		s.RetryBudget.RecordRequest()
 	}
 	tried := make(map[string]bool)
-	last := s.noTarget(c)
+	var last *refusal.Refusal
 	for c.Result.Attempts = 1; c.Result.Attempts <= maxAttempts; c.Result.Attempts++ {
 		dest, ok := s.chooseDestination(c, tried)
 		if !ok {
+			if last == nil {
+				return s.noTarget(c)
+			}
 			if last.Run == refusal.RunNo {
 				last.RetryAfter = s.retryAfter(c)
 			}
--- a/chervilyard/dispatch/dispatch_test.go
+++ b/chervilyard/dispatch/dispatch_test.go
@@ -338,7 +338,9 @@
 		t.Errorf("%d calls reached targets that wanted none, want the first two", sends)
 	}
 	now = now.Add(8 * time.Second)
-	run()
+	if refused := run(); refused.RetryAfter <= 0 {
+		t.Errorf("refused without a time to return: %v", refused)
+	}
 	if sends != 3 {
 		t.Errorf("%d calls reached targets after the wait of one of them, want 3", sends)
 	}
--- a/chervilyard/edge/era.go
+++ b/chervilyard/edge/era.go
@@ -63,13 +63,10 @@
 	}
 }
 
-// noteEraOf records the era that an error of the store tells of, and reports whether it
-// tells of one.
-func (e *Edge) noteEraOf(err error) bool {
+// noteEraOf records the era that an error of the store tells of, if it tells of one.
+func (e *Edge) noteEraOf(err error) {
 	var other *reader.EraError
-	if !errors.As(err, &other) {
-		return false
+	if errors.As(err, &other) {
+		e.noteEra(other.Era)
 	}
-	e.noteEra(other.Era)
-	return true
 }
