Let the stand-in engine ask to wait

The engine of the stand-ins sends Retry-After with its refusals if told to, and TestRequestedWait goes through three instances over the peers' protocol: none of 20 calls reached an engine that had asked for 30 s, and each caller was told to return after 20 s or more.

--- a/chervilstand/dev/dev_test.go
+++ b/chervilstand/dev/dev_test.go
@@ -601,6 +601,42 @@
 	}
 }
 
+// TestRequestedWait guards against calls to engines that asked to wait, at an instance that
+// they asked, and against a refusal that tells callers to return sooner.
+func TestRequestedWait(t *testing.T) {
+	d := start(t)
+	for _, e := range d.Engines {
+		e.SetFaults(engine.Faults{Refuse: true, Wait: 30}, 0)
+	}
+	chat := call{path: "/v1/chat/completions", key: "dev-key", body: `{"model":"assistant","max_tokens":4,"messages":[{"role":"user","content":"x"}]}`}
+	requests := func() (n int64) {
+		for _, e := range d.Engines {
+			n += e.Counts().Requests
+		}
+		return n
+	}
+	for range 6 { // until each instance has asked its engines
+		if status, body := chat.do(t, d); status != http.StatusServiceUnavailable || !strings.Contains(body, `"run":"no"`) {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	asked := requests()
+	for range 20 {
+		status, body := chat.do(t, d)
+		var r struct {
+			Error struct {
+				Retry float64 `json:"retry"`
+			} `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(body), &r); err != nil || status != http.StatusServiceUnavailable || r.Error.Retry < 20 {
+			t.Fatalf("%d %s %v", status, body, err)
+		}
+	}
+	if n := requests() - asked; n > 0 {
+		t.Errorf("engines that asked to wait got %d more requests", n)
+	}
+}
+
 // TestLongRequest checks that a request that needs nearly the whole burst of its
 // customer, which is spread over all instances, is admitted: the instance borrows
 // the quota from the others instead of refusing the request.
--- a/chervilstand/engine/engine.go
+++ b/chervilstand/engine/engine.go
@@ -27,6 +27,7 @@
 	Hang      bool    `json:"hang"`   // requests are never answered
 	CutRate   float64 `json:"break"`  // fraction of responses whose connection is cut midway
 	Refuse    bool    `json:"refuse"` // every request is answered with status 503
+	Wait      float64 `json:"wait"`   // seconds that a refusal asks to wait; 0 if it asks for none
 }
 
 // Options configures an engine. If they are not positive, Rate, Capacity and
@@ -192,6 +193,9 @@
 	e.mu.Unlock()
 	switch {
 	case f.Refuse:
+		if f.Wait > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(f.Wait, 'f', -1, 64))
+		}
 		http.Error(w, "no more work", http.StatusServiceUnavailable)
 		return
 	case f.Hang:
