Keep the stack of a handler that panics

Package abort recovered a panic to reset the connection and panicked again, so that the log of a fault had the stack of the wrapper. It now looks whether the handler returned. Its tests and those of both surfaces pass.

--- a/chervilyard/abort/abort.go
+++ b/chervilyard/abort/abort.go
@@ -7,22 +7,18 @@
 )
 
 // Handler returns a handler that serves requests with next. If next panics, as it does to
-// abort a response, the connection of a caller of HTTP/1.0 is reset before the panic goes
-// on: http.Server closes it in good order, which ends a body in HTTP/1.0. Later versions
-// delimit the body.
+// abort a response, the connection of a caller of HTTP/1.0 is reset: http.Server closes it
+// in good order, which ends a body in HTTP/1.0. Later versions delimit the body.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		returned := false
 		defer func() {
-			v := recover()
-			if v == nil {
-				return
-			}
-			if !r.ProtoAtLeast(1, 1) {
+			if !returned && !r.ProtoAtLeast(1, 1) {
 				reset(w)
 			}
-			panic(v)
 		}()
 		next.ServeHTTP(w, r)
+		returned = true
 	})
 }
 
