Log how far a response had come when its connection broke, and the parts of its prompt

When targets end one after the other, the logs do not tell whether the requests that broke off have something in common: a request's line names neither its parts nor how far each attempt had come. It does now, for attempts whose connection broke (broken=, parts=), and chervil_broken_attempts_total counts them by service and phase. Decisions are as before. The tests of package gateway pass.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -151,7 +151,7 @@
 	g.RetryLimits = func() retry.Limits { return e.Settings().RetryLimits }
 	g.Picker, g.Limiter, g.RetryBudget, g.Pool, g.Decisions = &e.picker, &e.quota, &e.budget, &e.pool, e.decisions
 	g.Metrics = gateway.Metrics{
-		Retry: e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, RequestedWait: e.meter.CountRequestedWait,
+		Retry: e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, RequestedWait: e.meter.CountRequestedWait,
 		RequestDone: func(route, code string, status int, duration, firstByte time.Duration) {
 			e.traffic.count(e.now(), route)
 			e.meter.ObserveRequest(route, code, status, duration, firstByte)
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -113,9 +113,11 @@
 
 // attempt is one attempt to serve a request at one destination.
 type attempt struct {
-	x         *exchange
-	dest      destination
-	firstByte firstbyte.Timer
+	x           *exchange
+	dest        destination
+	firstByte   firstbyte.Timer
+	headerRead  bool      // the response header has been read
+	firstByteAt time.Time // zero until a byte of the body has been read
 }
 
 // allowRetry reports whether the request may be sent again, and draws on the
@@ -190,7 +192,7 @@
 		g.endAttempt(a, now, placement.Canceled)
 		return false, g.cutOffOrGone(now, x, cause)
 	case sent:
-		g.endAttempt(a, now, placement.ConnectionBroken)
+		g.endBrokenAttempt(a, now)
 	default:
 		g.endAttempt(a, now, placement.Unreachable)
 	}
@@ -233,12 +235,50 @@
 	}
 }
 
+// endBrokenAttempt ends an attempt whose connection broke, and records how far the response
+// had come.
+func (g *Gateway) endBrokenAttempt(a *attempt, now time.Time) {
+	g.endAttempt(a, now, placement.ConnectionBroken)
+	if a.dest.ticket == nil {
+		return // the other instance records it
+	}
+	phase := a.phase(now)
+	a.x.broken = append(a.x.broken, a.dest.name()+":"+phase)
+	if g.Metrics.AttemptBroken != nil {
+		g.Metrics.AttemptBroken(a.x.service, phase)
+	}
+}
+
+// The phases of an attempt.
+const (
+	phaseWaiting   = "waiting"   // for the header of the response
+	phaseBeginning = "beginning" // the header has been read, and nothing of the body before beginningTime
+	phaseAnswering = "answering"
+)
+
+// beginningTime is how long after its first byte a response counts as beginning.
+const beginningTime = 500 * time.Millisecond
+
+// phase returns how far the response has come.
+func (a *attempt) phase(now time.Time) string {
+	switch {
+	case !a.headerRead:
+		return phaseWaiting
+	case a.firstByteAt.IsZero() || now.Sub(a.firstByteAt) <= beginningTime:
+		return phaseBeginning
+	}
+	return phaseAnswering
+}
+
 // markFirstByte records that a byte of the response body has been read. It reports false
 // if the time limit of the first byte has ended: the attempt is canceled.
 func (a *attempt) markFirstByte(now time.Time) bool {
 	if !a.firstByte.Arrive() {
 		return false
 	}
+	if a.firstByteAt.IsZero() {
+		a.firstByteAt = now
+	}
 	if a.x.firstByteAt.IsZero() {
 		a.x.firstByteAt = now
 	}
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -72,6 +72,10 @@
 	// "inside_event", "empty" for a stream without events, or "broken" for an error of the
 	// connection.
 	ResponseEnd func(framing, end string)
+	// AttemptBroken is called for each attempt whose connection broke, with the phase of
+	// the attempt: "waiting" for the header of the response, "beginning" to answer, or
+	// "answering".
+	AttemptBroken func(service, phase string)
 	// RequestedWait is called for each target that turned a request away with a time to
 	// wait: "kept", "reduced" to the longest one, or "malformed".
 	RequestedWait func(result string)
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -70,6 +70,9 @@
 	if x.insideEvent {
 		parts = append(parts, "ended=inside_event")
 	}
+	if len(x.broken) > 0 {
+		parts = append(parts, "broken="+strings.Join(x.broken, ","), "parts="+x.partIDs())
+	}
 	for _, belief := range x.coldBeliefs {
 		parts = append(parts, "believed="+belief)
 	}
@@ -79,6 +82,16 @@
 	return strings.Join(parts, " ")
 }
 
+// partIDs returns the IDs of the first parts of the prompt, separated by commas.
+func (x *exchange) partIDs() string {
+	const maxLogged = 16
+	var ids []string
+	for _, part := range x.req.Parts[:min(len(x.req.Parts), maxLogged)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // recordEnd keeps how a response ended that was not delimited, or that ended inside an
 // event, and counts it.
 func (g *Gateway) recordEnd(x *exchange, resp *pool.Response, err error) {
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -38,6 +38,7 @@
 func (g *Gateway) handleResponse(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	defer resp.Close()
 	x := a.x
+	a.headerRead = true
 	g.closeAfterResponse(x)
 	if a.dest.remote != nil {
 		x.addRemoteCounts(resp.Header)
@@ -292,7 +293,7 @@
 		g.endAttempt(a, now, placement.Canceled)
 		return g.cutOffOrGone(now, a.x, context.Cause(ctx))
 	}
-	g.endAttempt(a, now, placement.ConnectionBroken)
+	g.endBrokenAttempt(a, now)
 	return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the target's answer broke off").WithCause(err)
 }
 
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -78,6 +78,7 @@
 	framing           string        // of the last response, if only the end of its connection ends it
 	insideEvent       bool          // the last stream ended inside an event
 	lastDestination   string        // target or instance of the last attempt
+	broken            []string      // targets whose connection broke, each with the phase of the attempt, for the log
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -68,6 +68,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_requested_waits_total{result=%q}`, result)).Inc()
 }
 
+// CountBrokenAttempt counts an attempt whose connection broke, by service and by how far
+// the response had come.
+func (m *Meter) CountBrokenAttempt(service, phase string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_broken_attempts_total{service=%q,phase=%q}`, service, phase)).Inc()
+}
+
 // CountLeavingTarget counts a run of a target that said in a response that it leaves.
 func (m *Meter) CountLeavingTarget() {
 	m.set.GetOrCreateCounter(`chervil_leaving_targets_total`).Inc()
