Add failing tests of a part of a prompt that crashes targets

Eight targets in two regions, six instances over real sockets: each target ends as it begins to answer a request with one part of its prompt, and is back after 1.5 s as another run.

--- a/chervilstand/dev/dev.go
+++ b/chervilstand/dev/dev.go
@@ -56,9 +56,10 @@
 	Instances []*instance.Instance // in the order of Centres
 	StoreURL  string
 
-	options Options
-	servers []*http.Server
-	cancel  context.CancelFunc
+	options       Options
+	servers       []*http.Server
+	engineServers []*crashServer
+	cancel        context.CancelFunc
 }
 
 // Start runs the store, the targets and the instances, and returns when all
@@ -107,8 +108,7 @@
 	for _, region := range []string{"budapest", "debrecen", "pecs"} {
 		for n := 1; n <= 2; n++ {
 			name := fmt.Sprintf("%s-%d", region, n)
-			e := engine.New(d.options.Engine)
-			address, err := d.serve(anyPortAddress, e)
+			e, address, err := d.startEngine()
 			if err != nil {
 				return "", err
 			}
@@ -122,6 +122,19 @@
 	return strings.NewReplacer(replacements...).Replace(sampleDocument), nil
 }
 
+// startEngine starts an engine and returns the address on which it listens. If it
+// crashes, it is back there after restartDelay.
+func (d *Environment) startEngine() (*engine.Engine, string, error) {
+	s := &crashServer{}
+	o := d.options.Engine
+	o.OnCrash = s.crash
+	e := engine.New(o)
+	s.handler = e
+	d.engineServers = append(d.engineServers, s)
+	address, err := s.start(anyPortAddress)
+	return e, address, err
+}
+
 // serve starts an HTTP server and returns the address on which it listens.
 func (d *Environment) serve(address string, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", address)
@@ -243,4 +256,7 @@
 	for _, s := range d.servers {
 		_ = s.Close() // it may be closed already
 	}
+	for _, s := range d.engineServers {
+		s.close()
+	}
 }
--- a/chervilstand/engine/engine.go
+++ b/chervilstand/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -28,6 +29,7 @@
 	CutRate   float64 `json:"break"`  // fraction of responses whose connection is cut midway
 	Refuse    bool    `json:"refuse"` // every request is answered with status 503
 	Wait      float64 `json:"wait"`   // seconds that a refusal asks to wait; 0 if it asks for none
+	CrashOn   string  `json:"crash"`  // the engine crashes as it begins to answer a prompt that contains it, unless it is empty
 }
 
 // Options configures an engine. If they are not positive, Rate, Capacity and
@@ -39,6 +41,7 @@
 	Capacity    int           // maximum number of concurrent requests; more are queued
 	CacheBlocks int           // size of the prefix cache in blocks of balancer.BlockBytes bytes
 	TimeFactor  float64       // factor by which all times are multiplied; less than 1 counts as 1
+	OnCrash     func()        // ends the engine's server and all its connections; may be nil
 }
 
 // Engine is a simulated model engine. It is an http.Handler and safe for
@@ -65,6 +68,7 @@
 	Cached            int64 `json:"cached"`  // prompt tokens found in the cache
 	Cut               int64 `json:"cut"`     // running requests whose client disconnected before the response was complete
 	CredentialHeaders int64 `json:"headers"` // requests with an Authorization or Cookie header
+	Crashes           int64 `json:"crashes"` // requests that crashed the engine
 }
 
 // New returns an engine with the given options and no faults.
@@ -212,7 +216,7 @@
 		e.running.Add(-1)
 		<-e.slots
 	}()
-	e.generate(w, r, req, rand.Float64() < f.CutRate)
+	e.generate(w, r, req, rand.Float64() < f.CutRate, f.CrashOn)
 }
 
 // acquireSlot waits for a free slot of the batch. It returns false if the client
@@ -229,8 +233,9 @@
 	}
 }
 
-// generate simulates the processing of the prompt and then sends the response.
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, req request, cut bool) {
+// generate simulates the processing of the prompt and then sends the response, or crashes
+// if the prompt contains crashOn.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, req request, cut bool, crashOn string) {
 	text := req.text()
 	promptTokens := (len(text) + bytesPerToken - 1) / bytesPerToken
 	cachedTokens := min(e.cachePrompt(text), promptTokens)
@@ -248,9 +253,25 @@
 		e.updateCounts(func(c *Counts) { c.Cut++ })
 		return
 	}
+	if crashOn != "" && bytes.Contains(text, []byte(crashOn)) {
+		e.crash(out)
+	}
 	e.emit(out, r, maxTokens, promptTokens, cut)
 }
 
+// crash sends the header of a stream and then ends the engine.
+func (e *Engine) crash(out *completionWriter) {
+	e.updateCounts(func(c *Counts) { c.Crashes++ })
+	if out.stream {
+		out.sendHeader("text/event-stream")
+		_ = out.flush() // the connection ends in any case
+	}
+	if e.Options.OnCrash != nil {
+		e.Options.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // emit sends the tokens at the rate of the engine, and cuts the connection after
 // half of them if cut is set.
 func (e *Engine) emit(out *completionWriter, r *http.Request, maxTokens, promptTokens int, cut bool) {
--- /dev/null
+++ b/chervilyard/edge/crash_test.go
@@ -0,0 +1,261 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chervilyard.example/chervilyard/edge"
+)
+
+// crashingTarget is a target that ends as it begins to answer a request with a part of its
+// set. It is back after downTime, as another run at the same address.
+type crashingTarget struct {
+	f           *fleet
+	name, zone  string
+	address     string
+	crashes     *crashes
+	beforeCrash time.Duration // from the header of the response to the end
+
+	mu     sync.Mutex
+	run    int64
+	server *http.Server
+}
+
+const downTime = 1500 * time.Millisecond
+
+// crashes counts over all targets. It is safe for concurrent use.
+type crashes struct {
+	mu       sync.Mutex
+	part     string      // requests with it end their target
+	ended    []time.Time // when targets ended
+	arrivals []time.Time // of requests with the part
+}
+
+func (c *crashes) setPart(part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.part = part
+}
+
+func (c *crashes) record(list *[]time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*list = append(*list, time.Now())
+}
+
+// contains reports whether the request has the part, not as its last one.
+func (c *crashes) contains(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part != "" && strings.Contains(r.Header.Get("Parts"), c.part+":1,")
+}
+
+// counts returns how many targets ended, and how many requests with the part arrived later
+// than d after the fifth end.
+func (c *crashes) counts(d time.Duration) (ended, late int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ended) < 5 {
+		return len(c.ended), 0
+	}
+	for _, at := range c.arrivals {
+		if at.Sub(c.ended[4]) > d {
+			late++
+		}
+	}
+	return len(c.ended), late
+}
+
+func (f *fleet) addCrashingTarget(name, zone string, c *crashes, beforeCrash time.Duration) {
+	f.t.Helper()
+	t := &crashingTarget{f: f, name: name, zone: zone, address: f.listeners.open(f.t), crashes: c, beforeCrash: beforeCrash}
+	l, err := f.listeners.listen(t.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	t.start(l)
+	f.t.Cleanup(func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		_ = t.server.Close()
+		t.server = nil
+	})
+}
+
+// start serves on the listener as a new run.
+func (t *crashingTarget) start(l net.Listener) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.run++
+	s := &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: time.Second}
+	t.server = s
+	go func() { _ = s.Serve(l) }() // returns when the server is closed
+	t.f.store.put("targets/"+t.name, targetEntry{Address: t.address, Centre: t.zone, Run: t.run})
+}
+
+// serve answers with a stream of three events, 15 ms apart.
+func (t *crashingTarget) serve(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	s := t.server
+	t.mu.Unlock()
+	deadly := t.crashes.contains(r)
+	if deadly {
+		t.crashes.record(&t.crashes.arrivals)
+	}
+	time.Sleep(30 * time.Millisecond)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush()
+	if deadly {
+		time.Sleep(t.beforeCrash)
+		t.crash(s)
+		panic(http.ErrAbortHandler)
+	}
+	for i := range 3 {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+		_ = flusher.Flush()
+		time.Sleep(15 * time.Millisecond)
+	}
+}
+
+// crash closes the listener and all connections of the run that s serves, and starts
+// another after downTime.
+func (t *crashingTarget) crash(s *http.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s != t.server || s == nil {
+		return // it has ended already
+	}
+	_ = s.Close()
+	t.crashes.record(&t.crashes.ended)
+	time.AfterFunc(downTime, func() {
+		l, err := net.Listen("tcp", t.address)
+		t.mu.Lock()
+		running := t.server != nil
+		t.mu.Unlock()
+		if err == nil && running {
+			t.start(l)
+		}
+	})
+}
+
+// stream sends a request for a stream with the parts to an instance, and reports whether it
+// was served whole.
+func stream(e *edge.Edge, id, parts string) (served bool, status int) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.Settings().CallerAddr+"/s/x", nil)
+	if err != nil {
+		return false, 0
+	}
+	req.Host = "h.example"
+	req.Header = http.Header{"Key": {"k"}, "Tokens": {"10"}, "Id": {id}, "Parts": {parts}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false, 0
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK, resp.StatusCode
+}
+
+// Guards against one part of a prompt that ends target after target, because each request
+// with it counts as a new one wherever it arrives, and against sound requests that share
+// its customer and first part and are no longer served.
+func TestCrashingPartIsContained(t *testing.T) {
+	for _, beforeCrash := range []time.Duration{0, 40 * time.Millisecond} {
+		t.Run(beforeCrash.String()+" after the header", func(t *testing.T) {
+			t.Parallel()
+			testCrashingPart(t, beforeCrash)
+		})
+	}
+}
+
+func testCrashingPart(t *testing.T, beforeCrash time.Duration) {
+	const (
+		stable        = 5 * time.Second // after the fifth end
+		soundInterval = 40 * time.Millisecond
+		deadlyPause   = 120 * time.Millisecond
+		lateAllowed   = 3
+	)
+	f := newFleet(t)
+	f.store.put("configuration/document", document{Version: 1, Rate: 1e6, Keys: []string{"k"}})
+	var c crashes
+	for i := range 5 {
+		f.addCrashingTarget(fmt.Sprint("e", i), "east-a", &c, beforeCrash)
+	}
+	for i := range 3 {
+		f.addCrashingTarget(fmt.Sprint("w", i), "west-a", &c, beforeCrash)
+	}
+	var edges []*edge.Edge
+	for n := range 3 {
+		edges = append(edges, f.start("east", n), f.start("west", n))
+	}
+	f.waitReady()
+	for _, e := range edges {
+		eventually(t, 5*time.Second, "a stream is served", func() bool { served, _ := stream(e, "warm", "first:1,own:1"); return served })
+	}
+	var sent, served [2]atomic.Int64 // before the first request with the part, and late after it
+	var period atomic.Int64
+	period.Store(-1)
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for n, e := range edges {
+		running.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(soundInterval):
+				}
+				p := period.Load()
+				ok, _ := stream(e, fmt.Sprintf("s%d-%d", n, i), fmt.Sprintf("first:1,session%d:1,own%d:1", i/8, i))
+				if p >= 0 && p == period.Load() {
+					sent[p].Add(1)
+					if ok {
+						served[p].Add(1)
+					}
+				}
+			}
+		})
+	}
+	period.Store(0)
+	time.Sleep(2 * time.Second)
+	period.Store(-1)
+	c.setPart("deadly")
+	for n, e := range edges {
+		running.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(deadlyPause):
+				}
+				stream(e, fmt.Sprintf("d%d-%d", n, i), fmt.Sprintf("first:1,deadly:1,own%d:1", i))
+			}
+		})
+	}
+	time.Sleep(2 * stable)
+	period.Store(1)
+	time.Sleep(3 * time.Second)
+	period.Store(-1)
+	close(stop)
+	running.Wait()
+	ended, late := c.counts(stable)
+	t.Logf("%d targets ended; %d requests with the part arrived later than %v after the fifth end; sound streams served: %d of %d before, %d of %d late",
+		ended, late, stable, served[0].Load(), sent[0].Load(), served[1].Load(), sent[1].Load())
+	if late > lateAllowed {
+		t.Errorf("%d requests with the part arrived later than %v after the fifth end, at most %d", late, stable, lateAllowed)
+	}
+	before := float64(served[0].Load()) / float64(sent[0].Load())
+	after := float64(served[1].Load()) / float64(sent[1].Load())
+	if sent[1].Load() < 20 || after < before/2 {
+		t.Errorf("sound streams are served at a rate of %.2f, before %.2f", after, before)
+	}
+}
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -17,6 +17,7 @@
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/customer"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/route"
 	"chervilyard.example/yard/service"
@@ -319,11 +320,23 @@
 	return list, errs
 }
 
+// parseParts parses prompt parts in the form ID:TOKENS,ID:TOKENS.
+func parseParts(text string) []placement.Part {
+	var list []placement.Part
+	for part := range strings.SplitSeq(text, ",") {
+		id, tokens, _ := strings.Cut(part, ":")
+		if n, err := strconv.Atoi(tokens); err == nil {
+			list = append(list, placement.Part{ID: id, Tokens: n})
+		}
+	}
+	return list
+}
+
 var testProtocol = gateway.Protocol{
 	ParseRequest: func(r *http.Request) (gateway.Request, string) {
 		h := gateway.EndToEndHeader(r.Header)
 		n, err := strconv.Atoi(h.Get("Tokens"))
-		return gateway.Request{ID: h.Get("Id"), PromptTokens: n, HasTokenCounts: err == nil, Header: h}, h.Get("Key")
+		return gateway.Request{ID: h.Get("Id"), PromptTokens: n, HasTokenCounts: err == nil, Header: h, LastEventID: h.Get("Last-Event-Id"), Parts: parseParts(h.Get("Parts"))}, h.Get("Key")
 	},
 	SetTargetHeaders: func(h http.Header, tc gateway.TargetContext) {
 		if tc.LastEventID != "" {
