Refuse requests with a part of a prompt that crashes targets

Callers of model targets were refused for want of targets, or got 502, while targets ended one after the other: a request with one part in its prompt ended each target that began to answer it, and the next such request, at whichever instance, was sent to the next target. Nothing related the end of a target to the request that it ended under.

Instances now attribute the end of a target to the shared parts of the requests that it had open, if it had not answered them for longer than half a second and refuses connections since (package liveness). They tell each other (package suspect, heartbeats). A part is blocked once two targets ended as they began to answer requests with it, or three while such requests waited; parts under which an answer went well within a minute before are never blamed, wherever it was seen, and an instance that gets answers of a target refutes its reported end. Requests with a blocked part are refused at once, as not run. One is let through after two seconds, by one instance of the fleet: if it is answered, the part is cleared; if its target ends, the verdict is confirmed and callers are told not to return. A request that ended two targets is not sent to a third.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -21,6 +21,7 @@
 	"chervilyard.example/chervilyard/gateway"
 	"chervilyard.example/chervilyard/gossip"
 	"chervilyard.example/chervilyard/handover"
+	"chervilyard.example/chervilyard/liveness"
 	"chervilyard.example/chervilyard/meter"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/catalog"
@@ -29,6 +30,7 @@
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/view"
 )
@@ -78,6 +80,8 @@
 	remoteWaits remoteWaits
 	collector   tokenCollector
 	probes      probes
+	suspects    suspect.Ledger
+	liveness    liveness.Checker
 
 	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
 	ctx                         context.Context
@@ -114,6 +118,7 @@
 	}
 	e.buildViews()
 	e.buildHeartbeats()
+	e.buildSuspects()
 	e.buildGateway(c.Protocol)
 	e.startServers(listeners)
 	return e, nil
@@ -151,7 +156,7 @@
 	g.RetryLimits = func() retry.Limits { return e.Settings().RetryLimits }
 	g.Picker, g.Limiter, g.RetryBudget, g.Pool, g.Decisions = &e.picker, &e.quota, &e.budget, &e.pool, e.decisions
 	g.Metrics = gateway.Metrics{
-		Retry: e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, RequestedWait: e.meter.CountRequestedWait,
+		Retry: e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait,
 		RequestDone: func(route, code string, status int, duration, firstByte time.Duration) {
 			e.traffic.count(e.now(), route)
 			e.meter.ObserveRequest(route, code, status, duration, firstByte)
@@ -159,6 +164,7 @@
 	}
 	g.CollectTokens = e.collectTokens
 	g.OnSuspectedRestart = e.probeSuspect
+	g.Suspects, g.TargetEnded, g.TrialRank = &e.suspects, e.liveness.Ended, e.trialRank
 	g.Random = rand.Float64
 	g.Cutoff = func() (time.Time, bool) {
 		cutoff := e.cutoff.Load()
@@ -169,6 +175,7 @@
 	}
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.InFlight()) })
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
+	e.meter.Gauge("chervil_blocked_parts", func() float64 { return float64(e.suspects.Blocked()) })
 	e.meter.Gauge("chervil_members", func() float64 { return float64(len(e.memberTable.Live(e.now(), liveTimeout))) })
 	for name, v := range e.views {
 		e.meter.Gauge(fmt.Sprintf("chervil_view_age_seconds{part=%q}", name), func() float64 {
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -53,7 +53,7 @@
 // heartbeatPayload returns the content of a heartbeat or a reply to a member: digests, and
 // loads within the region or waiting times to other regions.
 func (e *Edge) heartbeatPayload(now time.Time, to membership.Member) *fleet.Heartbeat {
-	h := &fleet.Heartbeat{Digests: e.digests(now)}
+	h := &fleet.Heartbeat{Digests: e.digests(now), Suspects: e.suspects.Message(now, to.Name, to.Run)}
 	if to.Region == e.Settings().Region {
 		h.Loads = encodeLoads(e.picker.Loads())
 		h.Leaving = e.targets.leaving.list()
@@ -102,6 +102,7 @@
 	} else {
 		e.remoteWaits.update(now, h)
 	}
+	e.suspects.Merge(now, h.GetSuspects())
 	for _, d := range h.GetDigests() {
 		e.compareDigest(now, written, from, d)
 	}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -12,6 +12,7 @@
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/suspect"
 )
 
 const (
@@ -37,6 +38,7 @@
 // dispatch sends the request to destinations until one responds, or returns the
 // reason why none did.
 func (g *Gateway) dispatch(ctx context.Context, x *exchange) error {
+	x.parts = x.sharedParts()
 	for n := 0; n < maxDestinations; n++ {
 		now := g.Now()
 		if left := x.deadline.Sub(now); left <= 0 {
@@ -45,7 +47,14 @@
 		if ctx.Err() != nil {
 			return g.cutOffOrGone(now, x, context.Cause(ctx))
 		}
+		verdict, mayTry := g.checkParts(now, x)
+		if verdict.Blocked() && !mayTry {
+			return g.refusePart(now, x, verdict)
+		}
 		dest, err := g.chooseDestination(now, x)
+		if verdict.Blocked() && (err != nil || !g.startTrial(now, x)) {
+			return g.refusePart(now, x, verdict)
+		}
 		if err != nil {
 			return err
 		}
@@ -99,6 +108,9 @@
 // attempt was canceled.
 func (g *Gateway) giveUp(x *exchange, cancel context.CancelCauseFunc) bool {
 	now := g.Now()
+	if verdict, _ := g.checkParts(now, x); verdict.Blocked() {
+		return false
+	}
 	if _, err := g.chooseDestination(now, x); err != nil || !g.allowRetry(now, x) {
 		return false
 	}
@@ -118,6 +130,7 @@
 	firstByte   firstbyte.Timer
 	headerRead  bool      // the response header has been read
 	firstByteAt time.Time // zero until a byte of the body has been read
+	sound       bool      // the target has answered well
 }
 
 // allowRetry reports whether the request may be sent again, and draws on the
@@ -192,7 +205,7 @@
 		g.endAttempt(a, now, placement.Canceled)
 		return false, g.cutOffOrGone(now, x, cause)
 	case sent:
-		g.endBrokenAttempt(a, now)
+		g.endBrokenAttempt(ctx, a, now)
 	default:
 		g.endAttempt(a, now, placement.Unreachable)
 	}
@@ -207,9 +220,10 @@
 	return g.retryOrFail(now, x, err)
 }
 
-// mayRunAgain reports whether the route allows that another target runs the request.
+// mayRunAgain reports whether the route allows that another target runs the request, and the
+// request has not ended too many.
 func (x *exchange) mayRunAgain() bool {
-	return x.route.Idempotent() && x.possibleRuns < x.maxAttempts
+	return x.route.Idempotent() && x.possibleRuns < x.maxAttempts && x.endedTargets < maxEndedTargets
 }
 
 // retryOrFail returns true if a request that a target may have run may be sent to
@@ -237,7 +251,7 @@
 
 // endBrokenAttempt ends an attempt whose connection broke, and records how far the response
 // had come.
-func (g *Gateway) endBrokenAttempt(a *attempt, now time.Time) {
+func (g *Gateway) endBrokenAttempt(ctx context.Context, a *attempt, now time.Time) {
 	g.endAttempt(a, now, placement.ConnectionBroken)
 	if a.dest.ticket == nil {
 		return // the other instance records it
@@ -247,24 +261,22 @@
 	if g.Metrics.AttemptBroken != nil {
 		g.Metrics.AttemptBroken(a.x.service, phase)
 	}
+	g.recordTargetEnd(ctx, a, now, phase)
 }
 
 // The phases of an attempt.
 const (
 	phaseWaiting   = "waiting"   // for the header of the response
-	phaseBeginning = "beginning" // the header has been read, and nothing of the body before beginningTime
+	phaseBeginning = "beginning" // the header has been read, and nothing of the body before suspect.BeginningTime
 	phaseAnswering = "answering"
 )
 
-// beginningTime is how long after its first byte a response counts as beginning.
-const beginningTime = 500 * time.Millisecond
-
 // phase returns how far the response has come.
 func (a *attempt) phase(now time.Time) string {
 	switch {
 	case !a.headerRead:
 		return phaseWaiting
-	case a.firstByteAt.IsZero() || now.Sub(a.firstByteAt) <= beginningTime:
+	case a.firstByteAt.IsZero() || now.Sub(a.firstByteAt) <= suspect.BeginningTime:
 		return phaseBeginning
 	}
 	return phaseAnswering
@@ -272,7 +284,7 @@
 
 // markFirstByte records that a byte of the response body has been read. It reports false
 // if the time limit of the first byte has ended: the attempt is canceled.
-func (a *attempt) markFirstByte(now time.Time) bool {
+func (g *Gateway) markFirstByte(a *attempt, now time.Time) bool {
 	if !a.firstByte.Arrive() {
 		return false
 	}
@@ -282,6 +294,7 @@
 	if a.x.firstByteAt.IsZero() {
 		a.x.firstByteAt = now
 	}
+	g.recordAnswering(a, now)
 	if a.dest.ticket != nil {
 		a.dest.ticket.RecordFirstByte(now)
 	}
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -17,14 +17,17 @@
 	headerRoute          = "Chervil-Route"
 	headerService        = "Chervil-Service"
 	headerCustomer       = "Chervil-Customer"
-	headerTimeLeftMS     = "Chervil-Left"     // milliseconds until the deadline
-	headerLastEventID    = "Chervil-After"    // ID of the last event that the caller received
-	headerAttempts       = "Chervil-Attempts" // how many targets the request may still be sent to
-	headerPossibleRuns   = "Chervil-Sends"    // in a response: how many targets may have run the request
-	headerDeliveries     = "Chervil-Offers"   // in a response: how many targets the request reached
-	headerRun            = "Chervil-Run"      // in a refusal: "no", "yes" or "unknown"
-	headerRetryAfterMS   = "Chervil-Later"    // in a refusal: milliseconds until a retry is worthwhile
-	headerLeaving        = "Chervil-Leaving"  // in a refusal: set if only this instance refuses, because it is stopping
+	headerTimeLeftMS     = "Chervil-Left"      // milliseconds until the deadline
+	headerLastEventID    = "Chervil-After"     // ID of the last event that the caller received
+	headerAttempts       = "Chervil-Attempts"  // how many targets the request may still be sent to
+	headerPossibleRuns   = "Chervil-Sends"     // in a response: how many targets may have run the request
+	headerDeliveries     = "Chervil-Offers"    // in a response: how many targets the request reached
+	headerRun            = "Chervil-Run"       // in a refusal: "no", "yes" or "unknown"
+	headerRetryAfterMS   = "Chervil-Later"     // in a refusal: milliseconds until a retry is worthwhile
+	headerTrial          = "Chervil-Trial"     // set if the request is sent although its parts block it
+	headerPart           = "Chervil-Part"      // in a refusal: the part of the prompt because of which it is refused
+	headerConfirmed      = "Chervil-Confirmed" // in such a refusal: set if a trial has confirmed it
+	headerLeaving        = "Chervil-Leaving"   // in a refusal: set if only this instance refuses, because it is stopping
 )
 
 // setForwardingHeaders sets the headers that tell the receiving instance what
@@ -37,6 +40,9 @@
 	if name := x.customer.Name(); name != "" {
 		h.Set(headerCustomer, name)
 	}
+	if x.trial {
+		h.Set(headerTrial, "yes")
+	}
 	if x.req.LastEventID != "" {
 		h.Set(headerLastEventID, x.req.LastEventID)
 	}
@@ -96,6 +102,7 @@
 	x.deadline = x.arrived.Add(time.Duration(remaining) * time.Millisecond)
 	x.service = internal.Get(headerService)
 	x.req.LastEventID = internal.Get(headerLastEventID)
+	x.trial = internal.Get(headerTrial) != ""
 	return nil
 }
 
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 )
 
@@ -76,6 +77,9 @@
 	// the attempt: "waiting" for the header of the response, "beginning" to answer, or
 	// "answering".
 	AttemptBroken func(service, phase string)
+	// PartRefused is called for each request that is refused because of a part of its
+	// prompt, and states whether a trial has confirmed that targets end under it.
+	PartRefused func(service string, confirmed bool)
 	// RequestedWait is called for each target that turned a request away with a time to
 	// wait: "kept", "reduced" to the longest one, or "malformed".
 	RequestedWait func(result string)
@@ -126,6 +130,14 @@
 	Pool          *pool.Pool
 	Decisions     *decisionlog.Log
 	Metrics       Metrics
+	// Suspects holds the parts of prompts under which targets ended.
+	Suspects *suspect.Ledger
+	// TargetEnded reports whether the target at an address, whose connection broke, has
+	// ended. If it is nil, ends are not attributed to requests.
+	TargetEnded func(ctx context.Context, now time.Time, address string) bool
+	// TrialRank returns the rank of this instance among those that may send a request in
+	// spite of its parts. If it is nil, it sends none.
+	TrialRank func(now time.Time) int
 	// OnSuspectedRestart is called with a target that may have restarted. It may be
 	// nil.
 	OnSuspectedRestart func(t target.Target)
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 	"chervilyard.example/yard/retry"
 	"chervilyard.example/yard/route"
 	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 )
 
@@ -138,7 +139,7 @@
 		RetryLimits: func() retry.Limits {
 			return retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 0.2, ExtraRetries: 4}
 		},
-		Picker: &placement.Picker{}, Limiter: limiter, RetryBudget: &retry.Budget{}, Pool: &pool.Pool{},
+		Picker: &placement.Picker{}, Limiter: limiter, Suspects: &suspect.Ledger{}, RetryBudget: &retry.Budget{}, Pool: &pool.Pool{},
 		CollectTokens: func(context.Context, string, float64) bool { return false },
 		Decisions:     decisionlog.NewWithHistory(hclog.NewNullLogger(), 16),
 		Random:        func() float64 { return 0 }, Cutoff: func() (time.Time, bool) { return time.Time{}, false },
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -15,6 +15,7 @@
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retryafter"
+	"chervilyard.example/yard/suspect"
 )
 
 const (
@@ -39,6 +40,7 @@
 	defer resp.Close()
 	x := a.x
 	a.headerRead = true
+	g.recordAnswering(a, g.Now())
 	g.closeAfterResponse(x)
 	if a.dest.remote != nil {
 		x.addRemoteCounts(resp.Header)
@@ -120,6 +122,11 @@
 func (g *Gateway) handleRemoteRefusal(a *attempt, resp *pool.Response, run string) (bool, error) {
 	if run == refusal.RunNo {
 		a.x.recordRemoteRetry(resp.Header)
+	}
+	if v, ok := a.x.remoteVerdict(resp.Header); ok {
+		return false, g.refusePart(g.Now(), a.x, v)
+	}
+	if run == refusal.RunNo {
 		if resp.Header.Get(headerLeaving) != "" {
 			a.x.untry(a.dest.remote.Member.Region)
 			if g.OnRemoteLeaving != nil {
@@ -136,7 +143,7 @@
 // sent to another destination.
 func (g *Gateway) relayBuffered(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
-	body, err := io.ReadAll(io.LimitReader(&firstByteReader{Reader: resp, mark: func() bool { return a.markFirstByte(g.Now()) }}, maxBufferedBody))
+	body, err := io.ReadAll(io.LimitReader(&firstByteReader{Reader: resp, mark: func() bool { return g.markFirstByte(a, g.Now()) }}, maxBufferedBody))
 	if len(body) < maxBufferedBody {
 		g.recordEnd(x, resp, err)
 	}
@@ -152,7 +159,7 @@
 	if failure {
 		outcome = placement.Failed
 	}
-	g.endAttempt(a, now, outcome)
+	g.recordAnswered(a, now, resp.Status, outcome)
 	if failure && resp.Status != http.StatusGatewayTimeout && x.mayRunAgain() && g.canRetry(x) {
 		g.countRetry(x, "the target failed")
 		x.detail = "status " + strconv.Itoa(resp.Status)
@@ -171,6 +178,10 @@
 	if x.route.LatencyObjective() > 0 && now.Sub(x.arrived) > x.route.LatencyObjective() {
 		return false
 	}
+	if verdict, _ := g.checkParts(now, x); verdict.Blocked() {
+		x.detail = "not retried: " + describeVerdict(now, verdict)
+		return false
+	}
 	if _, err := g.chooseDestination(now, x); err != nil {
 		x.detail = "not retried: " + err.Error()
 		return false
@@ -193,7 +204,7 @@
 	if err != nil {
 		return g.failBroken(ctx, a, err)
 	}
-	g.endAttempt(a, g.Now(), placement.Answered)
+	g.recordAnswered(a, g.Now(), resp.Status, placement.Answered)
 	return nil
 }
 
@@ -208,10 +219,13 @@
 		n, err := resp.Read(buf)
 		if n > 0 {
 			now := g.Now()
-			if !a.markFirstByte(now) {
+			if !g.markFirstByte(a, now) {
 				return g.handleFailure(ctx, a, a.firstByteTimeoutError())
 			}
 			a.recordRead(now)
+			if now.Sub(a.firstByteAt) > suspect.BeginningTime {
+				g.recordSound(a, now)
+			}
 			out := buf[:n]
 			if x.route.Resumable() {
 				out = events.Add(out)
@@ -235,7 +249,7 @@
 	if !x.started {
 		x.writeHeader(resp, -1)
 	}
-	g.endAttempt(a, g.Now(), placement.Answered)
+	g.recordAnswered(a, g.Now(), resp.Status, placement.Answered)
 	return false, nil
 }
 
@@ -293,7 +307,7 @@
 		g.endAttempt(a, now, placement.Canceled)
 		return g.cutOffOrGone(now, a.x, context.Cause(ctx))
 	}
-	g.endBrokenAttempt(a, now)
+	g.endBrokenAttempt(ctx, a, now)
 	return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the target's answer broke off").WithCause(err)
 }
 
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -15,6 +15,7 @@
 	"chervilyard.example/yard/customer"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/route"
+	"chervilyard.example/yard/suspect"
 )
 
 // The stages of a request:
@@ -65,6 +66,11 @@
 	forwarded     bool // received from another instance
 	chargedTokens float64
 
+	parts        []string        // names of the parts of the prompt that other requests may share
+	trial        bool            // sent although its parts block it
+	endedTargets int             // how many targets ended as they began to answer
+	verdict      suspect.Verdict // because of which the request was refused
+
 	maxAttempts       int // how many targets the request may be sent to
 	possibleRuns      int // how many targets may have run it
 	deliveries        int // how many targets it reached, whether or not they ran it
@@ -240,6 +246,7 @@
 		if r.Code == codeLeaving {
 			x.w.Header().Set(headerLeaving, "yes")
 		}
+		x.setVerdictHeaders(x.w.Header())
 		x.w.Header().Set(headerRetryAfterMS, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 		x.setCountHeaders(x.w.Header())
 	}
--- /dev/null
+++ b/chervilyard/gateway/suspects.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/suspect"
+)
+
+// maxEndedTargets is how many targets may end as they begin to answer one request. It is not
+// sent to another one.
+const maxEndedTargets = 2
+
+// Codes of refusals because of a part of the prompt.
+const (
+	codePartSuspected = "part_suspected" // targets ended under it; it may yet turn out to be sound
+	codePartCrashes   = "part_crashes"
+)
+
+// sharedParts returns the names of the parts of the prompt that other requests may share: all
+// but the last one.
+func (x *exchange) sharedParts() []string {
+	if len(x.req.Parts) < 2 {
+		return nil
+	}
+	names := make([]string, 0, len(x.req.Parts)-1)
+	for _, part := range x.req.Parts[:len(x.req.Parts)-1] {
+		names = append(names, suspect.PartName(x.service, part.ID))
+	}
+	return names
+}
+
+// checkParts returns the verdict on the parts of the prompt, and whether the request may be
+// sent as a trial nevertheless once it has a destination.
+func (g *Gateway) checkParts(now time.Time, x *exchange) (v suspect.Verdict, mayTry bool) {
+	if x.trial || len(x.parts) == 0 {
+		return suspect.Verdict{}, false
+	}
+	v = g.Suspects.Check(now, x.parts)
+	return v, v.Blocked() && v.RetryAfter == 0 && len(x.tried) == 0 && !x.forwarded && g.TrialRank != nil
+}
+
+// startTrial reports whether the request is sent although its parts block it. It is then sent
+// to one target only.
+func (g *Gateway) startTrial(now time.Time, x *exchange) bool {
+	if !g.Suspects.StartTrial(now, x.parts, g.TrialRank(now)) {
+		return false
+	}
+	x.trial, x.maxAttempts = true, 1
+	return true
+}
+
+// refusePart returns the refusal of a request because of a part of its prompt. While the part
+// may be sound, the caller may return after the next trial; otherwise it should not.
+func (g *Gateway) refusePart(now time.Time, x *exchange, v suspect.Verdict) error {
+	x.verdict = v
+	x.detail = describeVerdict(now, v)
+	if g.Metrics.PartRefused != nil {
+		g.Metrics.PartRefused(x.service, v.Confirmed)
+	}
+	r := refusal.NotRun(http.StatusServiceUnavailable, codePartSuspected, "targets ended as they began to answer requests with part "+v.Part).
+		WithRetryAfter(max(v.RetryAfter, shortRetryAfter))
+	if v.Confirmed {
+		r = refusal.NotRun(http.StatusUnprocessableEntity, codePartCrashes, "targets crash as they begin to answer requests with part "+v.Part)
+	}
+	if x.possibleRuns > 0 {
+		r.Run = refusal.RunUnknown
+		if !v.Confirmed {
+			r.Status, r.RetryAfter = http.StatusBadGateway, 0
+		}
+	}
+	return r
+}
+
+// describeVerdict formats a verdict for the log: the part, the targets that ended under it,
+// and the time since the first and the last of these ends.
+func describeVerdict(now time.Time, v suspect.Verdict) string {
+	targets := make([]string, len(v.Ends))
+	for i, e := range v.Ends {
+		targets[i] = e.Target
+	}
+	text := "part=" + v.Part + " ended=" + strings.Join(targets, ",")
+	if n := len(v.Ends); n > 0 {
+		text += fmt.Sprintf(" since=%v last=%v", now.Sub(v.Ends[0].At).Round(time.Millisecond), now.Sub(v.Ends[n-1].At).Round(time.Millisecond))
+	}
+	return text + " confirmed=" + strconv.FormatBool(v.Confirmed)
+}
+
+// recordTargetEnd attributes the end of the target to the parts of the request, if the target has
+// ended and had not answered for long.
+func (g *Gateway) recordTargetEnd(ctx context.Context, a *attempt, now time.Time, phase string) {
+	x := a.x
+	if phase == phaseAnswering || len(x.parts) == 0 || g.TargetEnded == nil {
+		return
+	}
+	t := a.dest.ticket.Target()
+	if !g.Suspects.IsSuspicious(now, x.parts) || !g.TargetEnded(ctx, now, t.Address()) {
+		return
+	}
+	begun := phase == phaseBeginning
+	if begun {
+		x.endedTargets++
+	}
+	g.Suspects.RecordEnd(g.Now(), now, t.Name(), begun, x.parts)
+}
+
+// recordAnswering records that the attempt's target has sent something.
+func (g *Gateway) recordAnswering(a *attempt, now time.Time) {
+	if a.dest.ticket != nil && len(a.x.parts) > 0 {
+		g.Suspects.RecordAnswering(now, a.dest.name())
+	}
+}
+
+// recordAnswered ends the attempt of a request that was answered in full.
+func (g *Gateway) recordAnswered(a *attempt, now time.Time, status int, outcome placement.Outcome) {
+	g.endAttempt(a, now, outcome)
+	if status >= 200 && status < 300 {
+		g.recordSound(a, now)
+	}
+}
+
+// recordSound records that the target has answered the request well, in full or for longer
+// than its beginning.
+func (g *Gateway) recordSound(a *attempt, now time.Time) {
+	if len(a.x.parts) == 0 || a.sound {
+		return
+	}
+	a.sound = true
+	firstByteAt := a.firstByteAt
+	if firstByteAt.IsZero() {
+		firstByteAt = now
+	}
+	g.Suspects.RecordAnswer(now, a.dest.name(), firstByteAt, a.x.parts)
+}
+
+// remoteVerdict returns the verdict because of which an instance of another region refused the
+// request, and false if it refused it for another reason.
+func (x *exchange) remoteVerdict(h http.Header) (suspect.Verdict, bool) {
+	part := h.Get(headerPart)
+	return suspect.Verdict{Part: part, Confirmed: h.Get(headerConfirmed) != "", RetryAfter: x.remoteRetryAfter}, part != ""
+}
+
+// setVerdictHeaders tells the forwarding instance because of which part of the prompt the
+// request is refused.
+func (x *exchange) setVerdictHeaders(h http.Header) {
+	if !x.verdict.Blocked() {
+		return
+	}
+	h.Set(headerPart, x.verdict.Part)
+	if x.verdict.Confirmed {
+		h.Set(headerConfirmed, "yes")
+	}
+}
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -74,6 +74,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_broken_attempts_total{service=%q,phase=%q}`, service, phase)).Inc()
 }
 
+// CountPartRefusal counts a request that was refused because of a part of its prompt, and
+// states whether a trial has confirmed that targets end under the part.
+func (m *Meter) CountPartRefusal(service string, confirmed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_part_refusals_total{service=%q,confirmed="%t"}`, service, confirmed)).Inc()
+}
+
 // CountLeavingTarget counts a run of a target that said in a response that it leaves.
 func (m *Meter) CountLeavingTarget() {
 	m.set.GetOrCreateCounter(`chervil_leaving_targets_total`).Inc()
--- /dev/null
+++ b/yard/suspect/exchange.go
@@ -0,0 +1,167 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilyard.example/yard/fleet"
+)
+
+const (
+	// A change is told to each peer at once, again every repeatTime until spreadTime, in
+	// case messages are lost, and all that is known every refreshTime.
+	spreadTime  = 5 * time.Second
+	repeatTime  = time.Second
+	refreshTime = 30 * time.Second
+	// maxTold is the number of parts in one message.
+	maxTold = 64
+)
+
+// toldState is when a run of a peer was last told anything, and when it was last told all.
+type toldState struct {
+	run         int64
+	at, allTold time.Time
+}
+
+// Message returns what to tell a run of a peer, or nil if there is nothing new.
+func (l *Ledger) Message(now time.Time, peer string, run int64) *fleet.Suspects {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(now)
+	if len(l.records) == 0 && len(l.refuted) == 0 {
+		return nil
+	}
+	told := l.told[peer]
+	all := told.run != run || now.Sub(told.allTold) >= refreshTime
+	changed := !l.lastChange.Before(told.at) || now.Sub(l.lastChange) < spreadTime && now.Sub(told.at) >= repeatTime
+	if !all && !changed {
+		return nil
+	}
+	told.run, told.at = run, now
+	if all {
+		told.allTold = now
+	}
+	if l.told == nil {
+		l.told = make(map[string]toldState)
+	}
+	l.told[peer] = told
+	var parts []string
+	for part, r := range l.records {
+		if now.Sub(r.changedAt) < spreadTime || all && r.isBlocked() {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b string) int {
+		x, y := l.records[a], l.records[b]
+		return cmp.Or(cmp.Compare(len(y.ends), len(x.ends)), y.changedAt.Compare(x.changedAt), cmp.Compare(a, b))
+	})
+	m := &fleet.Suspects{}
+	for _, part := range parts[:min(len(parts), maxTold)] {
+		m.Parts = append(m.Parts, l.records[part].toProto(now, part))
+	}
+	for target, r := range l.refuted {
+		if now.Sub(r.changedAt) < spreadTime {
+			m.Alive = append(m.Alive, &fleet.End{Target: target, Age: ageMillis(now, r.at)})
+		}
+	}
+	if len(m.Parts) == 0 && len(m.Alive) == 0 {
+		return nil
+	}
+	return m
+}
+
+func (r *record) toProto(now time.Time, part string) *fleet.Suspect {
+	s := &fleet.Suspect{Part: part, Trials: int32(r.trials), Asked: ageMillis(now, r.lastAsked)}
+	for _, e := range r.ends {
+		s.Ends = append(s.Ends, &fleet.End{Target: e.Target, Age: ageMillis(now, e.At), Begun: e.Begun})
+	}
+	if r.trials > 0 {
+		s.FirstTry, s.LastTry = ageMillis(now, r.firstTry), ageMillis(now, r.lastTry)
+	}
+	if !r.soundAt.IsZero() {
+		s.Cleared, s.Sound = true, ageMillis(now, r.soundAt)
+	}
+	return s
+}
+
+// ageMillis returns the milliseconds from at to now.
+func ageMillis(now, at time.Time) int64 { return now.Sub(at).Milliseconds() }
+
+// Merge adds what a peer told. Its ages count from now, so that an end is never dated before
+// an answer that preceded it.
+func (l *Ledger) Merge(now time.Time, m *fleet.Suspects) {
+	if len(m.GetParts()) == 0 && len(m.GetAlive()) == 0 {
+		return
+	}
+	before := func(age int64) time.Time { return now.Add(-time.Duration(max(age, 0)) * time.Millisecond) }
+	l.mu.Lock()
+	l.sweep(now)
+	cleared := l.settlePending(now)
+	var changed []string
+	for _, e := range m.GetAlive()[:min(len(m.GetAlive()), maxParts)] {
+		changed = append(changed, l.refute(now, e.GetTarget(), before(e.GetAge()))...)
+	}
+	for _, s := range m.GetParts()[:min(len(m.GetParts()), maxTold)] {
+		part := s.GetPart()
+		r := l.record(now, part)
+		if s.GetCleared() {
+			cleared = append(cleared, l.mergeSound(now, r, part, before(s.GetSound()))...)
+		}
+		for _, pe := range s.GetEnds()[:min(len(s.GetEnds()), maxEnds)] {
+			e := End{Target: pe.GetTarget(), At: before(pe.GetAge()), Begun: pe.GetBegun()}
+			changed = append(changed, l.blameShortAnswers(now, e.Target, e.At)...)
+			changed = append(changed, l.addEnd(now, e, []string{part})...)
+			l.answerSound(now, r, part, e)
+		}
+		if r.mergeTrials(int(s.GetTrials()), before(s.GetFirstTry()), before(s.GetLastTry())) {
+			l.touch(now, r)
+		}
+		if asked := before(s.GetAsked()); asked.After(r.lastAsked) {
+			r.lastAsked = asked
+		}
+	}
+	events := l.updateBlocked(now, changed)
+	l.mu.Unlock()
+	l.reportCleared(now, cleared)
+	events.report(l, now)
+}
+
+// mergeSound records that a peer saw an answer in full. The caller must hold l.mu.
+func (l *Ledger) mergeSound(now time.Time, r *record, part string, at time.Time) []Verdict {
+	if at.Sub(r.soundAt) < sameEndTime {
+		return nil
+	}
+	l.touch(now, r)
+	kept := slices.DeleteFunc(slices.Clone(r.ends), func(e End) bool { return e.At.Sub(at) <= soundTime })
+	if len(kept) > 0 {
+		r.soundAt, r.ends = at, kept
+		return nil
+	}
+	return r.clear(at, part)
+}
+
+// answerSound lets the peers hear that the part is sound, if this instance saw an answer in
+// full shortly before the end that they attribute to it. The caller must hold l.mu.
+func (l *Ledger) answerSound(now time.Time, r *record, part string, e End) {
+	if soundAt, ok := l.sound[part]; ok && e.At.Sub(soundAt) <= soundTime && soundAt.Sub(r.soundAt) >= sameEndTime {
+		r.soundAt = soundAt
+		l.touch(now, r)
+	}
+}
+
+// mergeTrials takes over the trials that a peer knows of, and reports whether any is new.
+func (r *record) mergeTrials(trials int, first, last time.Time) bool {
+	if trials <= 0 || !last.After(r.soundAt) || trials < r.trials || trials == r.trials && !last.After(r.lastTry.Add(sameEndTime)) {
+		return false
+	}
+	if r.trials == 0 || first.Before(r.firstTry) {
+		r.firstTry = first
+	}
+	changed := trials > r.trials
+	r.trials = trials
+	if last.After(r.lastTry) {
+		r.lastTry = last
+	}
+	return changed
+}
--- /dev/null
+++ b/yard/suspect/record.go
@@ -0,0 +1,136 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+)
+
+// addEnd adds the end of a target, or what is new of it, and reports whether that changed
+// anything.
+func (r *record) addEnd(e End) bool {
+	if !r.soundAt.IsZero() && e.At.Sub(r.soundAt) <= soundTime {
+		return false
+	}
+	for i := range r.ends {
+		old := &r.ends[i]
+		if old.Target == e.Target && old.At.Sub(e.At).Abs() < sameEndTime {
+			changed := e.Begun && !old.Begun
+			old.Begun = old.Begun || e.Begun
+			return changed
+		}
+	}
+	i, _ := slices.BinarySearchFunc(r.ends, e, func(a, b End) int { return a.At.Compare(b.At) })
+	r.ends = slices.Insert(r.ends, i, e)
+	if len(r.ends) > maxEnds {
+		r.ends = slices.Delete(r.ends, 0, 1)
+	}
+	return true
+}
+
+// isBlocked reports whether enough targets ended under the part.
+func (r *record) isBlocked() bool {
+	begun := 0
+	for _, e := range r.ends {
+		if e.Begun {
+			begun++
+		}
+	}
+	return begun >= minBegunEnds || len(r.ends) >= minEnds
+}
+
+// failedTrials returns the number of targets that ended since the first trial began, which
+// other requests with the part cannot have reached.
+func (r *record) failedTrials() int {
+	if r.trials == 0 {
+		return 0
+	}
+	n := 0
+	for _, e := range r.ends {
+		if e.At.After(r.firstTry) {
+			n++
+		}
+	}
+	return n
+}
+
+// nextTrial returns the time from which a request may be let through.
+func (r *record) nextTrial() time.Time {
+	from := r.lastTry
+	if n := len(r.ends); n > 0 && r.ends[n-1].At.After(from) {
+		from = r.ends[n-1].At
+	}
+	if n := r.failedTrials(); n > 0 {
+		return from.Add(min(confirmedDelay<<min(n-1, 8), maxConfirmedDelay))
+	}
+	d := firstTrialDelay
+	for range min(r.trials, 6) {
+		d *= trialDelayFactor
+	}
+	return from.Add(d)
+}
+
+func (r *record) verdict(now time.Time, part string) Verdict {
+	return Verdict{
+		Part: part, Ends: slices.Clone(r.ends), Confirmed: r.failedTrials() > 0,
+		RetryAfter: max(r.nextTrial().Sub(now), 0),
+	}
+}
+
+// clear voids the ends, since a request with the part was answered in full at the given time,
+// and returns the verdict that no longer holds, if there is one.
+func (r *record) clear(at time.Time, part string) []Verdict {
+	var cleared []Verdict
+	if r.blocked {
+		cleared = append(cleared, r.verdict(at, part))
+	}
+	r.ends, r.blocked, r.trials, r.soundAt = nil, false, 0, at
+	r.firstTry, r.lastTry = time.Time{}, time.Time{}
+	return cleared
+}
+
+// lastUse returns the last time at which the record mattered.
+func (r *record) lastUse() time.Time {
+	last := r.changedAt
+	for _, at := range []time.Time{r.soundAt, r.lastTry} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	if r.isBlocked() && r.lastAsked.After(last) {
+		last = r.lastAsked
+	}
+	return last
+}
+
+// events are the changes of verdicts to report.
+type events struct {
+	blocked, cleared []Verdict
+}
+
+// updateBlocked notes which of the parts are blocked now, and returns what changed. The caller
+// must hold l.mu.
+func (l *Ledger) updateBlocked(now time.Time, parts []string) events {
+	var e events
+	for _, part := range parts {
+		r := l.records[part]
+		if r == nil || r.isBlocked() == r.blocked {
+			continue
+		}
+		r.blocked = !r.blocked
+		if r.blocked {
+			e.blocked = append(e.blocked, r.verdict(now, part))
+		} else {
+			e.cleared = append(e.cleared, r.verdict(now, part))
+		}
+	}
+	return e
+}
+
+func (e events) report(l *Ledger, now time.Time) {
+	for _, v := range e.blocked {
+		call(l.OnBlocked, now, v)
+	}
+	for _, v := range e.cleared {
+		call(l.OnCleared, now, v)
+	}
+}
--- /dev/null
+++ b/yard/suspect/suspect.go
@@ -0,0 +1,488 @@
+// Package suspect finds the parts of prompts that crash targets: those in common to the
+// requests under which different targets ended as they began to answer. The instances of a
+// fleet exchange what they observe, since each sees only some of the ends.
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BeginningTime is how long after its first byte a response counts as beginning.
+	BeginningTime = 500 * time.Millisecond
+	// A part is blocked once minBegunEnds targets ended as they began to answer requests
+	// with it, or minEnds targets ended while such requests also waited for an answer.
+	minBegunEnds = 2
+	minEnds      = 3
+	// soundTime is how long after a complete answer with a part no end of a target is
+	// attributed to it.
+	soundTime = time.Minute
+	// sameEndTime is the largest difference between two reports of one end of a target.
+	sameEndTime = 2 * time.Second
+	// A target that answers between refuteAfter and refuteBefore after a reported end has
+	// not ended. The former exceeds the error of ages that instances exchange, and the
+	// latter is less than a target takes to restart.
+	refuteAfter  = 250 * time.Millisecond
+	refuteBefore = time.Second
+	// A single request is let through as a trial firstTrialDelay after the part was
+	// blocked, and again after trialDelayFactor times the last delay while no trial is
+	// decided. After a trial under which a target ended, the next one follows after
+	// confirmedDelay, which doubles up to maxConfirmedDelay.
+	firstTrialDelay   = 2 * time.Second
+	trialDelayFactor  = 4
+	confirmedDelay    = time.Hour
+	maxConfirmedDelay = 24 * time.Hour
+	// trialRankDelay is how much later than the instance of the rank before it an instance
+	// starts a trial. It exceeds the time in which the instances hear of a trial.
+	trialRankDelay = time.Second
+	// retention is how long a part is kept after the last end or request with it.
+	retention = 10 * time.Minute
+
+	maxParts        = 1024  // that are kept
+	maxSound        = 16384 // parts that are known to be sound
+	maxEnds         = 8     // of each part
+	maxRequestParts = 128   // of one request that are considered
+	maxPartID       = 32    // bytes; longer IDs are hashed
+	maxPending      = 4096  // short answers whose targets may yet end
+)
+
+// PartName returns the name of a part of a prompt for requests of a service. The ID is the
+// caller's.
+func PartName(service, id string) string {
+	if len(id) > maxPartID {
+		id = "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
+	}
+	return service + "/" + id
+}
+
+// End is the end of a target.
+type End struct {
+	Target string
+	At     time.Time
+	Begun  bool // a request with the part was being answered, and not only waiting
+}
+
+// Verdict states why a request is refused. The zero value refuses nothing.
+type Verdict struct {
+	Part       string // its name; "" if no part is blocked
+	Ends       []End  // oldest first
+	Confirmed  bool   // a target ended under a trial
+	RetryAfter time.Duration
+}
+
+// Blocked reports whether the request is refused.
+func (v Verdict) Blocked() bool { return v.Part != "" }
+
+// Ledger holds what one instance knows of suspect and sound parts. The zero value is ready to
+// use. It is safe for concurrent use.
+type Ledger struct {
+	// OnBlocked is called when a part is blocked, OnCleared when one is blocked no longer,
+	// and OnTrial when this instance lets a request with it through. They must not call
+	// methods of the Ledger, and may be nil.
+	OnBlocked, OnCleared, OnTrial func(now time.Time, v Verdict)
+	// OnNews is called when there is something to tell the other instances at once. It must
+	// not call methods of the Ledger, and may be nil.
+	OnNews func()
+
+	mu       sync.Mutex
+	records  map[string]*record
+	sound    map[string]time.Time // by part; when a request with it was last answered in full
+	answered map[string]time.Time // by target; when it last answered
+	refuted  map[string]refutation
+	pending  []shortAnswer
+	told     map[string]toldState // by peer
+	swept    time.Time
+
+	lastChange time.Time // of any record or refutation
+}
+
+// record is what is known of a suspect part, or of a part that was one.
+type record struct {
+	ends      []End     // sorted by time
+	soundAt   time.Time // earlier ends do not count; zero if the part was never cleared
+	trials    int       // started since the part was blocked
+	firstTry  time.Time // start of the first of these trials
+	lastTry   time.Time
+	lastAsked time.Time // last request with the part
+	changedAt time.Time // last change that other instances have to hear of
+	blocked   bool      // as last reported by OnBlocked or OnCleared
+}
+
+// refutation is the proof that a target had not ended when it was reported to have.
+type refutation struct {
+	at        time.Time // of the reported end
+	changedAt time.Time
+}
+
+// shortAnswer is a complete answer whose target had begun it less than BeginningTime ago.
+type shortAnswer struct {
+	target  string
+	firstAt time.Time // time of the first byte
+	parts   []string
+}
+
+// Check returns whether the parts of a prompt, by their names, block a request. If several do,
+// the verdict is on a confirmed one or else on the one that blocks for longest.
+func (l *Ledger) Check(now time.Time, parts []string) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(now)
+	var worst Verdict
+	for _, part := range l.blockedParts(parts) {
+		r := l.records[part]
+		r.lastAsked = now
+		v := r.verdict(now, part)
+		if !worst.Blocked() || v.Confirmed && !worst.Confirmed || v.Confirmed == worst.Confirmed && v.RetryAfter > worst.RetryAfter {
+			worst = v
+		}
+	}
+	return worst
+}
+
+// blockedParts returns those of the parts that are blocked. The caller must hold l.mu.
+func (l *Ledger) blockedParts(parts []string) []string {
+	if len(l.records) == 0 {
+		return nil
+	}
+	var blocked []string
+	for _, part := range limit(parts) {
+		if r := l.records[part]; r != nil && r.isBlocked() {
+			blocked = append(blocked, part)
+		}
+	}
+	return blocked
+}
+
+// StartTrial reports whether this instance may send a request although its parts block it,
+// and records that it does. The request must not be sent to a second target. The rank orders
+// the instances of the fleet; the one of rank 0 starts trials first.
+//
+// The trial counts for the last of the blocked parts only. The ones before it are more likely
+// to be shared with sound requests, which then clear them by trials of their own.
+func (l *Ledger) StartTrial(now time.Time, parts []string, rank int) bool {
+	l.mu.Lock()
+	blocked := l.blockedParts(parts)
+	early := slices.ContainsFunc(blocked, func(part string) bool {
+		return now.Before(l.records[part].nextTrial().Add(time.Duration(rank) * trialRankDelay))
+	})
+	if len(blocked) == 0 || early {
+		l.mu.Unlock()
+		return false
+	}
+	part := blocked[len(blocked)-1]
+	r := l.records[part]
+	if r.trials == 0 {
+		r.firstTry = now
+	}
+	r.trials++
+	r.lastTry = now
+	l.touch(now, r)
+	v := r.verdict(now, part)
+	l.mu.Unlock()
+	call(l.OnTrial, now, v)
+	l.news()
+	return true
+}
+
+// IsSuspicious reports whether any of the parts is not known to be sound, so that the end of
+// a target may be attributed to it.
+func (l *Ledger) IsSuspicious(now time.Time, parts []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(limit(parts), func(part string) bool { return !l.isSound(now, part) })
+}
+
+// RecordAnswering records that a target sent a byte of a response.
+func (l *Ledger) RecordAnswering(now time.Time, target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.answered == nil {
+		l.answered = make(map[string]time.Time)
+	}
+	l.answered[target] = now
+}
+
+// RecordAnswer records that a target answered a request in full, and began to at firstByteAt.
+func (l *Ledger) RecordAnswer(now time.Time, target string, firstByteAt time.Time, parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	l.mu.Lock()
+	var cleared []Verdict
+	if now.Sub(firstByteAt) < BeginningTime && len(l.pending) < maxPending {
+		if l.soundUntil(parts).After(now.Add(soundTime / 2)) {
+			l.mu.Unlock()
+			return // it would add little
+		}
+		l.pending = append(l.pending, shortAnswer{target: target, firstAt: firstByteAt, parts: limit(parts)})
+	} else {
+		cleared = l.markSound(now, parts)
+	}
+	cleared = append(cleared, l.settlePending(now)...)
+	l.mu.Unlock()
+	l.reportCleared(now, cleared)
+}
+
+// RecordEnd records that a target ended at the given time while a request with the parts was
+// open there, and whether it had begun to answer it.
+func (l *Ledger) RecordEnd(now, at time.Time, target string, begun bool, parts []string) {
+	l.mu.Lock()
+	l.sweep(now)
+	cleared := l.settlePending(now)
+	changed := l.addEnd(now, End{Target: target, At: at, Begun: begun}, limit(parts))
+	changed = append(changed, l.blameShortAnswers(now, target, at)...)
+	events := l.updateBlocked(now, changed)
+	l.mu.Unlock()
+	l.reportCleared(now, cleared)
+	events.report(l, now)
+	if len(changed) > 0 {
+		l.news()
+	}
+}
+
+// Blocked returns the number of parts that are blocked.
+func (l *Ledger) Blocked() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.records {
+		if r.isBlocked() {
+			n++
+		}
+	}
+	return n
+}
+
+// addEnd attributes the end of a target to those of the parts that are not known to be sound,
+// and returns those for which that is new. The caller must hold l.mu.
+func (l *Ledger) addEnd(now time.Time, e End, parts []string) []string {
+	if l.isRefuted(now, e) {
+		return nil
+	}
+	var changed []string
+	for _, part := range parts {
+		if !l.isSound(e.At, part) && l.record(now, part).addEnd(e) {
+			l.touch(now, l.records[part])
+			changed = append(changed, part)
+		}
+	}
+	return changed
+}
+
+// blameShortAnswers attributes the end of a target also to the parts of answers that it had
+// just begun and completed. The caller must hold l.mu.
+func (l *Ledger) blameShortAnswers(now time.Time, target string, at time.Time) []string {
+	var changed []string
+	l.pending = slices.DeleteFunc(l.pending, func(a shortAnswer) bool {
+		if a.target != target || at.Sub(a.firstAt) > BeginningTime || a.firstAt.After(at) {
+			return false
+		}
+		changed = append(changed, l.addEnd(now, End{Target: target, At: at, Begun: true}, a.parts)...)
+		return true
+	})
+	return changed
+}
+
+// settlePending marks the parts of short answers as sound whose targets have not ended within
+// BeginningTime, and returns the verdicts that no longer hold. The caller must hold l.mu.
+func (l *Ledger) settlePending(now time.Time) []Verdict {
+	var cleared []Verdict
+	l.pending = slices.DeleteFunc(l.pending, func(a shortAnswer) bool {
+		if now.Sub(a.firstAt) < BeginningTime {
+			return false
+		}
+		cleared = append(cleared, l.markSound(now, a.parts)...)
+		return true
+	})
+	return cleared
+}
+
+// markSound records that a request with the parts was answered in full, and returns the
+// verdicts that no longer hold. The caller must hold l.mu.
+func (l *Ledger) markSound(now time.Time, parts []string) []Verdict {
+	if l.sound == nil {
+		l.sound = make(map[string]time.Time)
+	}
+	var cleared []Verdict
+	for _, part := range limit(parts) {
+		l.sound[part] = now
+		if r := l.records[part]; r != nil && len(r.ends) > 0 {
+			cleared = append(cleared, r.clear(now, part)...)
+			l.touch(now, r)
+		}
+	}
+	return cleared
+}
+
+// isSound reports whether a request with the part was answered in full within soundTime before
+// the time at, or after it. The caller must hold l.mu.
+func (l *Ledger) isSound(at time.Time, part string) bool {
+	soundAt, ok := l.sound[part]
+	if r := l.records[part]; r != nil && r.soundAt.After(soundAt) {
+		soundAt, ok = r.soundAt, true
+	}
+	return ok && at.Sub(soundAt) <= soundTime
+}
+
+// isRefuted reports whether the target is known to have answered after its reported end. The
+// caller must hold l.mu.
+func (l *Ledger) isRefuted(now time.Time, e End) bool {
+	if r, ok := l.refuted[e.Target]; ok && r.at.Sub(e.At).Abs() < sameEndTime {
+		return true
+	}
+	after := l.answered[e.Target].Sub(e.At)
+	if after <= refuteAfter || after > refuteBefore {
+		return false
+	}
+	l.refute(now, e.Target, e.At)
+	return true
+}
+
+// refute records that the target had not ended at the given time and removes the end from all
+// records. The caller must hold l.mu.
+func (l *Ledger) refute(now time.Time, target string, at time.Time) []string {
+	if r, ok := l.refuted[target]; ok && r.at.Sub(at).Abs() < sameEndTime {
+		return nil
+	}
+	if l.refuted == nil {
+		l.refuted = make(map[string]refutation)
+	}
+	l.refuted[target] = refutation{at: at, changedAt: now}
+	l.lastChange = now
+	var changed []string
+	for part, r := range l.records {
+		n := len(r.ends)
+		r.ends = slices.DeleteFunc(r.ends, func(e End) bool { return e.Target == target && e.At.Sub(at).Abs() < sameEndTime })
+		if len(r.ends) < n {
+			changed = append(changed, part)
+		}
+	}
+	return changed
+}
+
+// record returns the record of the part. If there are too many, it makes room first. The
+// caller must hold l.mu.
+func (l *Ledger) record(now time.Time, part string) *record {
+	if r := l.records[part]; r != nil {
+		return r
+	}
+	if l.records == nil {
+		l.records = make(map[string]*record)
+	}
+	if len(l.records) >= maxParts {
+		l.evictLeast()
+	}
+	r := &record{lastAsked: now}
+	l.records[part] = r
+	return r
+}
+
+// evictLeast deletes an eighth of the records: those with the fewest ends and, of these, those
+// that changed the longest ago.
+func (l *Ledger) evictLeast() {
+	parts := make([]string, 0, len(l.records))
+	for part := range l.records {
+		parts = append(parts, part)
+	}
+	slices.SortFunc(parts, func(a, b string) int {
+		x, y := l.records[a], l.records[b]
+		return cmp.Or(cmp.Compare(len(x.ends), len(y.ends)), x.changedAt.Compare(y.changedAt), cmp.Compare(a, b))
+	})
+	for _, part := range parts[:max(len(parts)/8, 1)] {
+		delete(l.records, part)
+	}
+}
+
+// sweepInterval is the time between two removals of what is no longer needed.
+const sweepInterval = time.Second
+
+// sweep removes what is older than its retention. The caller must hold l.mu.
+func (l *Ledger) sweep(now time.Time) {
+	if now.Sub(l.swept) < sweepInterval {
+		return
+	}
+	l.swept = now
+	for part, r := range l.records {
+		if now.Sub(r.lastUse()) > retention {
+			delete(l.records, part)
+		}
+	}
+	deleteOlder(l.sound, now.Add(-soundTime))
+	for part := range l.sound {
+		if len(l.sound) <= maxSound {
+			break
+		}
+		delete(l.sound, part)
+	}
+	deleteOlder(l.answered, now.Add(-soundTime))
+	for target, r := range l.refuted {
+		if now.Sub(r.changedAt) > soundTime {
+			delete(l.refuted, target)
+		}
+	}
+	for peer, t := range l.told {
+		if now.Sub(t.at) > retention {
+			delete(l.told, peer)
+		}
+	}
+}
+
+func deleteOlder(m map[string]time.Time, than time.Time) {
+	for key, at := range m {
+		if at.Before(than) {
+			delete(m, key)
+		}
+	}
+}
+
+// soundUntil returns the time up to which all of the parts are known to be sound, unless one of
+// them has a record. It is zero for a part that is not known. The caller must hold l.mu.
+func (l *Ledger) soundUntil(parts []string) time.Time {
+	var until time.Time
+	for i, part := range limit(parts) {
+		if l.records[part] != nil {
+			return time.Time{}
+		}
+		at, ok := l.sound[part]
+		if !ok {
+			return time.Time{}
+		}
+		if at = at.Add(soundTime); i == 0 || at.Before(until) {
+			until = at
+		}
+	}
+	return until
+}
+
+// touch records a change that other instances have to hear of. The caller must hold l.mu.
+func (l *Ledger) touch(now time.Time, r *record) { r.changedAt, l.lastChange = now, now }
+
+// limit returns the parts of a request that are considered.
+func limit(parts []string) []string { return parts[:min(len(parts), maxRequestParts)] }
+
+func (l *Ledger) news() {
+	if l.OnNews != nil {
+		l.OnNews()
+	}
+}
+
+func (l *Ledger) reportCleared(now time.Time, cleared []Verdict) {
+	for _, v := range cleared {
+		call(l.OnCleared, now, v)
+	}
+	if len(cleared) > 0 {
+		l.news()
+	}
+}
+
+func call(f func(time.Time, Verdict), now time.Time, v Verdict) {
+	if f != nil {
+		f(now, v)
+	}
+}
