Refuse calls that crash engines on the project's own surface as well

Callers of model routes lost engine after engine to calls whose prompts begin alike, for the same reason as on the platform: each call counted as a new one at each instance, and a call was sent to up to four engines. The leading blocks of a prompt, hashed as for the choice of a warm engine, are its parts; ends, answers and trials go with heartbeats and member lists, and a forwarded call says whether it is a trial.

--- a/chervilstand/dev/crash_test.go
+++ b/chervilstand/dev/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -73,8 +74,11 @@
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); sent++ {
 		res, err := http.DefaultClient.Do(completion(sent%len(d.Instances), fmt.Sprint("session", sent/8), fmt.Sprint("own", sent)).request(t.Context(), d))
 		if err == nil {
-			if res.StatusCode == http.StatusOK {
+			body, err := io.ReadAll(res.Body)
+			if res.StatusCode == http.StatusOK && err == nil {
 				served++
+			} else if sent%20 == 0 {
+				t.Logf("sound call %d: %d %s", sent, res.StatusCode, body)
 			}
 			_ = res.Body.Close()
 		}
--- a/chervilyard/call/call.go
+++ b/chervilyard/call/call.go
@@ -53,6 +53,10 @@
 	ClaimBucket    int
 	Claim          claim.Record // of the idempotency key; zero if the call has no claim
 
+	// Trial states that the call is sent although its prompt blocks it, once at most. It is
+	// set by dispatch, or by peerserver for a forwarded request.
+	Trial bool
+
 	// Set by dispatch.
 	Result Result
 }
@@ -69,4 +73,5 @@
 	FirstByteAt   time.Time     // when the first byte of the response arrived
 	QueueTime     time.Duration // total time in the queue for targets
 	Complete      bool          // the response reached its end
+	EndedTargets  int           // number of targets that ended as they began to answer
 }
--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retryafter"
 	"chervilyard.example/yard/route"
+	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 )
 
@@ -74,6 +75,17 @@
 	// *NotSentError if nothing can have reached the target.
 	Send func(ctx context.Context, t target.Target, c *call.Call) (*Response, error)
 
+	// Suspects holds the parts of prompts under which targets ended.
+	Suspects suspect.Ledger
+	// TargetEnded reports whether the target at an address, whose connection broke, has
+	// ended. If it is nil, ends are not attributed to calls.
+	TargetEnded func(ctx context.Context, now time.Time, address string) bool
+	// TrialRank returns the rank of this instance among those that may send a call in spite
+	// of its prompt. If it is nil, it sends none.
+	TrialRank func(now time.Time) int
+	// CountPartRefusal counts a call that is refused because of its prompt. It may be nil.
+	CountPartRefusal func(route string, confirmed bool)
+
 	mu     sync.Mutex
 	queues map[string]*queue.Queue
 }
@@ -101,8 +113,12 @@
 		s.RetryBudget.RecordRequest()
 	}
 	tried := make(map[string]bool)
+	parts := promptParts(c)
 	var last *refusal.Refusal
 	for c.Result.Attempts = 1; c.Result.Attempts <= maxAttempts; c.Result.Attempts++ {
+		if f := s.checkParts(c, parts); f != nil {
+			return f.refusal
+		}
 		dest, ok := s.chooseDestination(c, tried)
 		if !ok {
 			if last == nil {
@@ -118,7 +134,7 @@
 			return nil
 		}
 		last = f.refusal
-		if !f.retryable || ctx.Err() != nil || !s.RetryBudget.AllowRetry() {
+		if !f.retryable || c.Trial && c.Result.MaybeSent || c.Result.EndedTargets >= maxEndedTargets || ctx.Err() != nil || !s.RetryBudget.AllowRetry() {
 			break
 		}
 	}
@@ -235,7 +251,7 @@
 func (s *Stage) forwardFailure(ctx context.Context, c *call.Call, err error) *failure {
 	var r *refusal.Refusal
 	if errors.As(err, &r) {
-		return &failure{refusal: r, retryable: r.Run == refusal.RunNo || !c.NonIdempotent}
+		return &failure{refusal: r, retryable: !isPartRefusal(r) && (r.Run == refusal.RunNo || !c.NonIdempotent)}
 	}
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
@@ -280,6 +296,10 @@
 	}
 	now := s.Now()
 	c.Result.QueueTime += now.Sub(queuedAt)
+	if f := s.checkParts(c, promptParts(c)); f != nil {
+		s.queueFor(c.Route).Admit(now) // the next one gets its turn
+		return f
+	}
 	req := balancer.Request{
 		PrefixHashes: balancer.PrefixHashes(c.Customer.Name(), c.Prompt),
 		BlockTokens:  blockTokens,
@@ -360,6 +380,7 @@
 		s.Picker.RecordFailure(s.Now(), t.Name(), false)
 		return s.noUsableResponse(ctx, c, fmt.Errorf("status %d", res.Status))
 	}
+	s.Suspects.RecordAnswering(s.Now(), t.Name())
 	res.Target = t.Name()
 	return s.relay(ctx, c, res, w)
 }
@@ -408,6 +429,7 @@
 		s.recordFirstByteTimeout(now, w)
 	case ctx.Err() == nil:
 		s.Picker.RecordFailure(now, w.target, false)
+		s.recordTargetEnd(ctx, c, w.target, false)
 	default:
 		s.Picker.RecordFirstByte(now, w.target, now.Sub(w.start))
 	}
--- a/chervilyard/dispatch/relay.go
+++ b/chervilyard/dispatch/relay.go
@@ -13,6 +13,7 @@
 	"chervilyard.example/chervilyard/session"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/route"
+	"chervilyard.example/yard/suspect"
 )
 
 // stallTimeout is the longest gap between two pieces of a response. It applies only
@@ -24,6 +25,8 @@
 type progressWatch struct {
 	start  time.Time
 	target string // empty for a forwarded call
+	name   string // of the target, also of a forwarded call
+	sound  bool   // the target has answered for longer than its beginning
 
 	// Set by startLimits.
 	cancel    context.CancelCauseFunc // nil if the time is not limited
@@ -71,11 +74,12 @@
 	h.Set("Chervil-Centre", c.Result.Centre)
 	h.Set("Chervil-Target", res.Target)
 	r := relay.Relay{Status: res.Status, Header: h, Body: res.Body, EndsWithConnection: res.EndsWithConnection, Sink: c.Sink, OnProgress: s.progressFunc(c, w)}
-	c.Result.Status = res.Status
+	c.Result.Status, w.name = res.Status, res.Target
 	relayed, err := s.relayBody(c, &r)
 	s.recordUsage(c, relayed, res.Status)
 	c.Result.Complete = relayed.Complete && err == nil
 	s.recordOutcome(ctx, c, w, relayed, err)
+	s.recordRelayed(ctx, c, w, err)
 	if err == nil {
 		return nil
 	}
@@ -100,8 +104,13 @@
 		if !w.recordPiece() {
 			return false
 		}
+		now := s.Now()
 		if c.Result.FirstByteAt.IsZero() {
-			c.Result.FirstByteAt = s.Now()
+			c.Result.FirstByteAt = now
+		}
+		if !w.sound && c.Result.Status < http.StatusMultipleChoices && now.Sub(c.Result.FirstByteAt) > suspect.BeginningTime {
+			w.sound = true
+			s.recordSound(c, w.name)
 		}
 		return true
 	}
--- /dev/null
+++ b/chervilyard/dispatch/suspects.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chervilyard.example/chervilyard/call"
+	"chervilyard.example/chervilyard/relay"
+	"chervilyard.example/yard/balancer"
+	"chervilyard.example/yard/refusal"
+	"chervilyard.example/yard/route"
+	"chervilyard.example/yard/suspect"
+)
+
+const (
+	// All of the first leadingBlocks blocks of a prompt count as parts, and every
+	// laterBlockStep-th of the later ones.
+	leadingBlocks  = 64
+	laterBlockStep = 4
+	// maxEndedTargets is how many targets may end as they begin to answer one call.
+	maxEndedTargets = 2
+)
+
+// Codes of refusals because of a part of the prompt.
+const (
+	codePartSuspected = "part_suspected" // targets ended under it; it may yet turn out to be sound
+	codePartCrashes   = "part_crashes"
+)
+
+// promptParts returns the names of the leading parts of the call's prompt. A part is a block
+// and all blocks before it.
+func promptParts(c *call.Call) []string {
+	if c.Route.Kind() != route.KindModel {
+		return nil
+	}
+	var names []string
+	for i, h := range balancer.PrefixHashes(c.Route.Name(), c.Prompt) {
+		if i < leadingBlocks || i%laterBlockStep == laterBlockStep-1 {
+			names = append(names, suspect.PartName(c.Route.Name(), strconv.FormatUint(h, 16)))
+		}
+	}
+	return names
+}
+
+// checkParts returns why the call is refused because of its prompt, or nil. A call that has
+// not been sent anywhere may be let through as a trial.
+func (s *Stage) checkParts(c *call.Call, parts []string) *failure {
+	if c.Trial || len(parts) == 0 {
+		return nil
+	}
+	now := s.Now()
+	v := s.Suspects.Check(now, parts)
+	if !v.Blocked() {
+		return nil
+	}
+	if c.Hops == 0 && c.Result.Attempts == 1 && s.TrialRank != nil && s.Suspects.StartTrial(now, parts, s.TrialRank(now)) {
+		c.Trial = true
+		return nil
+	}
+	if s.CountPartRefusal != nil {
+		s.CountPartRefusal(c.Route.Name(), v.Confirmed)
+	}
+	s.logDecision(c, "refused", describeVerdict(now, v), "", s.Centre, 0)
+	r := refusal.NotRun(http.StatusServiceUnavailable, codePartSuspected, "targets ended as they began to answer calls with the same start of the prompt").
+		WithRetryAfter(max(v.RetryAfter, queueRetryAfter))
+	if v.Confirmed {
+		r = refusal.NotRun(http.StatusUnprocessableEntity, codePartCrashes, "targets crash as they begin to answer calls with the same start of the prompt")
+	}
+	if c.Result.MaybeSent {
+		r.Run = refusal.RunUnknown
+	}
+	return &failure{refusal: r}
+}
+
+// describeVerdict formats a verdict for the log.
+func describeVerdict(now time.Time, v suspect.Verdict) string {
+	targets := make([]string, len(v.Ends))
+	for i, e := range v.Ends {
+		targets[i] = e.Target
+	}
+	return fmt.Sprintf("part=%s ended=%s last=%v confirmed=%t", v.Part, strings.Join(targets, ","), now.Sub(v.Ends[len(v.Ends)-1].At).Round(time.Millisecond), v.Confirmed)
+}
+
+// isPartRefusal reports whether the call was refused because of a part of its prompt, which
+// other targets would not serve either.
+func isPartRefusal(r *refusal.Refusal) bool {
+	return r.Code == codePartSuspected || r.Code == codePartCrashes
+}
+
+// recordTargetEnd attributes the end of the target to the parts of the call's prompt, if the
+// target has ended before it answered for long. Begun states whether it had sent a header.
+func (s *Stage) recordTargetEnd(ctx context.Context, c *call.Call, target string, begun bool) {
+	parts := promptParts(c)
+	if len(parts) == 0 || s.TargetEnded == nil || ctx.Err() != nil {
+		return
+	}
+	now := s.Now()
+	first := c.Result.FirstByteAt
+	if begun && !first.IsZero() && now.Sub(first) > suspect.BeginningTime {
+		return
+	}
+	address := s.address(target)
+	if address == "" || !s.Suspects.IsSuspicious(now, parts) || !s.TargetEnded(ctx, now, address) {
+		return
+	}
+	if begun {
+		c.Result.EndedTargets++
+	}
+	s.Suspects.RecordEnd(s.Now(), now, target, begun, parts)
+}
+
+// address returns the address of a target, or "" if it is not known.
+func (s *Stage) address(name string) string {
+	for _, t := range s.Document().Targets() {
+		if t.Name() == name {
+			return t.Address()
+		}
+	}
+	return ""
+}
+
+// recordRelayed records what the end of a response tells about the parts of the prompt.
+func (s *Stage) recordRelayed(ctx context.Context, c *call.Call, w *progressWatch, err error) {
+	var incomplete *relay.IncompleteError
+	switch {
+	case err == nil && c.Result.Status >= 200 && c.Result.Status < 300 && !w.sound:
+		s.recordSound(c, w.name)
+	case errors.As(err, &incomplete) && w.target != "":
+		s.recordTargetEnd(ctx, c, w.target, true)
+	}
+}
+
+// recordSound records that the target has answered the call well, in full or for longer than
+// its beginning.
+func (s *Stage) recordSound(c *call.Call, target string) {
+	now := s.Now()
+	first := c.Result.FirstByteAt
+	if first.IsZero() {
+		first = now
+	}
+	s.Suspects.RecordAnswer(now, target, first, promptParts(c))
+}
--- a/chervilyard/heartbeat/heartbeat.go
+++ b/chervilyard/heartbeat/heartbeat.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/memberlist"
 	"chervilyard.example/yard/peer"
 )
@@ -44,6 +45,10 @@
 	SendHeartbeat func(ctx context.Context, to string, p *peer.Pulse) (*peer.Pulse, error)
 	// ExchangeMembers sends a member list to the peer address and returns the reply.
 	ExchangeMembers func(ctx context.Context, to string, r *peer.Roll) (*peer.Roll, error)
+	// Suspects returns what to tell an instance about suspect parts of prompts, and
+	// HandleSuspects processes what one told. Both may be nil.
+	Suspects       func(now time.Time, to string) *fleet.Suspects
+	HandleSuspects func(now time.Time, m *fleet.Suspects)
 	// Seeds returns the configured peer addresses of instances to contact.
 	Seeds func() []string
 	// OnReply is called for each reply to a heartbeat, with the time at which
@@ -102,7 +107,7 @@
 // or have timed out. An immediate round ignores the round number.
 func (s *Sender) sendRound(ctx context.Context, round int, immediate bool) {
 	now := s.Now()
-	heartbeat := s.Heartbeat(now)
+	heartbeat := s.Heartbeat(now, "")
 	var wg sync.WaitGroup
 	start := func(f func()) {
 		wg.Add(1)
@@ -112,7 +117,8 @@
 		}()
 	}
 	for _, m := range s.Members.LiveInCentre(now) {
-		start(func() { s.sendHeartbeat(ctx, m.GetAddress(), heartbeat) })
+		own := &peer.Pulse{Self: heartbeat.Self, Reports: heartbeat.Reports, Confirmed: heartbeat.Confirmed, Suspects: s.suspects(now, m.GetAddress())}
+		start(func() { s.sendHeartbeat(ctx, m.GetAddress(), own) })
 	}
 	for _, to := range s.syncPeers(now, round, immediate) {
 		start(func() { s.exchangeMembers(ctx, to) })
@@ -173,23 +179,36 @@
 func (s *Sender) exchangeMembers(ctx context.Context, to string) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatInterval)
 	defer cancel()
-	if reply, err := s.ExchangeMembers(ctx, to, s.MemberList(s.Now())); err == nil {
+	if reply, err := s.ExchangeMembers(ctx, to, s.MemberList(s.Now(), to)); err == nil {
 		s.ReceiveMemberList(s.Now(), reply)
 	}
 }
 
-// Heartbeat returns a new heartbeat of this instance. Each call uses the next sequence
-// number.
-func (s *Sender) Heartbeat(now time.Time) *peer.Pulse {
-	return &peer.Pulse{Self: s.self(now), Reports: s.Reports(now), Confirmed: s.ConfirmedAge(now).Milliseconds()}
+// Heartbeat returns a new heartbeat of this instance to the peer address, or to none if that
+// is "". Each call uses the next sequence number.
+func (s *Sender) Heartbeat(now time.Time, to string) *peer.Pulse {
+	return &peer.Pulse{Self: s.self(now), Reports: s.Reports(now), Confirmed: s.ConfirmedAge(now).Milliseconds(), Suspects: s.suspects(now, to)}
 }
 
-// MemberList returns the member list to send. Its first entry is this instance, with
-// the next sequence number.
-func (s *Sender) MemberList(now time.Time) *peer.Roll {
+// MemberList returns the member list to send to the peer address. Its first entry is this
+// instance, with the next sequence number.
+func (s *Sender) MemberList(now time.Time, to string) *peer.Roll {
 	return &peer.Roll{
 		Members:   append([]*peer.Member{s.self(now)}, s.Members.GossipMembers(now)...),
-		Confirmed: s.ConfirmedAge(now).Milliseconds(),
+		Confirmed: s.ConfirmedAge(now).Milliseconds(), Suspects: s.suspects(now, to),
+	}
+}
+
+func (s *Sender) suspects(now time.Time, to string) *fleet.Suspects {
+	if s.Suspects == nil || to == "" {
+		return nil
+	}
+	return s.Suspects(now, to)
+}
+
+func (s *Sender) handleSuspects(now time.Time, m *fleet.Suspects) {
+	if s.HandleSuspects != nil {
+		s.HandleSuspects(now, m)
 	}
 }
 
@@ -204,6 +223,7 @@
 // centre, as a request or as a reply.
 func (s *Sender) ReceiveHeartbeat(now time.Time, p *peer.Pulse) {
 	s.Members.Update(now, p.GetSelf())
+	s.handleSuspects(now, p.GetSuspects())
 	s.OnMessage(now, p.GetSelf(), p.GetSelf().GetRevision(), time.Duration(p.GetConfirmed())*time.Millisecond, p.GetReports())
 }
 
@@ -213,6 +233,7 @@
 	for _, m := range r.GetMembers() {
 		s.Members.Update(now, m)
 	}
+	s.handleSuspects(now, r.GetSuspects())
 	if len(r.GetMembers()) > 0 {
 		sender := r.GetMembers()[0]
 		s.OnMessage(now, sender, sender.GetRevision(), time.Duration(r.GetConfirmed())*time.Millisecond, nil)
--- a/chervilyard/instance/directory.go
+++ b/chervilyard/instance/directory.go
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	if reply, err := i.peers.ExchangeMembers(ctx, address, i.heartbeats.MemberList(i.now())); err == nil {
+	if reply, err := i.peers.ExchangeMembers(ctx, address, i.heartbeats.MemberList(i.now(), "")); err == nil {
 		i.heartbeats.ReceiveMemberList(i.now(), reply)
 	}
 }
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -105,6 +105,7 @@
 	i.heartbeats = &heartbeat.Sender{
 		Members: i.memberList, Now: i.now, LocalMember: i.selfMember, Reports: i.reports, ConfirmedAge: i.keeper.SinceConfirmed,
 		OnMessage: i.handlePeerState, SendHeartbeat: i.peers.SendHeartbeat, ExchangeMembers: i.peers.ExchangeMembers, Seeds: i.settings.Seeds, OnReply: i.seatRenewal.RecordReceivedPromise,
+		Suspects: i.suspectsFor, HandleSuspects: i.dispatch.Suspects.Merge,
 	}
 	i.loadPoller = &poll.Poller{
 		Address: i.PeerAddr(), Targets: i.localTargets, PeerAddresses: i.localAddresses,
@@ -337,11 +338,11 @@
 			if p.GetSelf().GetCentre() == i.settings.Centre() {
 				i.seatRenewal.RecordGivenPromise(now, p.GetSelf().GetAddress())
 			}
-			return i.heartbeats.Heartbeat(now)
+			return i.heartbeats.Heartbeat(now, p.GetSelf().GetAddress())
 		},
 		OnMemberList: func(now time.Time, r *peer.Roll) *peer.Roll {
 			i.heartbeats.ReceiveMemberList(now, r)
-			return i.heartbeats.MemberList(now)
+			return i.heartbeats.MemberList(now, senderAddress(r))
 		},
 		OnFetch:        i.handleFetch,
 		ServeForwarded: i.ServeForwarded,
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -27,6 +27,7 @@
 	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/chervilyard/heartbeat"
 	"chervilyard.example/chervilyard/idempotency"
+	"chervilyard.example/chervilyard/liveness"
 	"chervilyard.example/chervilyard/locate"
 	"chervilyard.example/chervilyard/meter"
 	"chervilyard.example/chervilyard/peerclient"
@@ -64,6 +65,7 @@
 	decisions    *decisionlog.Log
 	meter        *meter.Meter
 	targetClient *targetclient.Client
+	liveness     liveness.Checker
 	locator      *locate.Finder
 
 	accept       accept.Stage
@@ -208,6 +210,7 @@
 	i.dispatch.Remotes = i.remoteInstances
 	i.dispatch.Forward = i.peers.Forward
 	i.dispatch.Send = i.targetClient.Send
+	i.buildSuspects()
 	i.settle = settle.Stage{
 		Lender: i.lender, SendLoans: i.peers.SendLoans, Now: i.now, Decisions: i.decisions, Meter: i.meter, Centre: i.settings.Centre(),
 	}
--- a/chervilyard/peerclient/peerclient.go
+++ b/chervilyard/peerclient/peerclient.go
@@ -255,7 +255,7 @@
 	return &peer.Call{
 		Id: c.ID, Customer: c.Customer.Name(), Route: c.Route.Name(), Method: c.Method,
 		Path: c.Path, Query: c.Query, Headers: targetHeadersToProto(c.Header), Body: c.Body,
-		Hop: int32(c.Hops) + 1, Deadline: c.Deadline.Sub(now).Milliseconds(), From: c.OriginRegion, Tokens: c.MaxTokens,
+		Hop: int32(c.Hops) + 1, Deadline: c.Deadline.Sub(now).Milliseconds(), From: c.OriginRegion, Tokens: c.MaxTokens, Trial: c.Trial,
 	}
 }
 
--- a/chervilyard/peerserver/peerserver.go
+++ b/chervilyard/peerserver/peerserver.go
@@ -102,7 +102,7 @@
 	c := &call.Call{
 		ID: in.GetId(), Arrived: now, Method: in.GetMethod(), Path: in.GetPath(), Query: in.GetQuery(),
 		Header: requestHeader(in), Body: in.GetBody(), Hops: max(int(in.GetHop()), 1), OriginRegion: in.GetFrom(),
-		Deadline: now.Add(time.Duration(in.GetDeadline()) * time.Millisecond),
+		Deadline: now.Add(time.Duration(in.GetDeadline()) * time.Millisecond), Trial: in.GetTrial(),
 	}
 	c.Sink = responseSink(stream, c)
 	err := s.serve(stream.Context(), c, in)
