Bound events and bodies that never end

A faulty target may send bytes without end. On a stream that may be resumed the gateway held the bytes of an event back until the event was complete: within the 0.7 s of a request the heap grew by 200 to 500 MiB, more than a machine has. Other bodies without a length were passed on until the deadline, 150 to 1400 MiB of them. An event that is held back is limited to 1 MiB now, and a body of unknown length to 64 MiB; then the response counts as broken off. Heads were limited already.

--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -33,6 +33,8 @@
 //	unframed TEXT    200 without a length, ended by closing the connection
 //	early            an error status before the body is read
 //	extra            200 followed by surplus bytes
+//	endless KIND     bytes without end: "garbage", in a "header", in one "line" of an event, in
+//	                 "lines" of one event, in "events", in "chunks", or "unframed"
 //	rest A,B         a complete stream of the events after the last one that the caller has
 //	part N END FRAMING TYPE A,B  the first N bytes of a response with the events as its body,
 //	                 then END: "close" or "reset"; FRAMING is one of package pool's
@@ -188,6 +190,23 @@
 		write(c, head("200 OK", "Content-Length: 10\r\n")+"half")
 	case "unframed":
 		write(c, head("200 OK", "")+rest)
+	case "endless":
+		const stream = "Content-Type: text/event-stream\r\n"
+		block := strings.Repeat("x", 16<<10)
+		text := map[string]struct{ start, repeated string }{
+			"garbage":  {"", block},
+			"header":   {"HTTP/1.1 200 OK\r\nId: " + id + "\r\nX: ", block},
+			"line":     {head("200 OK", stream) + "data: ", block},
+			"lines":    {head("200 OK", stream), strings.Repeat("data: x\n", 2<<10)},
+			"events":   {head("200 OK", stream), strings.Repeat("id: 1\ndata: x\n\n", 1<<10)},
+			"chunks":   {head("200 OK", "Transfer-Encoding: chunked\r\n"), chunked(block)},
+			"unframed": {head("200 OK", ""), block},
+		}[rest]
+		repeated := []byte(text.repeated)
+		for ok := write(c, text.start); ok; {
+			_, err := c.Write(repeated)
+			ok = err == nil
+		}
 	case "extra":
 		return write(c, head("200 OK", "Content-Length: 2\r\n")+"okHTTP/1.1 200 OK\r\nId: x\r\nStamp: x\r\nContent-Length: 1\r\n\r\nx")
 	default:
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -23,6 +23,9 @@
 	// response header is sent, so that a broken response can still be replaced by
 	// a refusal or a retry.
 	maxBufferedBody = 256 << 10
+	// maxEvent is the largest event in bytes of a stream that may be resumed. Its bytes are
+	// held back until it is complete.
+	maxEvent = 1 << 20
 	// readSize is the buffer size in bytes for reading a stream.
 	readSize = 4 << 10
 	// Gaps between reads that exceed the route's maximum gap divided by
@@ -30,6 +33,9 @@
 	reportedGapDivisor = 3
 )
 
+// errEventTooLong is the error of a stream with an event over maxEvent.
+var errEventTooLong = errors.New("an event is over the size limit")
+
 // errNotFromTarget is the error of a response with a success status that is not
 // marked as sent by a target.
 var errNotFromTarget = errors.New("the bytes are not a response of a target")
@@ -230,6 +236,9 @@
 			if x.route.Resumable() {
 				out = events.Add(out)
 			}
+			if err == nil && len(events.Remainder()) > maxEvent {
+				err = errEventTooLong
+			}
 			x.writeEvents(resp, out, resp.Buffered() == 0)
 		}
 		if err != nil {
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -35,6 +36,19 @@
 // Unwrap returns io.ErrUnexpectedEOF.
 func (e *IncompleteError) Unwrap() error { return io.ErrUnexpectedEOF }
 
+// maxUndelimitedBody is the longest body in bytes that is read if its length is not stated.
+// What a faulty target sends may never end.
+const maxUndelimitedBody = 64 << 20
+
+// TooLongError is the error of a body that did not end within the limit. The length had not
+// been stated.
+type TooLongError struct{ Limit int64 } // in bytes
+
+// Error returns the message, which includes the limit.
+func (e *TooLongError) Error() string {
+	return "pool: the body did not end within " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
 var errIncompleteWrite = errors.New("pool: the response ended before the request was sent in full")
 
 // Response is a response whose body has not been read yet. It is not safe for
@@ -49,6 +63,7 @@
 	body        io.ReadCloser
 	framing     string
 	events      *boundary.Finder // follows an event stream; nil for other bodies
+	size        int64            // bytes of the body that have been read
 	reusable    bool
 	bodyWritten chan error  // receives the result of a concurrent write of the request body; nil if there is none
 	stopClose   func() bool // keeps the connection open when the context is done
@@ -91,11 +106,16 @@
 // or FramedByClose.
 func (r *Response) Framing() string { return r.framing }
 
-// Read reads the body. It returns io.EOF only if the body is complete, and an
-// *IncompleteError if an event stream ended without an error of the connection but is not
-// complete.
+// Read reads the body. It returns io.EOF only if the body is complete, an *IncompleteError
+// if an event stream ended without an error of the connection but is not complete, and a
+// *TooLongError if a body of unknown length does not end.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	r.size += int64(n)
+	if r.framing != FramedByLength && r.size > maxUndelimitedBody {
+		r.Close()
+		return n, &TooLongError{Limit: maxUndelimitedBody}
+	}
 	if r.events != nil {
 		r.events.Add(p[:n])
 	}
