Bound an event of many short lines on the project's own surface

The size of an event was checked only within a long line: a faulty engine that sends short lines and never a blank one filled the memory until the call's deadline. TestEndlessEvent failed before (two of three kinds were read beyond 8 MiB) and passes now; the limit of 4 MiB is the same.

--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -18,7 +18,7 @@
 
 const (
 	maxBodySize  = 64 << 20 // bytes of a response relayed by Buffered
-	maxEventSize = 4 << 20  // bytes of one event; checked only within a line longer than bufferSize
+	maxEventSize = 4 << 20  // bytes of one event
 	bufferSize   = 32 << 10 // bytes of the read buffer
 )
 
@@ -54,6 +54,9 @@
 // errRejected is the cause of a response of which OnProgress rejected a piece.
 var errRejected = errors.New("relay: a piece of the response was rejected")
 
+// errEventTooLong is the cause of a stream with an event over maxEventSize.
+var errEventTooLong = errors.New("an event is over the size limit")
+
 // errIncompleteJSON is the cause of a response that ended with its connection before its
 // JSON did.
 var errIncompleteJSON = errors.New("relay: the JSON of a response without a length is incomplete")
@@ -202,10 +205,10 @@
 	for {
 		line, err := in.ReadSlice('\n')
 		event = append(event, line...)
+		if len(event) > maxEventSize {
+			return event, errEventTooLong
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(event) > maxEventSize {
-				return event, errors.New("an event is over the size limit")
-			}
 			continue
 		}
 		if err != nil {
--- a/chervilyard/relay/relay_test.go
+++ b/chervilyard/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -38,3 +39,40 @@
 		}
 	}
 }
+
+// endless repeats its text until it has been read more often than a relay may do, and then
+// fails the test.
+type endless struct {
+	t    *testing.T
+	text string
+	read int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	const limit = 8 << 20
+	if e.read > limit {
+		e.t.Errorf("more than %d bytes of one event were read", limit)
+		return 0, io.EOF
+	}
+	n := 0
+	for n+len(e.text) <= len(p) {
+		n += copy(p[n:], e.text)
+	}
+	e.read += n
+	return n, nil
+}
+
+// Guards against an event that never ends and fills the memory, in one line or in many.
+func TestEndlessEvent(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", ": x\n"} {
+		r := relay.Relay{
+			Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: &endless{t: t, text: text},
+			Sink: &sink.Sink{SendHeader: func(int, http.Header) error { return nil }, Send: func([]byte) error { return nil }},
+		}
+		result, err := r.Stream()
+		var incomplete *relay.IncompleteError
+		if !errors.As(err, &incomplete) || result.Complete {
+			t.Errorf("%q without end: %+v, %v", text, result, err)
+		}
+	}
+}
