Let the instance that gets a request try a blocked part soon, and only with a destination

The order is now different for each part, and the next instance follows after 300 ms, in which most instances hear of a trial. A trial is started only once the request has a destination, on both surfaces; before, one that no target could take used the trial up.

TestBlockedPartIsRefused, TestTrial and TestRepeatsAfterEnds play a blocked part, its trials and repeats over a hop.

--- a/chervilstand/dev/crash_test.go
+++ b/chervilstand/dev/crash_test.go
@@ -77,7 +77,7 @@
 			body, err := io.ReadAll(res.Body)
 			if res.StatusCode == http.StatusOK && err == nil {
 				served++
-			} else if sent%20 == 0 {
+			} else if sent%20 == 0 || !strings.Contains(string(body), "part_") {
 				t.Logf("sound call %d: %d %s", sent, res.StatusCode, body)
 			}
 			_ = res.Body.Close()
--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -81,8 +81,8 @@
 	// ended. If it is nil, ends are not attributed to calls.
 	TargetEnded func(ctx context.Context, now time.Time, address string) bool
 	// TrialRank returns the rank of this instance among those that may send a call in spite
-	// of its prompt. If it is nil, it sends none.
-	TrialRank func(now time.Time) int
+	// of a part of its prompt; see suspect.Rank. If it is nil, it sends none.
+	TrialRank func(now time.Time, part string) int
 	// CountPartRefusal counts a call that is refused because of its prompt. It may be nil.
 	CountPartRefusal func(route string, confirmed bool)
 
@@ -116,10 +116,10 @@
 	parts := promptParts(c)
 	var last *refusal.Refusal
 	for c.Result.Attempts = 1; c.Result.Attempts <= maxAttempts; c.Result.Attempts++ {
-		if f := s.checkParts(c, parts); f != nil {
+		dest, ok := s.chooseDestination(c, tried)
+		if f := s.checkParts(c, parts, ok); f != nil {
 			return f.refusal
 		}
-		dest, ok := s.chooseDestination(c, tried)
 		if !ok {
 			if last == nil {
 				return s.noTarget(c)
@@ -296,7 +296,7 @@
 	}
 	now := s.Now()
 	c.Result.QueueTime += now.Sub(queuedAt)
-	if f := s.checkParts(c, promptParts(c)); f != nil {
+	if f := s.checkParts(c, promptParts(c), false); f != nil {
 		s.queueFor(c.Route).Admit(now) // the next one gets its turn
 		return f
 	}
--- a/chervilyard/dispatch/suspects.go
+++ b/chervilyard/dispatch/suspects.go
@@ -47,9 +47,9 @@
 	return names
 }
 
-// checkParts returns why the call is refused because of its prompt, or nil. A call that has
-// not been sent anywhere may be let through as a trial.
-func (s *Stage) checkParts(c *call.Call, parts []string) *failure {
+// checkParts returns why the call is refused because of its prompt, or nil. A call that has a
+// destination and has not been sent anywhere may be let through as a trial.
+func (s *Stage) checkParts(c *call.Call, parts []string, hasDestination bool) *failure {
 	if c.Trial || len(parts) == 0 {
 		return nil
 	}
@@ -58,7 +58,7 @@
 	if !v.Blocked() {
 		return nil
 	}
-	if c.Hops == 0 && c.Result.Attempts == 1 && s.TrialRank != nil && s.Suspects.StartTrial(now, parts, s.TrialRank(now)) {
+	if hasDestination && c.Hops == 0 && c.Result.Attempts == 1 && s.TrialRank != nil && s.Suspects.StartTrial(now, parts, s.TrialRank(now, v.Part)) {
 		c.Trial = true
 		return nil
 	}
--- a/chervilyard/edge/suspects.go
+++ b/chervilyard/edge/suspects.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/suspect"
 )
 
@@ -24,17 +23,18 @@
 	e.suspects.OnNews = func() { e.gossiper.Broadcast(e.ctx) }
 }
 
-// trialRank returns the rank of this instance among those that send requests as trials. One
-// that has just started sends none, since it may not have heard of others' trials yet.
-func (e *Edge) trialRank(now time.Time) int {
+// trialRank returns the rank of this instance among those that send requests with the part as
+// trials. One that has just started sends none, since it may not have heard of others' trials
+// yet.
+func (e *Edge) trialRank(now time.Time, part string) int {
 	if now.Sub(e.started) < settlePeriod {
 		return math.MaxInt32
 	}
-	var others []membership.Member
+	var others []string
 	for _, m := range e.memberTable.Live(now, liveTimeout) {
 		if m.Ready && !m.Leaving {
-			others = append(others, m)
+			others = append(others, m.Name)
 		}
 	}
-	return membership.Rank(e.Settings().Name, others)
+	return suspect.Rank(part, e.Settings().Name, others)
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -47,17 +47,17 @@
 		if ctx.Err() != nil {
 			return g.cutOffOrGone(now, x, context.Cause(ctx))
 		}
-		verdict, mayTry := g.checkParts(now, x)
-		if verdict.Blocked() && !mayTry {
+		verdict := g.checkParts(now, x)
+		if verdict.Blocked() && !g.mayTry(now, x, verdict) {
 			return g.refusePart(now, x, verdict)
 		}
 		dest, err := g.chooseDestination(now, x)
-		if verdict.Blocked() && (err != nil || !g.startTrial(now, x)) {
-			return g.refusePart(now, x, verdict)
-		}
 		if err != nil {
 			return err
 		}
+		if verdict.Blocked() && !g.startTrial(now, x, verdict) {
+			return g.refusePart(now, x, verdict)
+		}
 		if dest.remote == nil {
 			if dest.ticket = g.Picker.Choose(now, dest.local, dest.request, dest.coldShare); dest.ticket == nil {
 				return g.noTarget(x)
@@ -108,7 +108,7 @@
 // attempt was canceled.
 func (g *Gateway) giveUp(x *exchange, cancel context.CancelCauseFunc) bool {
 	now := g.Now()
-	if verdict, _ := g.checkParts(now, x); verdict.Blocked() {
+	if g.checkParts(now, x).Blocked() {
 		return false
 	}
 	if _, err := g.chooseDestination(now, x); err != nil || !g.allowRetry(now, x) {
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -136,8 +136,8 @@
 	// ended. If it is nil, ends are not attributed to requests.
 	TargetEnded func(ctx context.Context, now time.Time, address string) bool
 	// TrialRank returns the rank of this instance among those that may send a request in
-	// spite of its parts. If it is nil, it sends none.
-	TrialRank func(now time.Time) int
+	// spite of a part; see suspect.Rank. If it is nil, it sends none.
+	TrialRank func(now time.Time, part string) int
 	// OnSuspectedRestart is called with a target that may have restarted. It may be
 	// nil.
 	OnSuspectedRestart func(t target.Target)
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -78,7 +78,7 @@
 }
 
 // testCatalog returns a catalog with one route of each kind: idempotent (read),
-// non-idempotent (order), stream, resumable stream (resume), and public (open).
+// non-idempotent (order), stream, resumable streams (resume, thrice), and public (open).
 func testCatalog() *catalog.Catalog { return testCatalogOf(service.New("s")) }
 
 // testCatalogOf returns the catalog of testCatalog with the service s.
@@ -95,7 +95,7 @@
 		Version: 1, Limits: catalog.Limits{MaxBodyBytes: 1 << 20},
 		Routes: []route.Route{
 			forward("read", "read", 2), forward("order", "order", 1), forward("stream", "stream", 1),
-			forward("resume", "streams", 2), forward("open", "read", 1),
+			forward("resume", "streams", 2), forward("thrice", "streams", 3), forward("open", "read", 1),
 		},
 		Services:      []service.Service{s},
 		Customers:     []customer.Customer{customer.New("c", 1000, 1000, 1, ""), customer.New("bound", 1e6, 1e6, 1, "").WithAllowedRegions([]string{"far"})},
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -184,7 +184,7 @@
 	if x.route.LatencyObjective() > 0 && now.Sub(x.arrived) > x.route.LatencyObjective() {
 		return false
 	}
-	if verdict, _ := g.checkParts(now, x); verdict.Blocked() {
+	if verdict := g.checkParts(now, x); verdict.Blocked() {
 		x.detail = "not retried: " + describeVerdict(now, verdict)
 		return false
 	}
--- a/chervilyard/gateway/suspects.go
+++ b/chervilyard/gateway/suspects.go
@@ -36,20 +36,25 @@
 	return names
 }
 
-// checkParts returns the verdict on the parts of the prompt, and whether the request may be
-// sent as a trial nevertheless once it has a destination.
-func (g *Gateway) checkParts(now time.Time, x *exchange) (v suspect.Verdict, mayTry bool) {
+// checkParts returns the verdict on the parts of the prompt.
+func (g *Gateway) checkParts(now time.Time, x *exchange) suspect.Verdict {
 	if x.trial || len(x.parts) == 0 {
-		return suspect.Verdict{}, false
+		return suspect.Verdict{}
 	}
-	v = g.Suspects.Check(now, x.parts)
-	return v, v.Blocked() && v.RetryAfter == 0 && len(x.tried) == 0 && !x.forwarded && g.TrialRank != nil
+	return g.Suspects.Check(now, x.parts)
+}
+
+// mayTry reports whether a request with a blocked part may be sent as a trial once it has a
+// destination.
+func (g *Gateway) mayTry(now time.Time, x *exchange, v suspect.Verdict) bool {
+	return v.RetryAfter == 0 && len(x.tried) == 0 && !x.forwarded && g.TrialRank != nil &&
+		g.Suspects.MayTry(now, x.parts, g.TrialRank(now, v.Part))
 }
 
 // startTrial reports whether the request is sent although its parts block it. It is then sent
 // to one target only.
-func (g *Gateway) startTrial(now time.Time, x *exchange) bool {
-	if !g.Suspects.StartTrial(now, x.parts, g.TrialRank(now)) {
+func (g *Gateway) startTrial(now time.Time, x *exchange, v suspect.Verdict) bool {
+	if !g.Suspects.StartTrial(now, x.parts, g.TrialRank(now, v.Part)) {
 		return false
 	}
 	x.trial, x.maxAttempts = true, 1
--- a/chervilyard/instance/suspects.go
+++ b/chervilyard/instance/suspects.go
@@ -35,16 +35,16 @@
 	i.meter.Gauge("chervil_blocked_parts", func() float64 { return float64(l.Blocked()) })
 }
 
-// trialRank returns the rank of this instance among the live ones, which start trials in
-// turn.
-func (i *Instance) trialRank(now time.Time) int {
-	rank := 0
+// trialRank returns the rank of this instance among the live ones, which start trials of the
+// part in turn.
+func (i *Instance) trialRank(now time.Time, part string) int {
+	var others []string
 	for _, m := range i.memberList.Live(now) {
-		if !m.GetLeaving() && m.GetAddress() < i.PeerAddr() {
-			rank++
+		if !m.GetLeaving() {
+			others = append(others, m.GetAddress())
 		}
 	}
-	return rank
+	return suspect.Rank(part, i.PeerAddr(), others)
 }
 
 // suspectsFor returns what to tell the instance at a peer address about suspect parts.
--- a/yard/suspect/record.go
+++ b/yard/suspect/record.go
@@ -46,7 +46,7 @@
 	}
 	n := 0
 	for _, e := range r.ends {
-		if e.At.After(r.firstTry) {
+		if !e.At.Before(r.firstTry) {
 			n++
 		}
 	}
--- a/yard/suspect/suspect.go
+++ b/yard/suspect/suspect.go
@@ -39,8 +39,8 @@
 	confirmedDelay    = time.Hour
 	maxConfirmedDelay = 24 * time.Hour
 	// trialRankDelay is how much later than the instance of the rank before it an instance
-	// starts a trial. It exceeds the time in which the instances hear of a trial.
-	trialRankDelay = time.Second
+	// starts a trial. Most instances hear of a trial within it.
+	trialRankDelay = 300 * time.Millisecond
 	// retention is how long a part is kept after the last end or request with it.
 	retention = 10 * time.Minute
 
@@ -61,6 +61,19 @@
 	return service + "/" + id
 }
 
+// Rank returns the position of an instance in the order in which the instances start trials of
+// the part. The one of rank 0 is first.
+func Rank(part, self string, others []string) int {
+	weight := func(name string) uint64 { return xxhash.Sum64String(part + "\x00" + name) }
+	rank := 0
+	for _, name := range others {
+		if name != self && weight(name) > weight(self) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // End is the end of a target.
 type End struct {
 	Target string
@@ -159,19 +172,32 @@
 	return blocked
 }
 
+// MayTry reports whether an instance of the rank may start a trial of the parts; see
+// StartTrial.
+func (l *Ledger) MayTry(now time.Time, parts []string, rank int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trialDue(now, l.blockedParts(parts), rank)
+}
+
+// trialDue reports whether trials of all the blocked parts are due. The caller must hold l.mu.
+func (l *Ledger) trialDue(now time.Time, blocked []string, rank int) bool {
+	early := slices.ContainsFunc(blocked, func(part string) bool {
+		return now.Before(l.records[part].nextTrial().Add(time.Duration(rank) * trialRankDelay))
+	})
+	return len(blocked) > 0 && !early
+}
+
 // StartTrial reports whether this instance may send a request although its parts block it,
-// and records that it does. The request must not be sent to a second target. The rank orders
-// the instances of the fleet; the one of rank 0 starts trials first.
+// and records that it does. The request must not be sent to a second target. The rank is that
+// of the instance; see Rank.
 //
 // The trial counts for the last of the blocked parts only. The ones before it are more likely
 // to be shared with sound requests, which then clear them by trials of their own.
 func (l *Ledger) StartTrial(now time.Time, parts []string, rank int) bool {
 	l.mu.Lock()
 	blocked := l.blockedParts(parts)
-	early := slices.ContainsFunc(blocked, func(part string) bool {
-		return now.Before(l.records[part].nextTrial().Add(time.Duration(rank) * trialRankDelay))
-	})
-	if len(blocked) == 0 || early {
+	if !l.trialDue(now, blocked, rank) {
 		l.mu.Unlock()
 		return false
 	}
