Refute the end of a target only by an answer to a later request

A process that stands still for some hundred milliseconds reads answers that a target sent before it ended, and would have refuted the end: the part that ended it might not have been blocked. What counts now is when a request was sent that the target answered. An instance that hears of an end before it has such an answer refutes it as soon as it has one; that was missing. A message carries what changed since the last one to the same instance, and again each second for five seconds.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -380,7 +380,7 @@
 		s.Picker.RecordFailure(s.Now(), t.Name(), false)
 		return s.noUsableResponse(ctx, c, fmt.Errorf("status %d", res.Status))
 	}
-	s.Suspects.RecordAnswering(s.Now(), t.Name())
+	s.Suspects.RecordAlive(s.Now(), start, t.Name())
 	res.Target = t.Name()
 	return s.relay(ctx, c, res, w)
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -128,6 +128,7 @@
 	x           *exchange
 	dest        destination
 	firstByte   firstbyte.Timer
+	sentAt      time.Time // when there was a connection; zero for a remote instance
 	headerRead  bool      // the response header has been read
 	firstByteAt time.Time // zero until a byte of the body has been read
 	sound       bool      // the target has answered well
@@ -173,8 +174,11 @@
 	g.Protocol.SetTargetHeaders(header, TargetContext{Target: t.Name(), TimeLeft: remaining, Customer: x.customer.Name(), LastEventID: x.req.LastEventID})
 	return g.Pool.Do(ctx, t.Address(), &pool.Request{
 		Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Body: x.body,
-		NewConn:     !x.route.Idempotent() && !x.route.Stream(),
-		OnConnected: func() { a.dest.ticket.Sent(g.Now()) },
+		NewConn: !x.route.Idempotent() && !x.route.Stream(),
+		OnConnected: func() {
+			a.sentAt = g.Now()
+			a.dest.ticket.Sent(a.sentAt)
+		},
 		Accepts: func(h http.Header) bool {
 			id := g.Protocol.ResponseRequestID(h)
 			return id == "" || id == x.req.ID
@@ -294,7 +298,6 @@
 	if a.x.firstByteAt.IsZero() {
 		a.x.firstByteAt = now
 	}
-	g.recordAnswering(a, now)
 	if a.dest.ticket != nil {
 		a.dest.ticket.RecordFirstByte(now)
 	}
--- a/chervilyard/gateway/suspects.go
+++ b/chervilyard/gateway/suspects.go
@@ -115,10 +115,10 @@
 	g.Suspects.RecordEnd(g.Now(), now, t.Name(), begun, x.parts)
 }
 
-// recordAnswering records that the attempt's target has sent something.
-func (g *Gateway) recordAnswering(a *attempt, now time.Time) {
+// recordAlive records that the target has answered the attempt.
+func (g *Gateway) recordAlive(a *attempt) {
 	if a.dest.ticket != nil && len(a.x.parts) > 0 {
-		g.Suspects.RecordAnswering(now, a.dest.name())
+		g.Suspects.RecordAlive(g.Now(), a.sentAt, a.dest.name())
 	}
 }
 
--- a/yard/suspect/exchange.go
+++ b/yard/suspect/exchange.go
@@ -18,10 +18,11 @@
 	maxTold = 64
 )
 
-// toldState is when a run of a peer was last told anything, and when it was last told all.
+// toldState is when a run of a peer was last told anything, when it was told again of late
+// changes, and when it was told all.
 type toldState struct {
-	run         int64
-	at, allTold time.Time
+	run            int64
+	at, again, all time.Time
 }
 
 // Message returns what to tell a run of a peer, or nil if there is nothing new.
@@ -33,22 +34,17 @@
 		return nil
 	}
 	told := l.told[peer]
-	all := told.run != run || now.Sub(told.allTold) >= refreshTime
-	changed := !l.lastChange.Before(told.at) || now.Sub(l.lastChange) < spreadTime && now.Sub(told.at) >= repeatTime
-	if !all && !changed {
+	all := told.run != run || now.Sub(told.all) >= refreshTime
+	again := all || now.Sub(l.lastChange) < spreadTime && now.Sub(told.again) >= repeatTime
+	if !again && l.lastChange.Before(told.at) {
 		return nil
 	}
-	told.run, told.at = run, now
-	if all {
-		told.allTold = now
-	}
-	if l.told == nil {
-		l.told = make(map[string]toldState)
+	isNews := func(changedAt time.Time) bool {
+		return !changedAt.Before(told.at) || again && now.Sub(changedAt) < spreadTime
 	}
-	l.told[peer] = told
 	var parts []string
 	for part, r := range l.records {
-		if now.Sub(r.changedAt) < spreadTime || all && r.isBlocked() {
+		if isNews(r.changedAt) || all && r.isBlocked() {
 			parts = append(parts, part)
 		}
 	}
@@ -61,16 +57,33 @@
 		m.Parts = append(m.Parts, l.records[part].toProto(now, part))
 	}
 	for target, r := range l.refuted {
-		if now.Sub(r.changedAt) < spreadTime {
+		if isNews(r.changedAt) {
 			m.Alive = append(m.Alive, &fleet.End{Target: target, Age: ageMillis(now, r.at)})
 		}
 	}
+	l.setTold(now, peer, run, again, all)
 	if len(m.Parts) == 0 && len(m.Alive) == 0 {
 		return nil
 	}
 	return m
 }
 
+// setTold records what a run of a peer is told now. The caller must hold l.mu.
+func (l *Ledger) setTold(now time.Time, peer string, run int64, again, all bool) {
+	if l.told == nil {
+		l.told = make(map[string]toldState)
+	}
+	t := l.told[peer]
+	t.run, t.at = run, now
+	if again {
+		t.again = now
+	}
+	if all {
+		t.all = now
+	}
+	l.told[peer] = t
+}
+
 func (r *record) toProto(now time.Time, part string) *fleet.Suspect {
 	s := &fleet.Suspect{Part: part, Trials: int32(r.trials), Asked: ageMillis(now, r.lastAsked)}
 	for _, e := range r.ends {
--- a/yard/suspect/suspect.go
+++ b/yard/suspect/suspect.go
@@ -25,8 +25,8 @@
 	soundTime = time.Minute
 	// sameEndTime is the largest difference between two reports of one end of a target.
 	sameEndTime = 2 * time.Second
-	// A target that answers between refuteAfter and refuteBefore after a reported end has
-	// not ended. The former exceeds the error of ages that instances exchange, and the
+	// A target that answers a request that was sent between refuteAfter and refuteBefore
+	// after its reported end has not ended. The former exceeds the error of ages that instances exchange, and the
 	// latter is less than a target takes to restart.
 	refuteAfter  = 250 * time.Millisecond
 	refuteBefore = time.Second
@@ -103,14 +103,15 @@
 	// not call methods of the Ledger, and may be nil.
 	OnNews func()
 
-	mu       sync.Mutex
-	records  map[string]*record
-	sound    map[string]time.Time // by part; when a request with it was last answered in full
-	answered map[string]time.Time // by target; when it last answered
-	refuted  map[string]refutation
-	pending  []shortAnswer
-	told     map[string]toldState // by peer
-	swept    time.Time
+	mu      sync.Mutex
+	records map[string]*record
+	sound   map[string]time.Time // by part; when a request with it was last answered in full
+	alive   map[string]time.Time // by target; when the last request was sent that it answered
+	ended   map[string]time.Time // by target; when it was last reported to have ended
+	refuted map[string]refutation
+	pending []shortAnswer
+	told    map[string]toldState // by peer
+	swept   time.Time
 
 	lastChange time.Time // of any record or refutation
 }
@@ -224,14 +225,29 @@
 	return slices.ContainsFunc(limit(parts), func(part string) bool { return !l.isSound(now, part) })
 }
 
-// RecordAnswering records that a target sent a byte of a response.
-func (l *Ledger) RecordAnswering(now time.Time, target string) {
+// RecordAlive records that a target answered a request that was sent to it at sentAt. The
+// times of answers prove less: they may have been received before the target ended.
+func (l *Ledger) RecordAlive(now, sentAt time.Time, target string) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.answered == nil {
-		l.answered = make(map[string]time.Time)
+	if l.alive == nil {
+		l.alive = make(map[string]time.Time)
+	}
+	if sentAt.After(l.alive[target]) {
+		l.alive[target] = sentAt
+	}
+	at, ok := l.ended[target]
+	if !ok || !l.outlived(target, at) {
+		l.mu.Unlock()
+		return
+	}
+	delete(l.ended, target)
+	changed := l.refute(now, target, at)
+	events := l.updateBlocked(now, changed)
+	l.mu.Unlock()
+	events.report(l, now)
+	if len(changed) > 0 {
+		l.news()
 	}
-	l.answered[target] = now
 }
 
 // RecordAnswer records that a target answered a request in full, and began to at firstByteAt.
@@ -291,6 +307,10 @@
 	if l.isRefuted(now, e) {
 		return nil
 	}
+	if l.ended == nil {
+		l.ended = make(map[string]time.Time)
+	}
+	l.ended[e.Target] = e.At
 	var changed []string
 	for _, part := range parts {
 		if !l.isSound(e.At, part) && l.record(now, part).addEnd(e) {
@@ -362,14 +382,20 @@
 	if r, ok := l.refuted[e.Target]; ok && r.at.Sub(e.At).Abs() < sameEndTime {
 		return true
 	}
-	after := l.answered[e.Target].Sub(e.At)
-	if after <= refuteAfter || after > refuteBefore {
+	if !l.outlived(e.Target, e.At) {
 		return false
 	}
 	l.refute(now, e.Target, e.At)
 	return true
 }
 
+// outlived reports whether the target answered a request that was sent shortly after it was
+// reported to have ended. The caller must hold l.mu.
+func (l *Ledger) outlived(target string, at time.Time) bool {
+	after := l.alive[target].Sub(at)
+	return after > refuteAfter && after <= refuteBefore
+}
+
 // refute records that the target had not ended at the given time and removes the end from all
 // records. The caller must hold l.mu.
 func (l *Ledger) refute(now time.Time, target string, at time.Time) []string {
@@ -446,7 +472,8 @@
 		}
 		delete(l.sound, part)
 	}
-	deleteOlder(l.answered, now.Add(-soundTime))
+	deleteOlder(l.alive, now.Add(-soundTime))
+	deleteOlder(l.ended, now.Add(-soundTime))
 	for target, r := range l.refuted {
 		if now.Sub(r.changedAt) > soundTime {
 			delete(l.refuted, target)
--- a/yard/suspect/suspect_test.go
+++ b/yard/suspect/suspect_test.go
@@ -17,7 +17,7 @@
 //
 //	answer A p,q          A has answered a request with p and q in full, and began a second ago
 //	short A p 20ms        the same, and A began 20 ms ago
-//	answering A           A sent a byte
+//	alive A               A answered a request that was sent now
 //	end A begun p,q       A ended as it began to answer a request with p and q
 //	end A waiting p       A ended while such a request waited
 //	check p,q -> ok       a request with p and q is sent
@@ -59,8 +59,8 @@
 		l.RecordAnswer(s.At, args[0], s.At.Add(-time.Second), parts(1))
 	case "short":
 		l.RecordAnswer(s.At, args[0], s.At.Add(-s.Duration(p.t, 4)), parts(1))
-	case "answering":
-		l.RecordAnswering(s.At, args[0])
+	case "alive":
+		l.RecordAlive(s.At, s.At, args[0])
 	case "end":
 		l.RecordEnd(s.At, s.At, args[0], args[1] == "begun", parts(2))
 	case "check":
