Confirm a verdict only by trials that show it

A trial of a sound part that was blocked without reason could be a request with a deadly part under which fewer targets had ended yet: the end of its target confirmed the sound part, whose requests would have been refused with 422 for an hour. Ends now carry whether they came under a trial, in place of all ends since the first one, and whether the request had another part that was not known to be sound; of such trials three are needed, since after two the deadly part is blocked itself and the third is a trial of that.

--- a/chervilyard/dispatch/suspects.go
+++ b/chervilyard/dispatch/suspects.go
@@ -111,7 +111,7 @@
 	if begun {
 		c.Result.EndedTargets++
 	}
-	s.Suspects.RecordEnd(s.Now(), now, target, begun, parts)
+	s.Suspects.RecordEnd(s.Now(), suspect.End{Target: target, At: now, Begun: begun, Trial: c.Trial}, parts)
 }
 
 // address returns the address of a target, or "" if it is not known.
--- a/chervilyard/gateway/suspects.go
+++ b/chervilyard/gateway/suspects.go
@@ -112,7 +112,7 @@
 	if begun {
 		x.endedTargets++
 	}
-	g.Suspects.RecordEnd(g.Now(), now, t.Name(), begun, x.parts)
+	g.Suspects.RecordEnd(g.Now(), suspect.End{Target: t.Name(), At: now, Begun: begun, Trial: x.trial}, x.parts)
 }
 
 // recordAlive records that the target has answered the attempt.
--- a/chervilyard/gateway/suspects_test.go
+++ b/chervilyard/gateway/suspects_test.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	for i, target := range []string{"gone1", "gone2"} {
 		at := now.Add(-ago - time.Duration(1-i)*time.Second)
-		l.RecordEnd(at, at, target, true, []string{suspect.PartName("s", part)})
+		l.RecordEnd(at, suspect.End{Target: target, At: at, Begun: true}, []string{suspect.PartName("s", part)})
 	}
 }
 
--- a/yard/suspect/exchange.go
+++ b/yard/suspect/exchange.go
@@ -87,10 +87,10 @@
 func (r *record) toProto(now time.Time, part string) *fleet.Suspect {
 	s := &fleet.Suspect{Part: part, Trials: int32(r.trials), Asked: ageMillis(now, r.lastAsked)}
 	for _, e := range r.ends {
-		s.Ends = append(s.Ends, &fleet.End{Target: e.Target, Age: ageMillis(now, e.At), Begun: e.Begun})
+		s.Ends = append(s.Ends, &fleet.End{Target: e.Target, Age: ageMillis(now, e.At), Begun: e.Begun, Trial: e.Trial, Doubt: e.Doubt})
 	}
 	if r.trials > 0 {
-		s.FirstTry, s.LastTry = ageMillis(now, r.firstTry), ageMillis(now, r.lastTry)
+		s.Try = ageMillis(now, r.lastTry)
 	}
 	if !r.soundAt.IsZero() {
 		s.Cleared, s.Sound = true, ageMillis(now, r.soundAt)
@@ -122,12 +122,12 @@
 			cleared = append(cleared, l.mergeSound(now, r, part, before(s.GetSound()))...)
 		}
 		for _, pe := range s.GetEnds()[:min(len(s.GetEnds()), maxEnds)] {
-			e := End{Target: pe.GetTarget(), At: before(pe.GetAge()), Begun: pe.GetBegun()}
+			e := End{Target: pe.GetTarget(), At: before(pe.GetAge()), Begun: pe.GetBegun(), Trial: pe.GetTrial(), Doubt: pe.GetDoubt()}
 			changed = append(changed, l.blameShortAnswers(now, e.Target, e.At)...)
 			changed = append(changed, l.addEnd(now, e, []string{part})...)
 			l.answerSound(now, r, part, e)
 		}
-		if r.mergeTrials(int(s.GetTrials()), before(s.GetFirstTry()), before(s.GetLastTry())) {
+		if r.mergeTrials(int(s.GetTrials()), before(s.GetTry())) {
 			l.touch(now, r)
 		}
 		if asked := before(s.GetAsked()); asked.After(r.lastAsked) {
@@ -164,13 +164,10 @@
 }
 
 // mergeTrials takes over the trials that a peer knows of, and reports whether any is new.
-func (r *record) mergeTrials(trials int, first, last time.Time) bool {
+func (r *record) mergeTrials(trials int, last time.Time) bool {
 	if trials <= 0 || !last.After(r.soundAt) || trials < r.trials || trials == r.trials && !last.After(r.lastTry.Add(sameEndTime)) {
 		return false
 	}
-	if r.trials == 0 || first.Before(r.firstTry) {
-		r.firstTry = first
-	}
 	changed := trials > r.trials
 	r.trials = trials
 	if last.After(r.lastTry) {
--- a/yard/suspect/record.go
+++ b/yard/suspect/record.go
@@ -14,8 +14,9 @@
 	for i := range r.ends {
 		old := &r.ends[i]
 		if old.Target == e.Target && old.At.Sub(e.At).Abs() < sameEndTime {
-			changed := e.Begun && !old.Begun
+			changed := e.Begun && !old.Begun || e.Trial && !old.Trial
 			old.Begun = old.Begun || e.Begun
+			old.Trial, old.Doubt = old.Trial || e.Trial, old.Doubt || e.Doubt
 			return changed
 		}
 	}
@@ -38,19 +39,16 @@
 	return begun >= minBegunEnds || len(r.ends) >= minEnds
 }
 
-// failedTrials returns the number of targets that ended since the first trial began, which
-// other requests with the part cannot have reached.
-func (r *record) failedTrials() int {
-	if r.trials == 0 {
-		return 0
-	}
-	n := 0
+// failedTrials returns the number of targets that ended under trials of the part, and whether
+// that confirms the verdict.
+func (r *record) failedTrials() (n int, confirmed bool) {
 	for _, e := range r.ends {
-		if !e.At.Before(r.firstTry) {
+		if e.Trial {
 			n++
+			confirmed = confirmed || !e.Doubt || n >= minDoubtfulTrials
 		}
 	}
-	return n
+	return n, confirmed
 }
 
 // nextTrial returns the time from which a request may be let through.
@@ -59,7 +57,7 @@
 	if n := len(r.ends); n > 0 && r.ends[n-1].At.After(from) {
 		from = r.ends[n-1].At
 	}
-	if n := r.failedTrials(); n > 0 {
+	if n, confirmed := r.failedTrials(); confirmed {
 		return from.Add(min(confirmedDelay<<min(n-1, 8), maxConfirmedDelay))
 	}
 	d := firstTrialDelay
@@ -70,10 +68,8 @@
 }
 
 func (r *record) verdict(now time.Time, part string) Verdict {
-	return Verdict{
-		Part: part, Ends: slices.Clone(r.ends), Confirmed: r.failedTrials() > 0,
-		RetryAfter: max(r.nextTrial().Sub(now), 0),
-	}
+	_, confirmed := r.failedTrials()
+	return Verdict{Part: part, Ends: slices.Clone(r.ends), Confirmed: confirmed, RetryAfter: max(r.nextTrial().Sub(now), 0)}
 }
 
 // clear voids the ends, since a request with the part was answered in full at the given time,
@@ -83,8 +79,7 @@
 	if r.blocked {
 		cleared = append(cleared, r.verdict(at, part))
 	}
-	r.ends, r.blocked, r.trials, r.soundAt = nil, false, 0, at
-	r.firstTry, r.lastTry = time.Time{}, time.Time{}
+	r.ends, r.blocked, r.trials, r.lastTry, r.soundAt = nil, false, 0, time.Time{}, at
 	return cleared
 }
 
--- a/yard/suspect/suspect.go
+++ b/yard/suspect/suspect.go
@@ -32,10 +32,13 @@
 	refuteBefore = time.Second
 	// A single request is let through as a trial firstTrialDelay after the part was
 	// blocked, and again after trialDelayFactor times the last delay while no trial is
-	// decided. After a trial under which a target ended, the next one follows after
-	// confirmedDelay, which doubles up to maxConfirmedDelay.
+	// decided. A trial under which a target ended confirms the verdict. If the trials were in
+	// doubt, minDoubtfulTrials of them do: after two, a part that the requests have in
+	// common is blocked too, and the third is a trial of that. The next one then follows
+	// after confirmedDelay, which doubles up to maxConfirmedDelay.
 	firstTrialDelay   = 2 * time.Second
 	trialDelayFactor  = 4
+	minDoubtfulTrials = 3
 	confirmedDelay    = time.Hour
 	maxConfirmedDelay = 24 * time.Hour
 	// trialRankDelay is how much later than the instance of the rank before it an instance
@@ -79,13 +82,16 @@
 	Target string
 	At     time.Time
 	Begun  bool // a request with the part was being answered, and not only waiting
+	// Trial states that the request was let through as a trial of the part. It is in Doubt
+	// if the request had another part that was not known to be sound.
+	Trial, Doubt bool
 }
 
 // Verdict states why a request is refused. The zero value refuses nothing.
 type Verdict struct {
 	Part       string // its name; "" if no part is blocked
 	Ends       []End  // oldest first
-	Confirmed  bool   // a target ended under a trial
+	Confirmed  bool   // a trial has shown it
 	RetryAfter time.Duration
 }
 
@@ -121,8 +127,7 @@
 	ends      []End     // sorted by time
 	soundAt   time.Time // earlier ends do not count; zero if the part was never cleared
 	trials    int       // started since the part was blocked
-	firstTry  time.Time // start of the first of these trials
-	lastTry   time.Time
+	lastTry   time.Time // start of the last of these trials
 	lastAsked time.Time // last request with the part
 	changedAt time.Time // last change that other instances have to hear of
 	blocked   bool      // as last reported by OnBlocked or OnCleared
@@ -204,9 +209,6 @@
 	}
 	part := blocked[len(blocked)-1]
 	r := l.records[part]
-	if r.trials == 0 {
-		r.firstTry = now
-	}
 	r.trials++
 	r.lastTry = now
 	l.touch(now, r)
@@ -271,14 +273,24 @@
 	l.reportCleared(now, cleared)
 }
 
-// RecordEnd records that a target ended at the given time while a request with the parts was
-// open there, and whether it had begun to answer it.
-func (l *Ledger) RecordEnd(now, at time.Time, target string, begun bool, parts []string) {
+// RecordEnd records that a target ended while a request with the parts was open there. Of e
+// it uses the fields but Doubt; Trial states that the request was a trial.
+func (l *Ledger) RecordEnd(now time.Time, e End, parts []string) {
 	l.mu.Lock()
 	l.sweep(now)
 	cleared := l.settlePending(now)
-	changed := l.addEnd(now, End{Target: target, At: at, Begun: begun}, limit(parts))
-	changed = append(changed, l.blameShortAnswers(now, target, at)...)
+	blocked := l.blockedParts(parts)
+	trial := e.Trial
+	e.Trial, e.Doubt = false, false
+	changed := l.addEnd(now, e, limit(parts))
+	if trial && len(blocked) > 0 {
+		e.Trial = true
+		e.Doubt = slices.ContainsFunc(limit(parts), func(part string) bool {
+			return !slices.Contains(blocked, part) && !l.isSound(e.At, part)
+		})
+		changed = append(changed, l.addEnd(now, e, blocked[len(blocked)-1:])...)
+	}
+	changed = append(changed, l.blameShortAnswers(now, e.Target, e.At)...)
 	events := l.updateBlocked(now, changed)
 	l.mu.Unlock()
 	l.reportCleared(now, cleared)
--- a/yard/suspect/suspect_test.go
+++ b/yard/suspect/suspect_test.go
@@ -20,6 +20,7 @@
 //	alive A               A answered a request that was sent now
 //	end A begun p,q       A ended as it began to answer a request with p and q
 //	end A waiting p       A ended while such a request waited
+//	end A trial p         A ended as it began to answer such a request, which was a trial
 //	check p,q -> ok       a request with p and q is sent
 //	check p,q -> p 2 1s   it is refused because two targets ended under p, for another second
 //	check p,q -> p 2 1s confirmed
@@ -62,7 +63,7 @@
 	case "alive":
 		l.RecordAlive(s.At, s.At, args[0])
 	case "end":
-		l.RecordEnd(s.At, s.At, args[0], args[1] == "begun", parts(2))
+		l.RecordEnd(s.At, suspect.End{Target: args[0], At: s.At, Begun: args[1] != "waiting", Trial: args[1] == "trial"}, parts(2))
 	case "check":
 		got = describe(l.Check(s.At, parts(0)))
 	case "trial":
@@ -102,7 +103,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	for i := range 5000 {
 		now = now.Add(20 * time.Millisecond)
-		l.RecordEnd(now, now, fmt.Sprint("t", i), true, []string{fmt.Sprint("new", i), "deadly"})
+		l.RecordEnd(now, suspect.End{Target: fmt.Sprint("t", i), At: now, Begun: true}, []string{fmt.Sprint("new", i), "deadly"})
 	}
 	if v := l.Check(now, []string{"new1", "deadly"}); v.Part != "deadly" || len(v.Ends) != 8 {
 		t.Errorf("verdict %v", v)
@@ -140,9 +141,10 @@
 			n := rapid.IntRange(0, len(ledgers)-1).Draw(t, "instance")
 			l := &ledgers[n]
 			parts := []string{"sound", "deadly"}
-			reaches := !l.Check(now, parts).Blocked()
+			reaches, trial := !l.Check(now, parts).Blocked(), false
 			if !reaches {
-				reaches = l.StartTrial(now, parts, n)
+				trial = l.StartTrial(now, parts, n)
+				reaches = trial
 				if reaches && ends >= 5 {
 					trialsAfter++
 				}
@@ -151,7 +153,7 @@
 				targets++
 				ends++
 				begun := rapid.Bool().Draw(t, "begun")
-				l.RecordEnd(now, now, fmt.Sprint("t", targets), begun, parts)
+				l.RecordEnd(now, suspect.End{Target: fmt.Sprint("t", targets), At: now, Begun: begun, Trial: trial}, parts)
 			}
 			tellAll()
 			for i := range ledgers {
