Bound the wait for a request in the tests of stops

Why it did not is not known, as the test printed nothing. It now fails after 5 s, longer than the request may take, and prints what the instance decided; it passes and fails as before otherwise.

--- a/chervilyard/edge/stop_test.go
+++ b/chervilyard/edge/stop_test.go
@@ -167,7 +167,11 @@
 	if err := dialKept(t, e).send(); err != nil {
 		t.Fatal(err)
 	}
-	<-arrived
+	select {
+	case <-arrived:
+	case <-time.After(5 * time.Second): // longer than the request's timeout
+		t.Fatalf("the request did not reach the target: %+v", f.logs["east-0"].History(keptRequestID))
+	}
 	return f, e
 }
 
