Choose among a random sample of the targets where many instances choose

From nine instances in a region, each now compares four usable targets chosen at random, half of them if there are fewer, and those that are likely to have the prompt's shared parts cached.

The loads of peers are summed as they are reported and not at each choice.

--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -98,20 +98,17 @@
 	return queued + ((float64(waiting)+crowding*float64(r.PromptTokens))*perToken+crowding*base)*s.slowdownFactor()
 }
 
-// totalLoad returns the load of the target summed over this instance and the peers
-// whose report is not older than peerLoadTTL.
+// totalLoad returns the load of the target summed over this instance and all others, as far
+// as recent reports tell.
 func (p *Picker) totalLoad(now time.Time, name string, s *targetState) (open, waiting, memory int) {
-	open, waiting, memory = s.open, s.waitingTokens, s.memoryTokens
-	for _, peer := range p.peers {
-		if now.Sub(peer.at) > peerLoadTTL {
-			continue
-		}
-		l := peer.loads[name]
-		open += l.Open
-		waiting += l.WaitingTokens
-		memory += l.MemoryTokens
+	var others Load
+	if now.Sub(p.othersAt) <= othersLoadTTL {
+		others = p.others[name]
+	} else {
+		p.expirePeers(now)
+		others = p.peerTotals[name]
 	}
-	return open, waiting, memory
+	return s.open + others.Open, s.waitingTokens + others.WaitingTokens, s.memoryTokens + others.MemoryTokens
 }
 
 // cachedPrefix returns how many leading prompt tokens the target is expected to
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -5,8 +5,10 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -49,11 +51,18 @@
 	// at that target would make all its streams late.
 	freePauseFraction = 0.25
 	pauseCostMS       = 600.0
-	// stateTTL is how long the state of a target that is no longer listed, or
-	// the load report of a peer, is kept.
+	// minSharers is the number of instances of a region from which each chooses from a
+	// random sample of the targets. So many would all choose the same target by the same
+	// reports, until newer ones show what they sent there.
+	minSharers = 9
+	// maxSample is the number of targets in a sample.
+	maxSample = 4
+	// stateTTL is how long the state of a target that is no longer listed is kept.
 	stateTTL = time.Minute
 	// peerLoadTTL is how long the load report of a peer counts.
 	peerLoadTTL = 1500 * time.Millisecond
+	// othersLoadTTL is how long a report on the load of all other instances counts.
+	othersLoadTTL = 600 * time.Millisecond
 	// defaultPerTokenMS and defaultAnswerMS are the milliseconds to process one
 	// prompt token and to answer a request, used until there are samples.
 	// defaultAnswerMS also stands for the time to the first byte of an empty prompt.
@@ -107,9 +116,17 @@
 	mu              sync.Mutex
 	targets         map[string]*targetState
 	peers           map[string]peerLoads
+	peerTotals      map[string]Load          // sums over the peers whose reports count, by target
+	peerExpiry      time.Time                // no report of a peer expires before
+	others          map[string]Load          // of all other instances, as a hub reported it, by target
+	othersAt        time.Time                // when that report arrived
 	prefillFits     map[string]*linearFit    // milliseconds to the first byte over prompt tokens, by service
 	serviceAnswerMS map[string]float64       // average duration of an answer, by service
 	minGaps         map[string]time.Duration // smallest Request.MaxEventGap seen, by service
+
+	// Random returns a random number from 0 up to n. If it is nil, the functions of
+	// math/rand are used. It must not be changed after first use.
+	Random func(n int) int
 }
 
 // UpdateTargets updates the state from a list of targets that was requested at
@@ -152,18 +169,85 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
-		p.peers = make(map[string]peerLoads)
+		p.peers, p.peerTotals = make(map[string]peerLoads), make(map[string]Load)
 	}
-	byTarget := p.peers[peer].loads
-	if byTarget == nil {
-		byTarget = make(map[string]Load, len(loads))
+	p.expirePeers(now)
+	p.addToTotals(p.peers[peer].loads, -1)
+	p.addToTotals(loads, 1)
+	p.peers[peer] = peerLoads{at: now, loads: slices.Clone(loads)}
+}
+
+// UpdateOtherLoads replaces the load of all other instances on the region's targets, which
+// a hub reports. While it is recent, it counts in place of the reports of peers.
+func (p *Picker) UpdateOtherLoads(now time.Time, loads []Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.others == nil {
+		p.others = make(map[string]Load, len(loads))
 	}
-	clear(byTarget)
+	clear(p.others)
 	for _, l := range loads {
-		byTarget[l.Target] = l
+		p.others[l.Target] = l
+	}
+	p.othersAt = now
+}
+
+// LoadsWithout returns the loads of this instance and of the peers but the named one,
+// sorted by target.
+func (p *Picker) LoadsWithout(now time.Time, peer string) []Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expirePeers(now)
+	totals := maps.Clone(p.peerTotals)
+	if totals == nil {
+		totals = make(map[string]Load)
+	}
+	for _, l := range p.peers[peer].loads {
+		totals[l.Target] = totals[l.Target].add(l, -1)
+	}
+	for name, s := range p.targets {
+		if s.open > 0 {
+			totals[name] = totals[name].add(s.load(name), 1)
+		}
+	}
+	maps.DeleteFunc(totals, func(_ string, l Load) bool { return l.Open <= 0 })
+	return sortLoads(slices.Collect(maps.Values(totals)))
+}
+
+// expirePeers drops the reports that are older than peerLoadTTL. The caller must hold p.mu.
+func (p *Picker) expirePeers(now time.Time) {
+	if !now.After(p.peerExpiry) {
+		return
+	}
+	p.peerExpiry = now.Add(peerLoadTTL)
+	for name, l := range p.peers {
+		if now.Sub(l.at) > peerLoadTTL {
+			p.addToTotals(l.loads, -1)
+			delete(p.peers, name)
+		} else if expiry := l.at.Add(peerLoadTTL); expiry.Before(p.peerExpiry) {
+			p.peerExpiry = expiry
+		}
+	}
+}
+
+// addToTotals adds a multiple of the loads to the sums over the peers. The caller must hold
+// p.mu.
+func (p *Picker) addToTotals(loads []Load, factor int) {
+	for _, l := range loads {
+		if sum := p.peerTotals[l.Target].add(l, factor); sum.Open != 0 || sum.WaitingTokens != 0 || sum.MemoryTokens != 0 {
+			p.peerTotals[l.Target] = sum
+		} else {
+			delete(p.peerTotals, l.Target)
+		}
+	}
+}
+
+// add returns the load of the target of other with a multiple of other added.
+func (l Load) add(other Load, factor int) Load {
+	return Load{
+		Target: other.Target, Open: l.Open + factor*other.Open,
+		WaitingTokens: l.WaitingTokens + factor*other.WaitingTokens, MemoryTokens: l.MemoryTokens + factor*other.MemoryTokens,
 	}
-	p.peers[peer] = peerLoads{at: now, loads: byTarget}
-	maps.DeleteFunc(p.peers, func(_ string, l peerLoads) bool { return now.Sub(l.at) > stateTTL })
 }
 
 // Loads returns the loads of the targets with open requests of this instance,
@@ -174,30 +258,71 @@
 	list := make([]Load, 0, len(p.targets))
 	for name, s := range p.targets {
 		if s.open > 0 {
-			list = append(list, Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens})
+			list = append(list, s.load(name))
 		}
 	}
-	slices.SortFunc(list, func(a, b Load) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
+	return sortLoads(list)
+}
+
+func sortLoads(list []Load) []Load {
+	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Target, b.Target) })
 	return list
 }
 
-// Choose picks the candidate with the lowest expected cost and returns a ticket for
-// it, or nil if no candidate is usable now.
+// Choose picks the candidate with the lowest expected cost, of a sample if many instances
+// choose among them, and returns a ticket for it, or nil if no candidate is usable now.
 func (p *Picker) Choose(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, e := p.best(now, candidates, r, coldShare)
+	best, e := p.best(now, p.sample(now, candidates, r, coldShare), r, coldShare)
 	if best == nil {
 		return nil
 	}
 	return p.newTicket(now, *best, r, e.Wait, coldShare)
 }
 
+// sample returns a few of the candidates that are usable, chosen at random, and those that
+// are likely to have the prompt's shared parts cached. If only a few instances choose among
+// them, or too few are usable for a sample, it returns all candidates. The caller must hold p.mu.
+func (p *Picker) sample(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) []target.Target {
+	n := min(maxSample, (len(candidates)+1)/2)
+	if coldShare.Instances < minSharers || n < 2 { // of two targets, both are compared
+		return candidates
+	}
+	random := p.Random
+	if random == nil {
+		random = rand.IntN
+	}
+	order := slices.Clone(candidates)
+	var list []target.Target
+	for i := range order {
+		j := i + random(len(order)-i)
+		order[i], order[j] = order[j], order[i]
+		t := &order[i]
+		sampled := n > 0 && !slices.Contains(r.Exclude, t.Name()) && p.usable(now, t, r, coldShare)
+		if sampled {
+			n--
+		}
+		if sampled || t.Name() == r.PreferredTarget || p.hasSharedParts(now, t.Name(), r.Parts) {
+			list = append(list, *t)
+		}
+	}
+	if n > 0 {
+		return candidates
+	}
+	return list
+}
+
+// hasSharedParts reports whether this instance recently sent the target a prompt with the
+// same shared parts. The caller must hold p.mu.
+func (p *Picker) hasSharedParts(now time.Time, name string, parts []Part) bool {
+	if len(parts) < 2 {
+		return false
+	}
+	used, ok := p.state(name).partsUsed[parts[len(parts)-2].ID] // the last part belongs to one request alone
+	return ok && now.Sub(used) <= cacheRetention
+}
+
 // EstimateBest returns the estimate for the candidate with the lowest expected
 // cost, and false if no candidate is usable now.
 func (p *Picker) EstimateBest(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) (Estimate, bool) {
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -8,8 +8,8 @@
 )
 
 type peerLoads struct {
-	at    time.Time       // when the report arrived
-	loads map[string]Load // by target
+	at    time.Time // when the report arrived
+	loads []Load
 }
 
 // targetState is the state of one target as seen by this instance.
@@ -37,6 +37,11 @@
 	maxPauseAt    time.Time
 }
 
+// load returns the load that this instance's open requests put on the target.
+func (s *targetState) load(name string) Load {
+	return Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens}
+}
+
 // decayedFailureRate returns the fraction of recent requests that failed. It
 // decays with time, so that a target that gets no requests because of its
 // failures is tried again.
