Exchange heartbeats through hubs, and hold tokens at homes, in large regions

At 295 instances each began and answered up to 100 exchanges a second, kept connections with all of its region, and asked all 99 others for tokens at each shortage, which is nearly each request as an equal share of a burst is smaller than one.

Regions of more than 32 instances have hubs: every other instance exchanges heartbeats with these only, which answer with the loads of all, other regions' waiting times, changed members and, once a second, the list.

Found by the new tests while they were red: an instance that knew 31 others took its region for one without hubs and never met the rest (a count in heartbeats tells it to ask for the list); a hub measures no round trips, so what it heard counted as 0.9 s older (the sender tells its own).

--- a/chervilyard/edge/collect.go
+++ b/chervilyard/edge/collect.go
@@ -25,8 +25,18 @@
 }
 
 // collectTokens requests tokens from the instances of the region and then from those of
-// other regions. It reports whether the request's tokens could be taken from the quota.
-func (e *Edge) collectTokens(ctx context.Context, customer string, tokens float64) bool {
+// other regions. It reports whether the request's tokens could be taken from the quota, and
+// otherwise the time after which they may.
+func (e *Edge) collectTokens(ctx context.Context, customer string, tokens float64) (bool, time.Duration) {
+	if d := e.division.Load(); d != nil && d.Pooled() {
+		return e.takeFromHomes(ctx, *d, customer, tokens)
+	}
+	return e.gatherTokens(ctx, customer, tokens), e.quota.RefillTime(e.now(), customer, tokens)
+}
+
+// gatherTokens moves tokens of the others to this instance's bucket until it holds the
+// request's, and takes them.
+func (e *Edge) gatherTokens(ctx context.Context, customer string, tokens float64) bool {
 	for _, candidates := range []func() []membership.Member{e.localMembers, e.remoteMembers} {
 		finished := e.joinRound(ctx, customer, tokens, candidates())
 		if e.quota.Take(e.now(), customer, tokens) {
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -25,6 +25,7 @@
 	"chervilyard.example/chervilyard/meter"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/catalog"
+	"chervilyard.example/yard/division"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/placement"
@@ -61,6 +62,8 @@
 	gateway     gateway.Gateway
 	picker      placement.Picker
 	quota       ratelimit.Limiter
+	division    atomic.Pointer[division.Division] // of the customers' limits; nil before a configuration is known
+	refunds     refunds
 	budget      retry.Budget
 	pool        pool.Pool
 	memberTable membership.Table
@@ -162,7 +165,7 @@
 			e.meter.ObserveRequest(route, code, status, duration, firstByte)
 		},
 	}
-	g.CollectTokens = e.collectTokens
+	g.CollectTokens, g.RefundTokens = e.collectTokens, e.refundTokens
 	g.OnSuspectedRestart = e.probeSuspect
 	g.Suspects, g.TargetEnded, g.TrialRank = &e.suspects, e.liveness.Ended, e.trialRank
 	g.Random = rand.Float64
@@ -252,13 +255,15 @@
 	for name, limits := range c.Customers() {
 		quotaLimits[name] = ratelimit.Limits{Rate: limits.Rate(), Burst: limits.Burst()}
 	}
-	e.quota.SetLimits(now, quotaLimits, e.instanceCount())
+	d := division.New(e.self(now), e.sharingMembers(now))
+	e.division.Store(&d)
+	e.quota.SetShares(now, quotaLimits, d.Share)
+	e.refunds.retain(func(member string) bool {
+		_, ok := e.memberTable.Get(member)
+		return ok
+	})
 }
 
-// instanceCount returns the number of instances that share the fleet's limits. Silent
-// instances count for shareRetention, since they may still serve requests.
-func (e *Edge) instanceCount() int { return 1 + len(e.sharingMembers(e.now())) }
-
 // retrySharers returns the number of instances that share the extra retries, or 0 if this
 // one knows neither another instance nor the store's list of them.
 func (e *Edge) retrySharers(now time.Time) int {
@@ -270,7 +275,8 @@
 }
 
 // sharingMembers returns the other members that may use a share of fleet-wide limits:
-// those heard within shareRetention, and those known only from the store.
+// those heard within shareRetention, since silent ones may still serve requests, and those
+// known only from the store.
 func (e *Edge) sharingMembers(now time.Time) []membership.Member {
 	return slices.DeleteFunc(e.memberTable.All(), func(m membership.Member) bool {
 		return !m.Heard.IsZero() && now.Sub(m.Heard) > shareRetention
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"chervilyard.example/chervilyard/gateway"
 	"chervilyard.example/chervilyard/gossip"
 	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/hub"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/placement"
 )
@@ -19,26 +18,15 @@
 // request rate as well.
 const settlePeriod = time.Second
 
-// remoteWaitMaxAge is how long the waiting times reported by a remote member are valid.
-const remoteWaitMaxAge = 2 * time.Second
-
-// remoteWaits holds the waiting times that members of other regions reported. It is safe
-// for concurrent use.
-type remoteWaits struct {
-	mu       sync.Mutex
-	byMember map[string]memberWaits
-}
-
-type memberWaits struct {
-	received  time.Time
-	byService map[string]time.Duration
-}
+// forwardPeersPerRegion is the number of instances of another region that this one forwards
+// requests to where it knows the region's waiting times from a hub.
+const forwardPeersPerRegion = 3
 
 func (e *Edge) buildHeartbeats() {
 	e.gossiper = &gossip.Gossiper{
 		Self: e.self, Members: &e.memberTable, Now: e.now, Decisions: e.decisions,
 		Seeds:   func() []string { return e.Settings().Seeds },
-		Payload: e.heartbeatPayload, Wants: e.wantedTokens, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare,
+		Payload: e.heartbeatPayload, Wants: e.wantedTokens, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare, TakeWhole: e.takeWhole,
 	}
 }
 
@@ -46,20 +34,30 @@
 	s := e.Settings()
 	return membership.Member{
 		Name: s.Name, Run: e.runID, Region: s.Region, Centre: s.Centre, Callers: s.CallerAddr, Forward: s.ForwardAddr,
-		Peers: s.PeerAddr, Leaving: e.leaving(), Ready: e.Ready(), Heard: now,
+		Peers: s.PeerAddr, Leaving: e.leaving(), Ready: e.Ready(), Capacity: s.Capacity, Heard: now,
 	}
 }
 
 // heartbeatPayload returns the content of a heartbeat or a reply to a member: digests, and
-// loads within the region or waiting times to other regions.
+// loads within the region or waiting times to other regions. A hub tells the others of its
+// region the loads of all, and the waiting times of other regions.
 func (e *Edge) heartbeatPayload(now time.Time, to membership.Member) *fleet.Heartbeat {
-	h := &fleet.Heartbeat{Digests: e.digests(now), Suspects: e.suspects.Message(now, to.Name, to.Run)}
-	if to.Region == e.Settings().Region {
-		h.Loads = encodeLoads(e.picker.Loads())
-		h.Leaving = e.targets.leaving.list()
-	} else {
+	h := &fleet.Heartbeat{
+		Digests: e.digests(now), Suspects: e.suspects.Message(now, to.Name, to.Run), Grants: e.refunds.take(to.Name),
+	}
+	plan := e.gossiper.Plan()
+	isHub := plan.Includes(e.Settings().Name)
+	switch {
+	case to.Region != e.Settings().Region:
 		h.Rooms = e.localWaits(now)
+		return h
+	case isHub && !plan.Includes(to.Name):
+		h.Others = encodeLoads(e.picker.LoadsWithout(now, to.Name))
+		h.Rooms = e.remoteWaits.relay(now, e.gossiper.RoundTripTime)
+	default:
+		h.Loads = encodeLoads(e.picker.Loads())
 	}
+	h.Leaving = e.targets.leaving.list(now, isHub)
 	return h
 }
 
@@ -97,10 +95,15 @@
 		return // a reply to RequestTokens, or the sender is not known yet
 	}
 	if from.Region == e.Settings().Region {
-		e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
+		if h.GetOthers() != nil {
+			e.picker.UpdateOtherLoads(now, e.targets.decodeLoads(h.GetOthers()))
+			e.remoteWaits.hearRelayed(written, h.GetRooms())
+		} else {
+			e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
+		}
 		e.targets.leaving.tell(now, h.GetLeaving())
 	} else {
-		e.remoteWaits.update(now, h)
+		e.remoteWaits.hear(now, from.Region, h)
 	}
 	e.suspects.Merge(now, h.GetSuspects())
 	for _, d := range h.GetDigests() {
@@ -108,33 +111,6 @@
 	}
 }
 
-func (r *remoteWaits) update(now time.Time, h *fleet.Heartbeat) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.byMember == nil {
-		r.byMember = make(map[string]memberWaits)
-	}
-	byService := make(map[string]time.Duration, len(h.GetRooms()))
-	for _, room := range h.GetRooms() {
-		byService[room.GetService()] = time.Duration(room.GetWait() * float64(time.Millisecond))
-	}
-	r.byMember[h.GetName()] = memberWaits{received: now, byService: byService}
-	maps.DeleteFunc(r.byMember, func(_ string, w memberWaits) bool { return now.Sub(w.received) > remoteWaitMaxAge })
-}
-
-// lookup returns the waiting time for a service that the member reported within
-// remoteWaitMaxAge, and false if there is none.
-func (r *remoteWaits) lookup(now time.Time, name, service string) (time.Duration, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	waits, ok := r.byMember[name]
-	if !ok || now.Sub(waits.received) > remoteWaitMaxAge {
-		return 0, false
-	}
-	wait, ok := waits.byService[service]
-	return wait, ok
-}
-
 // recordLeaving records that a member said that it is stopping, which its heartbeats may
 // not have told yet.
 func (e *Edge) recordLeaving(now time.Time, m membership.Member) {
@@ -143,21 +119,33 @@
 }
 
 // remoteInstances returns the ready instances of the other permitted regions, in order
-// of the expected wait including the round trip. It omits those that have not reported a
-// waiting time for the service within remoteWaitMaxAge.
+// of the expected wait including the round trip. It omits those of which no waiting time for
+// the service is known that was reported within remoteWaitMaxAge. Of a region whose waiting
+// times a hub relayed it returns forwardPeersPerRegion instances.
 func (e *Edge) remoteInstances(now time.Time, service string, permits func(string) bool) []gateway.RemoteInstance {
 	var list []gateway.RemoteInstance
+	unheard := make(map[string][]membership.Member)
 	for _, m := range e.memberTable.Live(now, liveTimeout) {
 		if m.Region == e.Settings().Region || m.Leaving || !m.Ready || !permits(m.Region) {
 			continue
 		}
 		if wait, ok := e.remoteWaits.lookup(now, m.Name, service); ok {
 			list = append(list, gateway.RemoteInstance{Member: m, Wait: wait + e.gossiper.RoundTripTime(m.Name)})
+		} else {
+			unheard[m.Region] = append(unheard[m.Region], m)
+		}
+	}
+	for region, members := range unheard {
+		if slices.ContainsFunc(list, func(r gateway.RemoteInstance) bool { return r.Member.Region == region }) {
+			continue
+		}
+		if wait, ok := e.remoteWaits.lookupRelayed(now, region, service); ok {
+			for _, m := range hub.Nearest(e.Settings().Name, members, forwardPeersPerRegion) {
+				list = append(list, gateway.RemoteInstance{Member: m, Wait: wait})
+			}
 		}
 	}
-	slices.SortFunc(list, func(a, b gateway.RemoteInstance) int {
-		return cmp.Or(cmp.Compare(a.Wait, b.Wait), cmp.Compare(a.Member.Name, b.Member.Name))
-	})
+	slices.SortStableFunc(list, func(a, b gateway.RemoteInstance) int { return cmp.Compare(a.Wait, b.Wait) })
 	return list
 }
 
--- a/chervilyard/edge/leaving.go
+++ b/chervilyard/edge/leaving.go
@@ -12,8 +12,12 @@
 	"chervilyard.example/yard/target"
 )
 
-// leavingRetention is how long a run of a target is remembered that said that it leaves.
-const leavingRetention = 10 * time.Minute
+const (
+	// leavingRetention is how long a run of a target is remembered that said that it leaves.
+	leavingRetention = 10 * time.Minute
+	// leavingRelayTime is how long a hub tells on what another instance heard.
+	leavingRelayTime = 5 * time.Second
+)
 
 // leavingRuns holds the runs of targets that said in a response that they leave, by
 // targetRunHash. What the store says of a run does not change it. It is safe for
@@ -21,7 +25,7 @@
 type leavingRuns struct {
 	mu    sync.Mutex
 	heard map[uint64]time.Time // from the target, when last
-	told  map[uint64]time.Time // by another instance, when last
+	told  map[uint64]time.Time // by another instance, when first
 }
 
 // targetRunHash returns the hash that identifies a run of a target in heartbeats.
@@ -44,7 +48,7 @@
 	return !known
 }
 
-// tell records runs that another instance heard of. They are not told on.
+// tell records runs that another instance heard of.
 func (l *leavingRuns) tell(now time.Time, runs []uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,15 +56,25 @@
 		l.told = make(map[uint64]time.Time)
 	}
 	for _, run := range runs {
-		l.told[run] = now
+		if _, ok := l.told[run]; !ok {
+			l.told[run] = now
+		}
 	}
 }
 
-// list returns the runs that this instance heard of itself.
-func (l *leavingRuns) list() []uint64 {
+// list returns the runs that this instance heard of itself and, if relay is set, those that
+// it was first told of within leavingRelayTime.
+func (l *leavingRuns) list(now time.Time, relay bool) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Sorted(maps.Keys(l.heard))
+	runs := slices.Collect(maps.Keys(l.heard))
+	for run, at := range l.told {
+		if relay && now.Sub(at) <= leavingRelayTime {
+			runs = append(runs, run)
+		}
+	}
+	slices.Sort(runs)
+	return slices.Compact(runs)
 }
 
 // includes reports whether the target's run has said that it leaves.
--- /dev/null
+++ b/chervilyard/edge/remote_waits.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"chervilyard.example/yard/fleet"
+)
+
+// remoteWaitMaxAge is how long the waiting times reported by a remote member are valid.
+const remoteWaitMaxAge = 2 * time.Second
+
+// remoteWaits holds the waiting times of other regions: those that their members reported
+// to this instance, and those that a hub of its region relayed. It is safe for concurrent
+// use.
+type remoteWaits struct {
+	mu       sync.Mutex
+	byMember map[string]reportedWaits
+	byRegion map[string]reportedWaits // relayed
+}
+
+type reportedWaits struct {
+	at        time.Time // when a member of the region reported them
+	region    string
+	path      time.Duration // round trip to the region, if relayed
+	byService map[string]time.Duration
+}
+
+// hear records the waiting times in a heartbeat from a member of another region.
+func (r *remoteWaits) hear(now time.Time, region string, h *fleet.Heartbeat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byMember == nil {
+		r.byMember = make(map[string]reportedWaits)
+	}
+	w := reportedWaits{at: now, region: region, byService: make(map[string]time.Duration, len(h.GetRooms()))}
+	for _, room := range h.GetRooms() {
+		w.byService[room.GetService()] = roomWait(room)
+	}
+	r.byMember[h.GetName()] = w
+	maps.DeleteFunc(r.byMember, func(_ string, w reportedWaits) bool { return now.Sub(w.at) > remoteWaitMaxAge })
+}
+
+// hearRelayed records the waiting times of other regions in a heartbeat that was written no
+// earlier than written. Those that are older than the known ones are ignored.
+func (r *remoteWaits) hearRelayed(written time.Time, rooms []*fleet.Room) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	relayed := make(map[string]reportedWaits)
+	for _, room := range rooms {
+		w, ok := relayed[room.GetRegion()]
+		if !ok {
+			w = reportedWaits{
+				at: written.Add(-time.Duration(max(room.GetAge(), 0)) * time.Millisecond), region: room.GetRegion(),
+				path: time.Duration(room.GetPath()) * time.Millisecond, byService: make(map[string]time.Duration),
+			}
+		}
+		w.byService[room.GetService()] = roomWait(room)
+		relayed[room.GetRegion()] = w
+	}
+	if r.byRegion == nil {
+		r.byRegion = make(map[string]reportedWaits)
+	}
+	for region, w := range relayed {
+		if w.at.After(r.byRegion[region].at) {
+			r.byRegion[region] = w
+		}
+	}
+}
+
+// relay returns the waiting times that members of other regions reported last. The function
+// path returns the round-trip time to a member.
+func (r *remoteWaits) relay(now time.Time, path func(member string) time.Duration) []*fleet.Room {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := make(map[string]string) // member by region
+	for member, w := range r.byMember {
+		if last, ok := newest[w.region]; now.Sub(w.at) <= remoteWaitMaxAge && (!ok || w.at.After(r.byMember[last].at)) {
+			newest[w.region] = member
+		}
+	}
+	var rooms []*fleet.Room
+	for region, member := range newest {
+		w := r.byMember[member]
+		for service, wait := range w.byService {
+			rooms = append(rooms, &fleet.Room{
+				Service: service, Wait: wait.Seconds() * 1000, Region: region,
+				Age: now.Sub(w.at).Milliseconds() + 1, Path: path(member).Milliseconds(),
+			})
+		}
+	}
+	return rooms
+}
+
+// lookup returns the waiting time for a service that the member reported within
+// remoteWaitMaxAge, and false if there is none.
+func (r *remoteWaits) lookup(now time.Time, member, service string) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byMember[member].wait(now, service)
+}
+
+// lookupRelayed returns the waiting time for a service in a region, including the round
+// trip, that was relayed, and false if there is none from within remoteWaitMaxAge.
+func (r *remoteWaits) lookupRelayed(now time.Time, region, service string) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.byRegion[region]
+	wait, ok := w.wait(now, service)
+	return wait + w.path, ok
+}
+
+func (w reportedWaits) wait(now time.Time, service string) (time.Duration, bool) {
+	if now.Sub(w.at) > remoteWaitMaxAge {
+		return 0, false
+	}
+	wait, ok := w.byService[service]
+	return wait, ok
+}
+
+func roomWait(room *fleet.Room) time.Duration {
+	return time.Duration(room.GetWait() * float64(time.Millisecond))
+}
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -124,12 +124,16 @@
 	Picker       *placement.Picker
 	Limiter      *ratelimit.Limiter
 	// CollectTokens takes a request's tokens from the customer's quota, borrowing from
-	// other instances, and reports whether there were enough before ctx was done.
-	CollectTokens func(ctx context.Context, customer string, tokens float64) bool
-	RetryBudget   *retry.Budget
-	Pool          *pool.Pool
-	Decisions     *decisionlog.Log
-	Metrics       Metrics
+	// other instances, and reports whether there were enough before ctx was done. If
+	// not, it returns the time after which there may be.
+	CollectTokens func(ctx context.Context, customer string, tokens float64) (bool, time.Duration)
+	// RefundTokens returns the tokens of a request that no target processed. If it is
+	// nil, they go to Limiter.
+	RefundTokens func(now time.Time, customer string, tokens float64)
+	RetryBudget  *retry.Budget
+	Pool         *pool.Pool
+	Decisions    *decisionlog.Log
+	Metrics      Metrics
 	// Suspects holds the parts of prompts under which targets ended.
 	Suspects *suspect.Ledger
 	// TargetEnded reports whether the target at an address, whose connection broke, has
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -169,20 +169,31 @@
 		tokens = x.catalog.DefaultTokens(x.customer.Name())
 	}
 	now := g.Now()
-	if !g.Limiter.Take(now, x.customer.Name(), tokens) && !g.borrowTokens(r.Context(), x, tokens) {
-		level, rate, size := g.Limiter.State(now, x.customer.Name())
-		x.detail = fmt.Sprintf("need=%.0f level=%.0f of %.0f, %.0f a second here", tokens, level, size, rate)
-		wait := max(g.Limiter.RefillTime(now, x.customer.Name(), tokens), shortRetryAfter)
-		return refusal.NotRun(http.StatusTooManyRequests, "quota", "the customer's rate is used up").WithRetryAfter(wait)
+	if !g.Limiter.Take(now, x.customer.Name(), tokens) {
+		if ok, wait := g.borrowTokens(r.Context(), x, tokens); !ok {
+			level, rate, size := g.Limiter.State(now, x.customer.Name())
+			x.detail = fmt.Sprintf("need=%.0f level=%.0f of %.0f, %.0f a second here", tokens, level, size, rate)
+			return refusal.NotRun(http.StatusTooManyRequests, "quota", "the customer's rate is used up").WithRetryAfter(max(wait, shortRetryAfter))
+		}
 	}
 	x.chargedTokens = tokens
 	return nil
 }
 
+// refundTokens returns the tokens of a request that no target processed.
+func (g *Gateway) refundTokens(now time.Time, x *exchange) {
+	refund := g.RefundTokens
+	if refund == nil {
+		refund = g.Limiter.Refund
+	}
+	refund(now, x.customer.Name(), x.chargedTokens)
+}
+
 // borrowTokens borrows missing tokens from other instances for at most
 // borrowTimeoutFraction of the latency objective or of a shorter request timeout, so
-// that most of it remains, and reports whether there were enough.
-func (g *Gateway) borrowTokens(ctx context.Context, x *exchange, tokens float64) bool {
+// that most of it remains, and reports whether there were enough and, if not, the time after
+// which there may be.
+func (g *Gateway) borrowTokens(ctx context.Context, x *exchange, tokens float64) (bool, time.Duration) {
 	limit := x.deadline.Sub(x.arrived)
 	if objective := x.route.LatencyObjective(); objective > 0 {
 		limit = min(limit, objective)
@@ -231,7 +242,7 @@
 		r = refusal.Unknown(http.StatusBadGateway, "internal", "the instance failed").WithCause(err)
 	}
 	if r != nil && r.Run == refusal.RunNo && x.chargedTokens > 0 {
-		g.Limiter.Refund(now, x.customer.Name(), x.chargedTokens)
+		g.refundTokens(now, x)
 	}
 	g.logOutcome(now, x, r)
 	if r == nil {
--- a/chervilyard/gossip/connection.go
+++ b/chervilyard/gossip/connection.go
@@ -85,6 +85,8 @@
 	}
 	unknown := func(name string) bool { return !known[name] }
 	maps.DeleteFunc(g.roundTrips, func(name string, _ time.Duration) bool { return unknown(name) })
+	maps.DeleteFunc(g.pending.lists, func(name string, _ bool) bool { return unknown(name) })
+	maps.DeleteFunc(g.toldChanges, func(name string, _ uint64) bool { return unknown(name) })
 	maps.DeleteFunc(g.lastExchange, func(name string, _ int) bool { return unknown(name) })
 	maps.DeleteFunc(g.loggedSilent, func(name string, _ bool) bool { return unknown(name) })
 	maps.DeleteFunc(g.pending.requests, func(name string, _ []uint64) bool { return unknown(name) })
@@ -102,7 +104,7 @@
 func memberToProto(now time.Time, m membership.Member) *fleet.Member {
 	return &fleet.Member{
 		Name: m.Name, Run: m.Run, Region: m.Region, Centre: m.Centre, Callers: m.Callers, Forward: m.Forward,
-		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Age: AgeMillis(now, m.Heard),
+		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Capacity: m.Capacity, Age: AgeMillis(now, m.Heard),
 	}
 }
 
@@ -117,7 +119,7 @@
 func memberFromProto(written time.Time, m *fleet.Member) membership.Member {
 	return membership.Member{
 		Name: m.GetName(), Run: m.GetRun(), Region: m.GetRegion(), Centre: m.GetCentre(), Callers: m.GetCallers(),
-		Forward: m.GetForward(), Peers: m.GetPeers(), Leaving: m.GetLeaving(), Ready: m.GetReady(),
+		Forward: m.GetForward(), Peers: m.GetPeers(), Leaving: m.GetLeaving(), Ready: m.GetReady(), Capacity: m.GetCapacity(),
 		Heard: written.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
 	}
 }
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -4,6 +4,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/hub"
 	"chervilyard.example/yard/membership"
 )
 
@@ -70,6 +72,10 @@
 	// TakeSpare takes up to want tokens of a customer out of this instance's token
 	// bucket and returns the amount taken, for transfer to another instance.
 	TakeSpare func(now time.Time, customer string, want float64) float64
+	// TakeWhole takes an amount of a customer's tokens out of this instance's token
+	// bucket for a request elsewhere. If it does not, it returns the time after which the
+	// bucket may hold the amount.
+	TakeWhole func(now time.Time, customer string, amount float64) (bool, time.Duration)
 
 	mu            sync.Mutex
 	intervalCount int                         // heartbeat intervals since the start
@@ -79,8 +85,14 @@
 	roundTrips    map[string]time.Duration    // average, by member name
 	exchangeCount int                         // exchanges begun since the start
 	lastExchange  map[string]int              // exchangeCount at the last exchange, by member name
-	loggedSilent  map[string]bool             // by member name; whether it was last logged as lost
-	pending       pendingUpdates
+	plan          hub.Plan                    // of this instance's region
+	toldChanges   map[string]uint64           // number of the last change that a hub told the member, by member name
+
+	listReceivedAt time.Time       // when the last list of members was received
+	regionCount    int64           // instances of the region, including this one, as of the last interval
+	largerCount    int64           // largest count that another one of the region told since the last request
+	loggedSilent   map[string]bool // by member name; whether it was last logged as lost
+	pending        pendingUpdates
 }
 
 // Run sends heartbeats in the background until the context ends. It returns a channel
@@ -91,8 +103,13 @@
 		defer close(done)
 		ticker := time.NewTicker(heartbeatInterval)
 		defer ticker.Stop()
+		step := 1
 		for {
-			g.startInterval(ctx)
+			g.startInterval(ctx, step)
+			if next := g.nextIntervals(); next != step {
+				step = next
+				ticker.Reset(time.Duration(step) * heartbeatInterval)
+			}
 			select {
 			case <-ctx.Done():
 				g.close()
@@ -104,18 +121,19 @@
 	return done
 }
 
-// startInterval starts the heartbeats of one interval.
-func (g *Gossiper) startInterval(ctx context.Context) {
+// startInterval starts the heartbeats of the interval that follows the last one after a
+// number of intervals.
+func (g *Gossiper) startInterval(ctx context.Context, intervals int) {
+	g.mu.Lock()
+	g.intervalCount += intervals
+	pruneDue := g.intervalCount%memberListIntervals == 0
+	g.mu.Unlock()
 	now := g.Now()
 	self := g.Self(now)
 	g.Members.Evict(now, memberRetention)
-	g.mu.Lock()
-	g.intervalCount++
-	listDue := g.intervalCount%memberListIntervals == 0
-	g.mu.Unlock()
 	members := g.Members.All()
 	g.logSilentMembers(now, members)
-	if listDue {
+	if pruneDue {
 		g.prune(now, members)
 	}
 	for _, m := range g.choosePeers(now, self, members) {
@@ -130,23 +148,36 @@
 	}
 }
 
-// NotifyAll sends a heartbeat to every live member without waiting for the interval, to
-// announce a change of this instance's own state.
+// NotifyAll sends heartbeats without waiting for the interval, to announce a change of this
+// instance's own state. They go to every live member or, in a region with hubs, to those
+// that Broadcast selects.
 func (g *Gossiper) NotifyAll(ctx context.Context) {
+	if !g.Plan().Direct() {
+		g.Broadcast(ctx)
+		return
+	}
 	for _, m := range g.Members.Live(g.Now(), silentAfter) {
 		g.startExchange(ctx, m)
 	}
 }
 
 // Broadcast sends heartbeats without waiting for the interval, to announce new store
-// content. They go to all live members of the region and to a few in each other one.
+// content. They go to all live members of the region or to its hubs, and to a few members of
+// each other region unless that is the task of hubs.
 func (g *Gossiper) Broadcast(ctx context.Context) {
 	now := g.Now()
-	for _, m := range broadcastPeers(now, g.Self(now), g.Members.Live(now, silentAfter)) {
+	for _, m := range broadcastPeers(now, g.Self(now), g.Plan(), g.Members.Live(now, silentAfter)) {
 		g.startExchange(ctx, m)
 	}
 }
 
+// Plan returns the hubs of this instance's region as of the last interval.
+func (g *Gossiper) Plan() hub.Plan {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plan
+}
+
 // startExchange exchanges a heartbeat with a member in the background. It does
 // nothing while an earlier exchange with the same address is in flight.
 func (g *Gossiper) startExchange(ctx context.Context, m membership.Member) {
@@ -184,9 +215,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	h := g.Heartbeat(now, m)
-	h.Wants = g.Wants(now)
-	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, h)
+	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, g.request(now, m))
 	if err != nil {
 		return // logSilentMembers logs a failure that lasts
 	}
@@ -230,14 +259,30 @@
 	g.HandlePayload(now, now, m, &fleet.Heartbeat{Name: m.Name, Grants: reply.GetGrants()})
 }
 
+// RequestWhole asks a member for the tokens of a request, all or none of them, and reports
+// whether it got them. If the member refused, it returns the time after which it may grant
+// them.
+func (g *Gossiper) RequestWhole(ctx context.Context, m membership.Member, customer string, amount float64) (bool, time.Duration) {
+	conn, err := g.conn(m.Peers)
+	if err != nil {
+		return false, 0 // a failure that lasts shows up as missing heartbeats, which are logged
+	}
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	reply, err := fleet.NewFleetClient(conn).Ask(ctx, &fleet.Wish{
+		Name: g.Self(g.Now()).Name, Wants: []*fleet.Tokens{{Customer: customer, Amount: amount}}, Whole: true,
+	})
+	if err != nil {
+		return false, 0 // tokens that the member has taken out are lost
+	}
+	return len(reply.GetGrants()) > 0, time.Duration(reply.GetWait()) * time.Millisecond
+}
+
 // Receive processes a heartbeat that another instance sent and returns the sender. It
-// takes the latency of the message as the average round-trip time to the sender, or as
-// remoteTimeout while that is unknown.
+// takes the latency of the message as the average round-trip time to the sender, as the
+// sender tells it if it is not known here, or as remoteTimeout while neither knows it.
 func (g *Gossiper) Receive(now time.Time, h *fleet.Heartbeat) membership.Member {
-	latency := g.RoundTripTime(h.GetName())
-	if latency == 0 {
-		latency = remoteTimeout
-	}
+	latency := cmp.Or(g.RoundTripTime(h.GetName()), time.Duration(h.GetTrip())*time.Millisecond, remoteTimeout)
 	g.recordExchange(h.GetName())
 	return g.receive(now, now.Add(-latency), h)
 }
--- a/chervilyard/gossip/server.go
+++ b/chervilyard/gossip/server.go
@@ -36,14 +36,26 @@
 func (s *Server) Pulse(_ context.Context, h *fleet.Heartbeat) (*fleet.Heartbeat, error) {
 	now := s.Gossiper.Now()
 	reply := s.Gossiper.Heartbeat(now, s.Gossiper.Receive(now, h))
-	reply.Grants = s.Gossiper.takeTokens(now, h.GetWants())
+	reply.Grants = append(reply.Grants, s.Gossiper.takeTokens(now, h.GetWants())...)
 	return reply, nil
 }
 
 // Ask takes the requested tokens out of this instance's bucket as far as it can spare
-// them, and returns the amounts taken.
+// them, or whole if that is asked, and returns the amounts taken.
 func (s *Server) Ask(_ context.Context, w *fleet.Wish) (*fleet.Grant, error) {
-	return &fleet.Grant{Grants: s.Gossiper.takeTokens(s.Gossiper.Now(), w.GetWants())}, nil
+	now := s.Gossiper.Now()
+	if !w.GetWhole() {
+		return &fleet.Grant{Grants: s.Gossiper.takeTokens(now, w.GetWants())}, nil
+	}
+	grant := &fleet.Grant{}
+	for _, want := range w.GetWants() {
+		ok, wait := s.Gossiper.TakeWhole(now, want.GetCustomer(), want.GetAmount())
+		if ok {
+			grant.Grants = append(grant.Grants, want)
+		}
+		grant.Wait = max(grant.GetWait(), wait.Milliseconds())
+	}
+	return grant, nil
 }
 
 // Read returns this instance's copy of a part of the store.
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -26,6 +26,8 @@
 	Leaving bool   // the instance is shutting down
 	Ready   bool   // the instance accepts calls
 
+	Capacity int64 // of its processor, in thousandths of a core; 0 if unknown
+
 	Heard time.Time // time of the last known heartbeat; zero if there was none
 }
 
@@ -37,6 +39,7 @@
 		buf = append(append(buf, field...), 0) // zero-terminated: no field contains a zero byte
 	}
 	buf = binary.LittleEndian.AppendUint64(buf, uint64(m.Run))
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(m.Capacity))
 	return xxhash.Sum64(append(buf, boolByte(m.Leaving), boolByte(m.Ready)))
 }
 
@@ -44,6 +47,11 @@
 // is large enough for most members.
 const fingerprintCapBytes = 160
 
+// Compare orders members by capacity, the largest first, and then by name.
+func Compare(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
+}
+
 func boolByte(v bool) byte {
 	if v {
 		return 1
@@ -58,12 +66,14 @@
 	sorted        []*entry // by name
 	byName        map[string]*entry
 	byFingerprint map[uint64]*entry
+	changes       uint64 // changes of announced states so far
 }
 
 // entry is a member of a table with its fingerprint.
 type entry struct {
 	Member
 	fingerprint uint64
+	change      uint64 // number of the change to this state
 }
 
 // Update stores a member's state as of m.Heard, unless the table holds a state that
@@ -131,10 +141,50 @@
 	} else {
 		delete(t.byFingerprint, e.fingerprint)
 	}
-	e.Member, e.fingerprint = m, m.Fingerprint()
+	fingerprint := m.Fingerprint()
+	if fingerprint != e.fingerprint {
+		t.changes++
+		e.change = t.changes
+	}
+	e.Member, e.fingerprint = m, fingerprint
 	t.byFingerprint[e.fingerprint] = e
 }
 
+// Changes returns the number of changes of announced states so far.
+func (t *Table) Changes() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
+// ChangedSince returns the members whose announced state changed after the given number of
+// changes, the earliest first and at most limit of them, and the number of the last of
+// these changes.
+func (t *Table) ChangedSince(change uint64, limit int) ([]Member, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changes <= change {
+		return nil, change
+	}
+	var changed []*entry
+	for _, e := range t.sorted {
+		if e.change > change {
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.change, b.change) })
+	last := t.changes
+	if len(changed) > limit {
+		changed = changed[:limit]
+		last = changed[limit-1].change
+	}
+	list := make([]Member, len(changed))
+	for i, e := range changed {
+		list[i] = e.Member
+	}
+	return list, last
+}
+
 // deleteFunc removes the members for which del returns true. The caller must hold t.mu.
 func (t *Table) deleteFunc(del func(*entry) bool) {
 	t.sorted = slices.DeleteFunc(t.sorted, func(e *entry) bool {
--- a/yard/membership/membership_test.go
+++ b/yard/membership/membership_test.go
@@ -133,3 +133,39 @@
 		t.Errorf("member of the newest fingerprint is %+v", m)
 	}
 }
+
+// The members whose state changed are returned once each, in order and in parts.
+func TestChangedSince(t *testing.T) {
+	var table membership.Table
+	for i, name := range []string{"b", "a", "c"} {
+		table.Update(membership.Member{Name: name, Run: 1, Heard: start.Add(time.Duration(i))})
+	}
+	table.Update(membership.Member{Name: "b", Run: 1, Heard: start.Add(time.Second)}) // no change of state
+	table.Update(membership.Member{Name: "a", Run: 1, Leaving: true, Heard: start.Add(time.Second)})
+	names := func(list []membership.Member) string {
+		text := ""
+		for _, m := range list {
+			text += m.Name
+		}
+		return text
+	}
+	list, last := table.ChangedSince(0, 2)
+	if names(list) != "bc" {
+		t.Errorf("the first two changes are of %s", names(list))
+	}
+	if list, last = table.ChangedSince(last, 2); names(list) != "a" || last != table.Changes() {
+		t.Errorf("then come those of %s, up to %d of %d", names(list), last, table.Changes())
+	}
+	if list, _ := table.ChangedSince(last, 2); len(list) != 0 {
+		t.Errorf("%s changed again", names(list))
+	}
+}
+
+// Larger instances come first, then the order is by name.
+func TestCompare(t *testing.T) {
+	list := []membership.Member{{Name: "b"}, {Name: "c", Capacity: 800}, {Name: "a"}, {Name: "d", Capacity: 192}}
+	slices.SortFunc(list, membership.Compare)
+	if got := list[0].Name + list[1].Name + list[2].Name + list[3].Name; got != "cdab" {
+		t.Errorf("the order is %s", got)
+	}
+}
--- a/yard/ratelimit/ratelimit.go
+++ b/yard/ratelimit/ratelimit.go
@@ -50,9 +50,16 @@
 }
 
 // SetLimits sets the limits of all customers, by name, and the number of instances
-// that share them. Customers that are not in limits are removed. A new bucket
-// starts empty, because an earlier run of this instance may have spent its tokens.
+// that share them equally. See SetShares.
 func (l *Limiter) SetLimits(now time.Time, limits map[string]Limits, instances int) {
+	l.SetShares(now, limits, func(string) float64 { return 1 / float64(max(instances, 1)) })
+}
+
+// SetShares sets the limits of all customers, by name, and this instance's share in
+// those of each. Customers that are not in limits are removed. A new bucket
+// starts empty, because an earlier run of this instance may have spent its tokens. An
+// instance without a share admits no request of the customer, unless its rate is unlimited.
+func (l *Limiter) SetShares(now time.Time, limits map[string]Limits, share func(customer string) float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.accounts == nil {
@@ -63,7 +70,6 @@
 			delete(l.accounts, name)
 		}
 	}
-	n := float64(max(instances, 1))
 	for name, limit := range limits {
 		a := l.accounts[name]
 		if a == nil {
@@ -72,7 +78,8 @@
 		}
 		a.advance(now)
 		a.unlimited = limit.Rate <= 0
-		a.rate, a.capacity = limit.Rate/n, limit.Burst/n
+		part := share(name)
+		a.rate, a.capacity = limit.Rate*part, limit.Burst*part
 		a.level = min(a.level, a.capacity)
 	}
 }
@@ -92,7 +99,7 @@
 	}
 	a.advance(now)
 	a.demand += tokens * math.Ln2 / demandHalfLife.Seconds()
-	if a.level < min(tokens, a.capacity) {
+	if a.rate <= 0 || a.level < min(tokens, a.capacity) {
 		return false
 	}
 	a.level -= tokens
