Keep two entries of each data centre in the store, and list members only when they are missed

Two instances of each data centre now keep an entry, renewed every eight seconds; members are listed by those that know no other live one, every half second in place of five, and every ten seconds by the first of each region. A view is checked when it may become due, at most every 250 ms, in place of every 50 ms.

--- a/chervilyard/edge/announce.go
+++ b/chervilyard/edge/announce.go
@@ -3,45 +3,76 @@
 import (
 	"context"
 	"time"
+
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/pause"
 )
 
 const (
-	leaseTTL           = 10 * time.Second       // time to live of the instance's entry in the store
-	renewInterval      = 3 * time.Second        // between renewals
+	// Of each data centre, entriesPerCentre instances keep an entry in the store; the
+	// others are found through them, so that the calls do not grow with the fleet.
+	entriesPerCentre   = 2
+	leaseTTL           = 24 * time.Second       // time to live of an entry in the store
+	renewInterval      = 8 * time.Second        // between renewals
+	entryCheckInterval = time.Second            // between two checks of whether the instance keeps an entry
+	entryStartDelay    = time.Second            // after the start, in which the others may be heard
 	announceRetryDelay = 400 * time.Millisecond // after a failed call; also bounds the release of the lease
 	announceTimeout    = time.Second            // of one attempt to renew the lease or write the entry
 )
 
-// announce keeps the instance's entry in the store until the context ends, so that
-// other instances find this one. The returned channel is closed after the attempt to
-// revoke the lease.
+// announce keeps the instance's entry in the store until the context ends, while it is among
+// the first of its data centre, so that others find the fleet. The returned channel is closed
+// after the attempt to revoke the lease.
 func (e *Edge) announce(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		var lease Lease
+		var renewedAt time.Time
 		failing := false
+		pause.For(ctx, entryStartDelay)
 		for ctx.Err() == nil {
-			wait := renewInterval
-			err := e.maintainEntry(ctx, &lease)
-			if err != nil {
-				wait = announceRetryDelay
-			}
-			if failed := err != nil; failed != failing && ctx.Err() == nil {
-				failing = failed
-				e.logEntryState(err)
+			wait := entryCheckInterval
+			switch {
+			case !e.keepsEntry(e.now()):
+				e.revoke(ctx, lease)
+				lease = Lease{}
+			case lease.ID == 0 || lease.Era != e.era.Load() || e.now().Sub(renewedAt) >= renewInterval:
+				err := e.maintainEntry(ctx, &lease)
+				if err != nil {
+					wait = announceRetryDelay
+				} else {
+					renewedAt = e.now()
+				}
+				if failed := err != nil; failed != failing && ctx.Err() == nil {
+					failing = failed
+					e.logEntryState(err)
+				}
 			}
 			e.pauseUnlessEraChanges(ctx, wait)
 		}
-		if lease.ID != 0 && lease.Era == e.era.Load() { // in a later era the ID may be another's
-			endCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceRetryDelay)
-			_ = e.store.RevokeLease(endCtx, lease) // on failure the lease expires by itself
-			cancel()
-		}
+		e.revoke(ctx, lease)
 	}()
 	return done
 }
 
+// keepsEntry reports whether this instance is one of the first entriesPerCentre live ones of
+// its data centre.
+func (e *Edge) keepsEntry(now time.Time) bool {
+	centre := e.Settings().Centre
+	return e.rank(now, func(m membership.Member) bool { return m.Centre == centre }) < entriesPerCentre
+}
+
+// revoke revokes a lease, which deletes the entry. It does nothing for the zero lease.
+func (e *Edge) revoke(ctx context.Context, lease Lease) {
+	if lease.ID == 0 || lease.Era != e.era.Load() { // in a later era the ID may be another's
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceRetryDelay)
+	defer cancel()
+	_ = e.store.RevokeLease(ctx, lease) // on failure the lease expires by itself
+}
+
 // pauseUnlessEraChanges waits for d, until the context ends or until the store is known to
 // be in a later era.
 func (e *Edge) pauseUnlessEraChanges(ctx context.Context, d time.Duration) {
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -38,9 +38,10 @@
 	// targetListAge, and each further rank targetListRankDelay later.
 	targetListAge       = 600 * time.Millisecond
 	targetListRankDelay = 250 * time.Millisecond
-	// The members are listed to find the first peers; later they are known by gossip.
-	memberListAge       = 5 * time.Second
-	memberListRankDelay = time.Second
+	// The members are listed to find the first peers; later they are known by gossip, and
+	// the instance of rank 0 lists them to find others that gossip lost.
+	memberListAge   = 10 * time.Second
+	memberSearchAge = 500 * time.Millisecond // while no other instance is known to be live
 	// Newer content is fetched from another region only if the view is older than
 	// remoteFetchAge.
 	remoteFetchAge = 900 * time.Millisecond
@@ -127,7 +128,20 @@
 	configuration.Watch = func(ctx context.Context, after int64) (view.Changes, error) {
 		return e.store.Watch(ctx, PartConfiguration, after, watchDuration)
 	}
-	return []*reader.Refresher{configuration, newReader(PartTargets, targetListAge, targetListRankDelay), newReader(PartMembers, memberListAge, memberListRankDelay)}
+	members := newReader(PartMembers, memberListAge, 0)
+	members.Due = e.memberListDue
+	return []*reader.Refresher{configuration, newReader(PartTargets, targetListAge, targetListRankDelay), members}
+}
+
+// memberListDue reports whether to list the members in the store.
+func (e *Edge) memberListDue(now time.Time, age time.Duration, loaded bool) bool {
+	switch {
+	case len(e.memberTable.Live(now, liveTimeout)) == 0:
+		return !loaded || age >= memberSearchAge
+	case e.readRank(now) > 0:
+		return false
+	}
+	return !loaded || age >= memberListAge
 }
 
 func (e *Edge) digest(part string) func([]view.Item) uint64 {
@@ -139,10 +153,16 @@
 // readRank returns this instance's rank among the live instances of its region that are
 // not stopping. The instance of rank 0 reads the store first.
 func (e *Edge) readRank(now time.Time) int {
-	s := e.Settings()
-	rank := 0
+	region := e.Settings().Region
+	return e.rank(now, func(m membership.Member) bool { return m.Region == region })
+}
+
+// rank returns this instance's rank, by membership.Compare, among the live instances that
+// are not stopping and for which include returns true.
+func (e *Edge) rank(now time.Time, include func(membership.Member) bool) int {
+	self, rank := e.self(now), 0
 	e.memberTable.VisitLive(now, liveTimeout, func(m membership.Member, _ uint64) {
-		if m.Region == s.Region && !m.Leaving && m.Name < s.Name {
+		if include(m) && !m.Leaving && membership.Compare(m, self) < 0 {
 			rank++
 		}
 	})
--- a/chervilyard/reader/reader.go
+++ b/chervilyard/reader/reader.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	pollInterval = 50 * time.Millisecond
-	readTimeout  = 900 * time.Millisecond // per full read; allows for a slow store
+	// The view is checked every pollInterval, and less often, up to maxPollInterval, while
+	// it is not due soon: it may become due earlier only as other instances fail.
+	pollInterval    = 50 * time.Millisecond
+	maxPollInterval = 250 * time.Millisecond
+	readTimeout     = 900 * time.Millisecond // per full read; allows for a slow store
 	// minBackoff and maxBackoff bound the delay after a failed read.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -59,7 +62,10 @@
 	WatchTimeout time.Duration
 	// Rank returns the rank of this instance, from 0.
 	Rank func(now time.Time) int
-	Now  func() time.Time
+	// Due reports whether to read now, given the age of the view and whether it holds
+	// anything. If it is nil, MaxAge, RankDelay and Rank decide.
+	Due func(now time.Time, age time.Duration, loaded bool) bool
+	Now func() time.Time
 	// OnChange is called after a refresh that changed the content of the view.
 	OnChange  func(now time.Time)
 	Decisions *decisionlog.Log
@@ -76,21 +82,32 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			wait := pollInterval
-			if r.due(r.Now()) {
+			wait := r.timeToDue(r.Now())
+			if wait <= 0 {
 				wait = r.refresh(ctx)
 			}
-			pause.For(ctx, wait)
+			pause.For(ctx, min(wait, maxPollInterval))
 		}
 	}()
 	return done
 }
 
-// due reports whether the view is empty or has reached the read age of this
-// instance's rank.
-func (r *Refresher) due(now time.Time) bool {
+// timeToDue returns 0 if the view is empty or has reached the read age of this instance's
+// rank, or if Due reports that it is due. Otherwise it returns the time until then, at least
+// pollInterval.
+func (r *Refresher) timeToDue(now time.Time) time.Duration {
 	age, loaded := r.View.Age(now)
-	return !loaded || age >= r.MaxAge+time.Duration(r.Rank(now))*r.RankDelay
+	if r.Due != nil {
+		if r.Due(now, age, loaded) {
+			return 0
+		}
+		return maxPollInterval
+	}
+	left := r.MaxAge + time.Duration(r.Rank(now))*r.RankDelay - age
+	if !loaded || left <= 0 {
+		return 0
+	}
+	return max(left, pollInterval)
 }
 
 // refresh reads or watches once and returns the delay before the next check.
--- a/chervilyard/reader/reader_test.go
+++ b/chervilyard/reader/reader_test.go
@@ -51,7 +51,7 @@
 func (sim *region) advance() {
 	sim.now = sim.now.Add(simulationTick)
 	for i, r := range sim.refreshers {
-		if sim.now.Before(sim.retryAt[i]) || !r.due(sim.now) {
+		if sim.now.Before(sim.retryAt[i]) || r.timeToDue(sim.now) > 0 {
 			continue
 		}
 		sim.reads++
