Let the seeds of a fleet that starts read the store for the others

One that is no seed now waits up to 0.4 s for another instance to provide the content, counts one rank more for 4 s, and decides after 4 s whether it keeps an entry, after 1 s if it hears nobody.

TestFleetStartsWithFewCalls failed before with 42 calls of 6 instances and 124 of 24, 24 allowed. Eight ranks more were tried: TestReaderFailover failed, since a withdrawn key was in use for over 3 s beside a reader that the store refused.

--- a/chervilyard/edge/announce.go
+++ b/chervilyard/edge/announce.go
@@ -15,7 +15,8 @@
 	leaseTTL           = 24 * time.Second       // time to live of an entry in the store
 	renewInterval      = 8 * time.Second        // between renewals
 	entryCheckInterval = time.Second            // between two checks of whether the instance keeps an entry
-	entryStartDelay    = time.Second            // after the start, in which the others may be heard
+	entryStartDelay    = startReadPeriod        // after the start, in which the others are heard; aloneDelay if none is
+	aloneDelay         = time.Second            // after the start
 	announceRetryDelay = 400 * time.Millisecond // after a failed call; also bounds the release of the lease
 	announceTimeout    = time.Second            // of one attempt to renew the lease or write the entry
 )
@@ -30,7 +31,7 @@
 		var lease Lease
 		var renewedAt time.Time
 		failing := false
-		pause.For(ctx, entryStartDelay)
+		e.awaitOthers(ctx)
 		for ctx.Err() == nil {
 			wait := entryCheckInterval
 			switch {
@@ -56,6 +57,14 @@
 	return done
 }
 
+// awaitOthers waits for entryStartDelay, or for aloneDelay if no other instance is heard.
+func (e *Edge) awaitOthers(ctx context.Context) {
+	pause.For(ctx, aloneDelay)
+	for ctx.Err() == nil && e.now().Sub(e.started) < entryStartDelay && len(e.memberTable.Live(e.now(), liveTimeout)) > 0 {
+		pause.For(ctx, announceRetryDelay)
+	}
+}
+
 // keepsEntry reports whether this instance is one of the first entriesPerCentre live ones of
 // its data centre.
 func (e *Edge) keepsEntry(now time.Time) bool {
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -42,6 +42,12 @@
 	// the instance of rank 0 lists them to find others that gossip lost.
 	memberListAge   = 10 * time.Second
 	memberSearchAge = 500 * time.Millisecond // while no other instance is known to be live
+	// An instance that has just started leaves reading the store to the seeds of the fleet
+	// for startReadDelay, and then, if it knows a live instance of its region, to those of
+	// lower ranks: it counts startRanks more until startReadPeriod is over.
+	startReadDelay  = 400 * time.Millisecond
+	startReadPeriod = 4 * time.Second
+	startRanks      = 1
 	// Newer content is fetched from another region only if the view is older than
 	// remoteFetchAge.
 	remoteFetchAge = 900 * time.Millisecond
@@ -109,9 +115,14 @@
 
 // readers returns a reader for each part of the store.
 func (e *Edge) readers() []*reader.Refresher {
+	delay := startReadDelay
+	if !e.hasOtherSeeds() {
+		delay = 0
+	}
 	newReader := func(part string, maxAge, rankDelay time.Duration) *reader.Refresher {
 		return &reader.Refresher{
-			Part: part, View: e.views[part], MaxAge: maxAge, RankDelay: rankDelay, Rank: e.readRank, Now: e.now, Decisions: e.decisions,
+			StartDelay: delay,
+			Part:       part, View: e.views[part], MaxAge: maxAge, RankDelay: rankDelay, Rank: e.readRank, Now: e.now, Decisions: e.decisions,
 			Read:     func(ctx context.Context) (view.Snapshot, error) { return e.store.List(ctx, part) },
 			Digest:   e.digest(part),
 			OnChange: func(now time.Time) { e.contentChanged(now, part, true) },
@@ -153,8 +164,25 @@
 // readRank returns this instance's rank among the live instances of its region that are
 // not stopping. The instance of rank 0 reads the store first.
 func (e *Edge) readRank(now time.Time) int {
-	region := e.Settings().Region
-	return e.rank(now, func(m membership.Member) bool { return m.Region == region })
+	region, peers := e.Settings().Region, 0
+	rank := e.rank(now, func(m membership.Member) bool {
+		if m.Region != region {
+			return false
+		}
+		peers++
+		return true
+	})
+	if peers > 0 && now.Sub(e.started) < startReadPeriod && e.hasOtherSeeds() {
+		rank += startRanks
+	}
+	return rank
+}
+
+// hasOtherSeeds reports whether the settings name seeds of the fleet, and this instance is
+// none of them.
+func (e *Edge) hasOtherSeeds() bool {
+	s := e.Settings()
+	return len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeerAddr)
 }
 
 // rank returns this instance's rank, by membership.Compare, among the live instances that
--- a/chervilyard/reader/reader.go
+++ b/chervilyard/reader/reader.go
@@ -22,7 +22,9 @@
 	// it is not due soon: it may become due earlier only as other instances fail.
 	pollInterval    = 50 * time.Millisecond
 	maxPollInterval = 250 * time.Millisecond
-	readTimeout     = 900 * time.Millisecond // per full read; allows for a slow store
+	// startPollInterval is the time between two checks of an empty view in StartDelay.
+	startPollInterval = 10 * time.Millisecond
+	readTimeout       = 900 * time.Millisecond // per full read; allows for a slow store
 	// minBackoff and maxBackoff bound the delay after a failed read.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -58,6 +60,9 @@
 	// after a successful refresh does not wait for the poll interval, so that
 	// rank 0 refreshes continuously.
 	MaxAge, RankDelay time.Duration
+	// StartDelay is how long Run waits before the first read for another instance to
+	// provide the content.
+	StartDelay time.Duration
 	// WatchTimeout is the timeout of one call of Watch.
 	WatchTimeout time.Duration
 	// Rank returns the rank of this instance, from 0.
@@ -81,6 +86,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		for end := r.Now().Add(r.StartDelay); ctx.Err() == nil && !r.View.Loaded() && r.Now().Before(end); {
+			pause.For(ctx, startPollInterval)
+		}
 		for ctx.Err() == nil {
 			wait := r.timeToDue(r.Now())
 			if wait <= 0 {
