--- a/chervilyard/gossip/hub_test.go
+++ b/chervilyard/gossip/hub_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/yard/fleet"
@@ -20,10 +21,11 @@
 	states    map[string]*membership.Member
 	stopped   map[string]bool
 	exchanges int
+	bytes     map[string]int // sent and received by each instance
 }
 
 func newSimulatedRegion(n int) *simulatedRegion {
-	r := &simulatedRegion{now: time.Unix(1_700_000_000, 0), gossipers: make(map[string]*Gossiper), states: make(map[string]*membership.Member), stopped: make(map[string]bool)}
+	r := &simulatedRegion{now: time.Unix(1_700_000_000, 0), gossipers: make(map[string]*Gossiper), states: make(map[string]*membership.Member), stopped: make(map[string]bool), bytes: make(map[string]int)}
 	for i := range n {
 		m := &membership.Member{Name: fmt.Sprintf("m%03d", i), Run: 1, Region: "own", Peers: fmt.Sprintf("m%03d", i), Ready: true}
 		if i%10 == 7 {
@@ -37,7 +39,7 @@
 				return state
 			},
 			Members: &membership.Table{}, Decisions: decisionlog.NewWithHistory(hclog.NewNullLogger(), 1),
-			Payload:       func(time.Time, membership.Member) *fleet.Heartbeat { return &fleet.Heartbeat{} },
+			Payload:       func(_ time.Time, to membership.Member) *fleet.Heartbeat { return r.payload(m.Name, to) },
 			Wants:         func(time.Time) []*fleet.Tokens { return nil },
 			HandlePayload: func(time.Time, time.Time, membership.Member, *fleet.Heartbeat) {},
 		}
@@ -45,6 +47,24 @@
 	return r
 }
 
+// payload returns loads of 4 targets or, from a hub, of the 50 targets of the region, and the
+// digests of two parts of the store.
+func (r *simulatedRegion) payload(from string, to membership.Member) *fleet.Heartbeat {
+	loads, targets := &fleet.Loads{}, 4
+	h := &fleet.Heartbeat{Loads: loads}
+	if plan := r.gossipers[from].Plan(); plan.Includes(from) && !plan.Includes(to.Name) {
+		h.Loads, h.Others, targets = nil, loads, 50
+	}
+	for i := range targets {
+		loads.Targets = append(loads.Targets, uint32(i)<<20)
+		loads.Open, loads.Waiting, loads.Memory = append(loads.Open, 9), append(loads.Waiting, 2300), append(loads.Memory, 120_000)
+	}
+	for _, part := range []string{"configuration", "targets"} {
+		h.Digests = append(h.Digests, &fleet.Digest{Part: part, Revision: 4000, Digest: 1 << 60, Age: 700})
+	}
+	return h
+}
+
 // exchange exchanges a heartbeat, unless the receiver has stopped.
 func (r *simulatedRegion) exchange(from string, to membership.Member) {
 	g, other := r.gossipers[from], r.gossipers[to.Peers]
@@ -56,6 +76,9 @@
 	h := g.request(r.now, to)
 	arrived := r.now.Add(time.Millisecond)
 	reply := other.Heartbeat(arrived, other.Receive(arrived, h))
+	size := proto.Size(h) + proto.Size(reply)
+	r.bytes[from] += size
+	r.bytes[to.Peers] += size
 	g.recordRoundTrip(to.Name, 2*time.Millisecond)
 	g.receive(arrived.Add(time.Millisecond), r.now, reply)
 }
@@ -147,3 +170,23 @@
 		}
 	}
 }
+
+// Heartbeats of the planned size may take 15 KB/s of each instance, sent and received.
+func TestControlBytesWithHubs(t *testing.T) {
+	const limit = 15_000.0
+	for _, n := range []int{60, 120} {
+		r := newSimulatedRegion(n)
+		r.run(4 * time.Second)
+		r.bytes = make(map[string]int)
+		r.run(2 * time.Second)
+		total, most := 0, 0
+		for _, size := range r.bytes {
+			total, most = total+size, max(most, size)
+		}
+		mean, highest := float64(total)/float64(n)/2, float64(most)/2
+		t.Logf("%d instances: %.1f KB/s for an instance on average, %.1f KB/s at most", n, mean/1000, highest/1000)
+		if highest > limit {
+			t.Errorf("%d instances: %.1f KB/s for one, %.1f KB/s on average", n, highest/1000, mean/1000)
+		}
+	}
+}
