--- a/chervilyard/resolve/resolve.go
+++ b/chervilyard/resolve/resolve.go
@@ -176,7 +176,7 @@
 	c.Stream = b.Stream
 	c.NonIdempotent = !r.Repeatable()
 	c.Prompt = prompt
-	promptBytes := len(prompt) + len(b.Tools) + len(b.Functions) + len(b.ResponseFormat)
+	promptBytes := len(prompt) + b.otherPromptBytes(chat)
 	c.MaxPromptTokens = math.Ceil(float64(promptBytes)/r.MinBytesPerToken()) + float64(messageOverheadTokens*max(len(b.Messages), 1))
 	c.MaxTokens = c.MaxPromptTokens + float64(answerLimit)
 	c.TargetPath = c.Path
@@ -229,6 +229,24 @@
 	return text, nil
 }
 
+// otherPromptBytes returns the bytes that a target may read in addition to the text that
+// prompt returns: the fields of messages beside role and content, such as tool calls, the
+// prompt of a request that also has messages, and the descriptions of tools and formats.
+func (b completionRequest) otherPromptBytes(chat bool) int {
+	n := len(b.Tools) + len(b.Functions) + len(b.ResponseFormat)
+	for _, m := range b.Messages {
+		for name, value := range m {
+			if name != "role" && name != "content" {
+				n += len(value)
+			}
+		}
+	}
+	if !chat && len(b.Messages) > 0 {
+		n += len(b.Prompt)
+	}
+	return n
+}
+
 // removeAliases removes fields whose names a decoder may take for one of the known
 // names, so that the target reads the same fields as the gateway.
 func removeAliases(fields map[string]json.RawMessage, known map[string]string) {
--- a/chervilyard/resolve/resolve_test.go
+++ b/chervilyard/resolve/resolve_test.go
@@ -151,6 +151,28 @@
 	})
 }
 
+// A target may read more than the role and content of messages, and in /v1/completions the
+// prompt whatever else the request has.
+func TestReservedTokensCoverOtherFields(t *testing.T) {
+	d, err := document.Parse("x", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := resolve.Stage{Region: func() string { return "r" }}
+	text := strings.Repeat("x", 400)
+	for path, body := range map[string]string{
+		resolve.CompletionsPath: `{"model":"m","prompt":"` + text + `","messages":[{"role":"user","content":"x"}]}`,
+		resolve.ChatPath:        `{"model":"m","messages":[{"role":"assistant","content":"x","tool_calls":[{"function":{"arguments":"` + text + `"}}]}]}`,
+	} {
+		c := &call.Call{Method: http.MethodPost, Path: path, Body: []byte(body), Document: d, Header: http.Header{}}
+		if err := s.Run(c); err != nil {
+			t.Errorf("%s: %v", path, err)
+		} else if c.MaxPromptTokens < 418 {
+			t.Errorf("%s: %v tokens are reserved for 400 characters and more", path, c.MaxPromptTokens)
+		}
+	}
+}
+
 func drawText(t *rapid.T) string {
 	return `"` + strings.Repeat("x", rapid.IntRange(0, 200).Draw(t, "length")) + `"`
 }
