Count the bytes between instances by kind and by whether they leave the region

Bytes between regions are the largest price of the deposit desk, and nothing told what makes them. chervil_peer_bytes_total and chervil_peer_messages_total now count heartbeats, requests for tokens, fetched content and the bodies of forwarded requests on the users' platform as well.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -159,7 +159,8 @@
 	g.RetryLimits = func() retry.Limits { return e.Settings().RetryLimits }
 	g.Picker, g.Limiter, g.RetryBudget, g.Pool, g.Decisions = &e.picker, &e.quota, &e.budget, &e.pool, e.decisions
 	g.Metrics = gateway.Metrics{
-		Retry: e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait,
+		Forwarded: func(bytes int) { e.countPeerMessage("forward", true, bytes) },
+		Retry:     e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait,
 		RequestDone: func(route, code string, status int, duration, firstByte time.Duration) {
 			e.traffic.count(e.now(), route)
 			e.meter.ObserveRequest(route, code, status, duration, firstByte)
@@ -188,6 +189,15 @@
 	}
 }
 
+// countPeerMessage counts a message to another instance by its kind and by whether that is
+// of another region.
+func (e *Edge) countPeerMessage(kind string, remote bool, bytes int) {
+	if remote {
+		kind += "_remote"
+	}
+	e.meter.CountPeerMessage(kind, bytes)
+}
+
 const (
 	contentPollInterval = 10 * time.Millisecond // between two checks for the first configuration and target list
 	readHeaderTimeout   = 3 * time.Second       // to read a caller's header; a slower caller would only occupy a connection
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -27,6 +27,7 @@
 		Self: e.self, Members: &e.memberTable, Now: e.now, Decisions: e.decisions,
 		Seeds:   func() []string { return e.Settings().Seeds },
 		Payload: e.heartbeatPayload, Wants: e.wantedTokens, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare, TakeWhole: e.takeWhole,
+		OnMessage: e.countPeerMessage,
 	}
 }
 
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -166,6 +166,9 @@
 	header := x.req.Header.Clone()
 	if a.dest.remote != nil {
 		x.setForwardingHeaders(header, remaining)
+		if g.Metrics.Forwarded != nil {
+			g.Metrics.Forwarded(len(x.body))
+		}
 		return g.Pool.Do(ctx, a.dest.remote.Member.Forward, &pool.Request{
 			Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Body: x.body,
 		})
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// RequestDone is called at the end of each request with its duration and the time
 	// to the first byte, 0 if there was none.
 	RequestDone func(route, code string, status int, duration, firstByte time.Duration)
+	// Forwarded is called for each request that is sent to another region, with the size of
+	// its body in bytes.
+	Forwarded func(bytes int)
 	// Retry is called for each retry.
 	Retry func(service, reason string)
 	// ResponseEnd is called for each response that only the end of its connection ends,
--- a/chervilyard/gossip/connection.go
+++ b/chervilyard/gossip/connection.go
@@ -60,7 +60,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*remoteTimeout)
 	defer cancel()
-	return fleet.NewFleetClient(conn).Read(ctx, &fleet.Part{Name: part})
+	request := &fleet.Part{Name: part}
+	content, err := fleet.NewFleetClient(conn).Read(ctx, request)
+	g.countMessages("content", m, request, content)
+	return content, err
 }
 
 // prune closes connections that have been idle for connIdleTimeout and deletes the
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/yard/fleet"
@@ -77,6 +78,11 @@
 	// bucket may hold the amount.
 	TakeWhole func(now time.Time, customer string, amount float64) (bool, time.Duration)
 
+	// OnMessage is called for each message that this instance sends to begin an exchange,
+	// and for the reply, with the kind of exchange, whether the member is of another region,
+	// and the encoded size in bytes. It may be nil.
+	OnMessage func(kind string, remote bool, bytes int)
+
 	mu            sync.Mutex
 	intervalCount int                         // heartbeat intervals since the start
 	conns         map[string]*grpc.ClientConn // by address
@@ -215,7 +221,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, g.request(now, m))
+	h := g.request(now, m)
+	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, h)
+	g.countMessages("heartbeat", m, h, reply)
 	if err != nil {
 		return // logSilentMembers logs a failure that lasts
 	}
@@ -224,6 +232,16 @@
 	g.receive(received, now, reply)
 }
 
+// countMessages passes the sizes of a message to a member and of its reply to OnMessage. The
+// reply may be nil.
+func (g *Gossiper) countMessages(kind string, m membership.Member, message, reply proto.Message) {
+	if g.OnMessage == nil {
+		return
+	}
+	remote := m.Region != "" && m.Region != g.Self(g.Now()).Region
+	g.OnMessage(kind, remote, proto.Size(message)+proto.Size(reply))
+}
+
 // RequestTokens requests tokens of a customer from the members, an equal share of
 // the amount from each, and waits for all replies. Received tokens are passed to
 // HandlePayload.
@@ -249,9 +267,9 @@
 	// peer has already taken the tokens out of its bucket.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remoteTimeout)
 	defer cancel()
-	reply, err := fleet.NewFleetClient(conn).Ask(ctx, &fleet.Wish{
-		Name: self.Name, Wants: []*fleet.Tokens{{Customer: customer, Amount: amount}},
-	})
+	wish := &fleet.Wish{Name: self.Name, Wants: []*fleet.Tokens{{Customer: customer, Amount: amount}}}
+	reply, err := fleet.NewFleetClient(conn).Ask(ctx, wish)
+	g.countMessages("tokens", m, wish, reply)
 	if err != nil {
 		return
 	}
@@ -269,9 +287,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
 	defer cancel()
-	reply, err := fleet.NewFleetClient(conn).Ask(ctx, &fleet.Wish{
-		Name: g.Self(g.Now()).Name, Wants: []*fleet.Tokens{{Customer: customer, Amount: amount}}, Whole: true,
-	})
+	wish := &fleet.Wish{Name: g.Self(g.Now()).Name, Wants: []*fleet.Tokens{{Customer: customer, Amount: amount}}, Whole: true}
+	reply, err := fleet.NewFleetClient(conn).Ask(ctx, wish)
+	g.countMessages("tokens", m, wish, reply)
 	if err != nil {
 		return false, 0 // tokens that the member has taken out are lost
 	}
--- a/chervilyard/gossip/tokens_test.go
+++ b/chervilyard/gossip/tokens_test.go
@@ -22,6 +22,12 @@
 		g.Wants = func(time.Time) []*fleet.Tokens { return []*fleet.Tokens{{Customer: "c", Amount: 8}} }
 		g.TakeSpare = func(_ time.Time, _ string, want float64) float64 { return want / 2 }
 	}
+	messages, bytes := 0, 0
+	sender.OnMessage = func(kind string, remote bool, n int) {
+		if kind == "heartbeat" && !remote {
+			messages, bytes = messages+1, bytes+n
+		}
+	}
 	var replies []*fleet.Heartbeat
 	sender.HandlePayload = func(_, _ time.Time, _ membership.Member, h *fleet.Heartbeat) { replies = append(replies, h) }
 	s := NewServer(replier, func(time.Time, string) *fleet.Content { return nil })
@@ -37,6 +43,9 @@
 	if wants := replies[0].GetWants(); len(wants) != 0 {
 		t.Errorf("the reply requests %v", wants)
 	}
+	if messages != 1 || bytes < 100 {
+		t.Errorf("%d exchanges of %d bytes are counted", messages, bytes)
+	}
 	sender.close()
 	s.Stop()
 	if err := <-done; err != nil {
