--- a/chervilyard/edge/entries_test.go
+++ b/chervilyard/edge/entries_test.go
@@ -1,22 +1,24 @@
 package edge_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
 )
 
-// entries returns the number of instances with an entry in the store.
-func (m *memoryStore) entries() int {
+// entries returns the names of the instances with an entry in the store, sorted.
+func (m *memoryStore) entries() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
+	var names []string
 	for key, it := range m.items {
-		if strings.HasPrefix(key, "members/") && it.Value != nil {
-			n++
+		if name, ok := strings.CutPrefix(key, "members/"); ok && it.Value != nil {
+			names = append(names, name)
 		}
 	}
-	return n
+	slices.Sort(names)
+	return names
 }
 
 func (m *memoryStore) callCount() int {
@@ -38,15 +40,15 @@
 			f.start("east", 10+i)
 		}
 		f.waitReady()
-		eventually(t, 8*time.Second, "two entries", func() bool { return f.store.entries() == 2 })
+		eventually(t, 8*time.Second, "two entries", func() bool { return slices.Equal(f.store.entries(), []string{"east-10", "east-11"}) })
 		before := f.store.callCount()
 		time.Sleep(3 * time.Second)
 		calls[n] = f.store.callCount() - before
-		if got := f.store.entries(); got != 2 {
-			t.Errorf("%d of %d instances keep entries", got, n)
+		if got := f.store.entries(); len(got) != 2 {
+			t.Errorf("%v of %d instances keep entries", got, n)
 		}
 		f.edges["east-10"].Stop()
-		eventually(t, 6*time.Second, "another entry", func() bool { return f.store.entries() == 2 })
+		eventually(t, 6*time.Second, "another entry", func() bool { return slices.Equal(f.store.entries(), []string{"east-11", "east-12"}) })
 	}
 	if calls[12] > calls[3]+calls[3]/4+2 {
 		t.Errorf("%d calls of 3 instances, %d of 12", calls[3], calls[12])
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -231,7 +231,11 @@
 		},
 		RevokeLease: func(_ context.Context, l edge.Lease) error {
 			time.Sleep(m.stallTime())
-			return errors.Join(errLeaseNotFound, m.useLease(name, l))
+			err := m.useLease(name, l)
+			if err == nil {
+				m.put("members/"+name, nil)
+			}
+			return errors.Join(errLeaseNotFound, err)
 		},
 		Announce: func(_ context.Context, member membership.Member, l edge.Lease) error {
 			if err := m.checkAccess(name); err != nil {
