Ask a member that was silent for its list of members

After a cut in halves the hubs of each half found single members of the other by probing, one a second: of a region of 120 instances one knew 62 live ones 4 s after the end of the cut. A member that returns is asked for its list, since others return with it. TestRegionInHalves failed before, for 120 instances.

--- a/chervilyard/gossip/hub_test.go
+++ b/chervilyard/gossip/hub_test.go
@@ -20,6 +20,7 @@
 	gossipers map[string]*Gossiper
 	states    map[string]*membership.Member
 	stopped   map[string]bool
+	apart     map[string]bool // instances that reach each other only
 	exchanges int
 	bytes     map[string]int // sent and received by each instance
 }
@@ -69,7 +70,7 @@
 func (r *simulatedRegion) exchange(from string, to membership.Member) {
 	g, other := r.gossipers[from], r.gossipers[to.Peers]
 	g.recordExchange(to.Name)
-	if r.stopped[to.Peers] {
+	if r.stopped[to.Peers] || r.apart[from] != r.apart[to.Peers] {
 		return
 	}
 	r.exchanges++
@@ -171,6 +172,28 @@
 	}
 }
 
+// Pattern: half of a large region is cut off from the other half, longer than silence lasts.
+// Both halves go on with hubs of their own, and know each other soon after the end of the cut.
+func TestRegionInHalves(t *testing.T) {
+	for _, n := range []int{26, 120} {
+		r := newSimulatedRegion(n)
+		r.run(4 * time.Second)
+		r.apart = make(map[string]bool)
+		for _, name := range r.names[:n/2] {
+			r.apart[name] = true
+		}
+		r.run(10 * time.Second)
+		if live := r.live(); live != n/2-1 {
+			t.Errorf("%d instances in halves: one knows %d live members", n, live)
+		}
+		r.apart = nil
+		r.run(4 * time.Second)
+		if live := r.live(); live != n-1 {
+			t.Errorf("%d instances: one knows %d live members 4 s after the cut", n, live)
+		}
+	}
+}
+
 // Heartbeats of the planned size may take 15 KB/s of each instance, sent and received.
 func TestControlBytesWithHubs(t *testing.T) {
 	const limit = 15_000.0
--- a/chervilyard/gossip/updates.go
+++ b/chervilyard/gossip/updates.go
@@ -96,7 +96,8 @@
 
 // request returns the heartbeat with which to begin an exchange with a member. It asks for
 // the list of members if none has been received for some time, since the receiver sends
-// none by itself if it knows of hubs, and if another one of the region knows more instances.
+// none by itself if it knows of hubs, if another one of the region knows more instances, and
+// if the member was silent: others may have returned with it.
 func (g *Gossiper) request(now time.Time, to membership.Member) *fleet.Heartbeat {
 	h := g.Heartbeat(now, to)
 	h.Wants = g.Wants(now)
@@ -107,7 +108,7 @@
 	if !g.plan.Direct() {
 		interval = hubListInterval
 	}
-	h.List = now.Sub(g.listReceivedAt) >= interval || g.regionCount < g.largerCount
+	h.List = now.Sub(g.listReceivedAt) >= interval || g.regionCount < g.largerCount || now.Sub(to.Heard) > silentAfter
 	g.largerCount = 0
 	return h
 }
