Divide limits by the size of the fleet that entries tell, for ten seconds after a start

With few entries in the store, an instance that starts no longer reads there how many others share the limits. After all of a large fleet restart, each knows few others for a second or more: 295 instances that know five others each would hold 49 times a customer's rate in all, likewise of the extra retries and of the pace of cold targets.

--- a/chervilyard/edge/announce.go
+++ b/chervilyard/edge/announce.go
@@ -72,6 +72,19 @@
 	return e.rank(now, func(m membership.Member) bool { return m.Centre == centre }) < entriesPerCentre
 }
 
+// entry returns the content of the instance's entry.
+func (e *Edge) entry(now time.Time) membership.Member {
+	m := e.self(now)
+	m.Fleet, m.Neighbours = 1, 1
+	for _, other := range e.sharingMembers(now) {
+		m.Fleet++
+		if other.Region == m.Region {
+			m.Neighbours++
+		}
+	}
+	return m
+}
+
 // revoke revokes a lease, which deletes the entry. It does nothing for the zero lease.
 func (e *Edge) revoke(ctx context.Context, lease Lease) {
 	if lease.ID == 0 || lease.Era != e.era.Load() { // in a later era the ID may be another's
@@ -115,7 +128,7 @@
 		return err
 	}
 	e.noteEra(granted.Era)
-	if err := e.store.Announce(ctx, e.self(e.now()), granted); err != nil {
+	if err := e.store.Announce(ctx, e.entry(e.now()), granted); err != nil {
 		e.noteEraOf(err)
 		return err
 	}
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -64,6 +64,7 @@
 	quota       ratelimit.Limiter
 	division    atomic.Pointer[division.Division] // of the customers' limits; nil before a configuration is known
 	refunds     refunds
+	sizes       listedSizes
 	budget      retry.Budget
 	pool        pool.Pool
 	memberTable membership.Table
@@ -265,7 +266,8 @@
 	for name, limits := range c.Customers() {
 		quotaLimits[name] = ratelimit.Limits{Rate: limits.Rate(), Burst: limits.Burst()}
 	}
-	d := division.New(e.self(now), e.sharingMembers(now))
+	fleetSize, _ := e.sizes.get(now, e.started)
+	d := division.New(e.self(now), e.sharingMembers(now), fleetSize)
 	e.division.Store(&d)
 	e.quota.SetShares(now, quotaLimits, d.Share)
 	e.refunds.retain(func(member string) bool {
@@ -281,7 +283,8 @@
 	if others == 0 && !e.views[PartMembers].Loaded() {
 		return 0
 	}
-	return 1 + others
+	fleetSize, _ := e.sizes.get(now, e.started)
+	return max(1+others, fleetSize)
 }
 
 // sharingMembers returns the other members that may use a share of fleet-wide limits:
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -159,5 +159,9 @@
 		return placement.ColdShare{RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests} // Instances is zero: no share
 	}
 	others := slices.DeleteFunc(e.sharingMembers(now), func(m membership.Member) bool { return m.Region != s.Region })
-	return placement.ColdShare{Instances: len(others) + 1, Rank: membership.Rank(s.Name, others), RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests}
+	share := placement.ColdShare{Instances: len(others) + 1, Rank: membership.Rank(s.Name, others), RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests}
+	if _, regionSize := e.sizes.get(now, e.started); regionSize > share.Instances {
+		share.Instances, share.Rank = regionSize, regionSize-1 // its rank among all is not known yet
+	}
+	return share
 }
--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -65,6 +65,9 @@
 type Store struct {
 	// List returns all items of a part.
 	List func(ctx context.Context, part string) (view.Snapshot, error)
+	// ListStale is like List, but the content may be some seconds old, and the call is
+	// cheaper.
+	ListStale func(ctx context.Context, part string) (view.Snapshot, error)
 	// Watch returns the changes of a part after a revision, and the new revision. If
 	// there are none yet, it waits for them for up to wait. Deleted items have a nil
 	// value. The error is reader.ErrCompacted if the changes are no longer available.
@@ -140,19 +143,25 @@
 		return e.store.Watch(ctx, PartConfiguration, after, watchDuration)
 	}
 	members := newReader(PartMembers, memberListAge, 0)
-	members.Due = e.memberListDue
+	members.Due, members.StartDelay = e.memberListDue, 0
+	members.Read = func(ctx context.Context) (view.Snapshot, error) {
+		if !e.views[PartMembers].Loaded() {
+			return e.store.ListStale(ctx, PartMembers) // for the size of the fleet, which is seldom new
+		}
+		return e.store.List(ctx, PartMembers)
+	}
 	return []*reader.Refresher{configuration, newReader(PartTargets, targetListAge, targetListRankDelay), members}
 }
 
 // memberListDue reports whether to list the members in the store.
 func (e *Edge) memberListDue(now time.Time, age time.Duration, loaded bool) bool {
 	switch {
+	case !loaded:
+		return true
 	case len(e.memberTable.Live(now, liveTimeout)) == 0:
-		return !loaded || age >= memberSearchAge
-	case e.readRank(now) > 0:
-		return false
+		return age >= memberSearchAge
 	}
-	return !loaded || age >= memberListAge
+	return age >= memberListAge && e.readRank(now) == 0
 }
 
 func (e *Edge) digest(part string) func([]view.Item) uint64 {
@@ -253,6 +262,7 @@
 	for _, err := range errs {
 		e.logDecision("member", "entry not readable", err.Error())
 	}
+	e.sizes.merge(members, e.Settings().Region)
 	e.memberTable.MergeListing(slices.DeleteFunc(members, func(m membership.Member) bool { return m.Name == e.Settings().Name }))
 }
 
--- a/yard/division/division.go
+++ b/yard/division/division.go
@@ -25,9 +25,10 @@
 	plan      hub.Plan
 }
 
-// New returns the division among an instance and the others that may use shares.
-func New(self membership.Member, others []membership.Member) Division {
-	d := Division{self: self, instances: len(others) + 1, regions: make(map[string]region)}
+// New returns the division among an instance and the others that may use shares. If the fleet
+// has more instances, of which this one has not heard yet, the shares are smaller.
+func New(self membership.Member, others []membership.Member, fleetSize int) Division {
+	d := Division{self: self, instances: max(len(others)+1, fleetSize), regions: make(map[string]region)}
 	for _, m := range append(others, self) {
 		r := d.regions[m.Region]
 		r.instances = append(r.instances, m)
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -28,11 +28,15 @@
 
 	Capacity int64 // of its processor, in thousandths of a core; 0 if unknown
 
+	// How many instances of the fleet and of its region the instance knew, including
+	// itself, when it wrote its entry in the store. Heartbeats do not carry it.
+	Fleet, Neighbours int
+
 	Heard time.Time // time of the last known heartbeat; zero if there was none
 }
 
 // Fingerprint returns a fingerprint of the announced state. It covers every field
-// except Heard.
+// except Heard and those of the entry in the store only.
 func (m Member) Fingerprint() uint64 {
 	buf := make([]byte, 0, fingerprintCapBytes)
 	for _, field := range []string{m.Name, m.Region, m.Centre, m.Callers, m.Forward, m.Peers} {
