--- a/yard/placement/stale_loads_test.go
+++ b/yard/placement/stale_loads_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,7 +142,8 @@
 	if r.ticket == nil {
 		return
 	}
-	fmt.Sscanf(r.ticket.Target().Name(), "engine%d", &r.engine)
+	name := r.ticket.Target().Name()
+	r.engine = slices.IndexFunc(f.targets, func(t target.Target) bool { return t.Name() == name })
 	e := &f.engines[r.engine]
 	f.mostOpen = max(f.mostOpen, e.running+len(e.waiting)+1)
 	if e.running >= f.targets[0].Capacity() {
