Restore the checks of heartbeats that were narrowed without a reason

Cause: the rewritten TestLoadAge watched 2.5 s in place of 10 in all sizes, and TestBroadcastFanout was given a plan without hubs for a region of 15, which has hubs since. Change: ten seconds again for the sizes that were tested before (2.5 s stays for the new ones, 100 to 333); TestBroadcastFanout uses the plan of the region, with and without hubs, at a hub and at another.

--- a/chervilyard/gossip/fanout.go
+++ b/chervilyard/gossip/fanout.go
@@ -46,8 +46,8 @@
 // choosePeers returns the members to send a heartbeat to in this interval. Within the
 // region it prefers those whose last exchange is the longest ago: exchanges at regular
 // distances keep loads half as old, on average, as exchanges at random ones. In a region with
-// hubs only they are chosen there, and only hubs send heartbeats to other regions and to
-// silent members. It reorders the slice members.
+// hubs it chooses hubs only, and an instance that is not one sends no heartbeats to other
+// regions or to silent members. It reorders the slice members.
 func (g *Gossiper) choosePeers(now time.Time, self membership.Member, members []membership.Member) []membership.Member {
 	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
 	var live, silent, remote, list []membership.Member
--- a/chervilyard/gossip/fanout_test.go
+++ b/chervilyard/gossip/fanout_test.go
@@ -83,8 +83,8 @@
 // may expire (see placement.Picker) while both instances run.
 func TestLoadAge(t *testing.T) {
 	const (
-		start, end = 2 * time.Second, 4500 * time.Millisecond
-		maxAge     = 1500 * time.Millisecond
+		start  = 2 * time.Second
+		maxAge = 1500 * time.Millisecond
 	)
 	for _, c := range []struct {
 		instances     int
@@ -103,6 +103,10 @@
 		{120, 400 * time.Millisecond, 25, 300},
 		{333, 900 * time.Millisecond, 25, 300},
 	} {
+		end := 12 * time.Second
+		if c.instances > 65 { // larger regions take long to simulate
+			end = 4500 * time.Millisecond
+		}
 		now := time.Unix(1_700_000_000, 0)
 		members := make([]membership.Member, c.instances)
 		gossipers := make([]*Gossiper, c.instances)
@@ -230,29 +234,36 @@
 	}
 }
 
-// New store content must be announced to the whole region but only to a few members of
-// each other region, however large the fleet is: every receiver there announces it to
-// its whole region in turn.
+// New store content must be announced to the whole region, or to its hubs, but only to a few
+// members of each other region, however large the fleet is. In a region with hubs, others
+// leave the other regions to them.
 func TestBroadcastFanout(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	self := membership.Member{Name: "self", Region: "own"}
-	var members []membership.Member
-	for i := range 14 {
-		members = append(members, membership.Member{Name: fmt.Sprint("near", i), Region: "own", Heard: now})
-	}
-	for i := range 345 {
-		members = append(members, membership.Member{Name: fmt.Sprint("far", i), Region: fmt.Sprint("region", i%23), Heard: now})
-	}
-	byRegion := make(map[string]int)
-	for _, m := range broadcastPeers(now, self, hub.Plan{}, members) {
-		byRegion[m.Region]++
-	}
-	if len(byRegion) != 24 || byRegion["own"] != 14 {
-		t.Errorf("content is announced to %v", byRegion)
-	}
-	for region, n := range byRegion {
-		if region != "own" && n > peersPerRemoteRegion {
-			t.Errorf("content is announced to %d members of %s", n, region)
+	for _, c := range []struct {
+		near         int
+		capacity     int64 // of this instance; the others have none
+		own, regions int   // members of the region and regions that are told
+	}{{11, 0, 11, 24}, {14, 1, 1, 24}, {14, 0, 2, 1}, {119, 1, 4, 24}, {119, 0, 5, 1}} {
+		self := membership.Member{Name: "self", Region: "own", Capacity: c.capacity}
+		var members []membership.Member
+		for i := range c.near {
+			members = append(members, membership.Member{Name: fmt.Sprint("near", i), Region: "own", Heard: now})
+		}
+		plan := hub.New(c.near+1, append(members[:c.near:c.near], self))
+		for i := range 345 {
+			members = append(members, membership.Member{Name: fmt.Sprint("far", i), Region: fmt.Sprint("region", i%23), Heard: now})
+		}
+		byRegion := make(map[string]int)
+		for _, m := range broadcastPeers(now, self, plan, members) {
+			byRegion[m.Region]++
+		}
+		if len(byRegion) != c.regions || byRegion["own"] != c.own {
+			t.Errorf("%+v: content is announced to %v", c, byRegion)
+		}
+		for region, n := range byRegion {
+			if region != "own" && n > peersPerRemoteRegion {
+				t.Errorf("%+v: content is announced to %d members of %s", c, n, region)
+			}
 		}
 	}
 }
