--- a/chervilctl/fleet.go
+++ b/chervilctl/fleet.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"chervilyard.example/chervilctl/coldrate"
 	"chervilyard.example/chervilctl/trace"
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/instance"
@@ -200,6 +201,39 @@
 	return nil
 }
 
+type coldCommand struct {
+	Logs     []string      `long:"log" required:"yes" value-name:"FILE" description:"log of instances; - for standard input; may be given more than once"`
+	ColdTime time.Duration `long:"cold-time" default:"3s" description:"how long a target is cold after its start"`
+	Most     int           `long:"most" default:"20" value-name:"N" description:"print at most N targets"`
+}
+
+// Execute prints the cold targets with the most requests sent within one second.
+func (c *coldCommand) Execute([]string) error {
+	var logs trace.Logs
+	for _, name := range c.Logs {
+		text, err := readInput(name)
+		if err != nil {
+			return err
+		}
+		if err := logs.Read(filepath.Base(name), strings.NewReader(text)); err != nil {
+			return err
+		}
+	}
+	var counter coldrate.Counter
+	for _, e := range logs.Entries() {
+		counter.Add(e)
+	}
+	peaks := counter.Peaks(c.ColdTime)
+	if global.JSON {
+		return printJSON(peaks)
+	}
+	fmt.Printf("%-20s %-14s %8s %13s\n", "TARGET", "FROM", "REQUESTS", "TAKEN AS COLD")
+	for _, p := range peaks[:min(c.Most, len(peaks))] {
+		fmt.Printf("%-20s %-14s %8d %13d\n", p.Target, p.Start.UTC().Format("15:04:05.000"), p.Requests, p.ByCold)
+	}
+	return nil
+}
+
 // formatDecision returns a decision as one line of text. Fields that are empty or
 // 0 are left out.
 func formatDecision(d decisionlog.Decision) string {
--- a/chervilctl/trace/trace.go
+++ b/chervilctl/trace/trace.go
@@ -89,6 +89,9 @@
 	return nil
 }
 
+// Entries returns all decisions in chronological order. The caller must not change them.
+func (l *Logs) Entries() []Entry { return l.entries }
+
 // SkippedLines returns the number of lines that are not decisions, in all logs.
 func (l *Logs) SkippedLines() int { return l.skippedLines }
 
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -169,6 +169,16 @@
 	}
 	g.CollectTokens, g.RefundTokens = e.collectTokens, e.refundTokens
 	g.OnSuspectedRestart = e.probeSuspect
+	e.picker.OnSuspected = func(_ time.Time, name string, o placement.Outcome) {
+		cause := "its connection broke"
+		if o == placement.Unreachable {
+			cause = "not reached"
+		}
+		e.logDecision("target", "suspected", name+": "+cause)
+	}
+	e.picker.OnDismissed = func(_ time.Time, name string) {
+		e.logDecision("target", "dismissed", name+": the list still has the run")
+	}
 	g.Suspects, g.TargetEnded, g.TrialRank = &e.suspects, e.liveness.Ended, e.trialRank
 	g.Random = rand.Float64
 	g.Cutoff = func() (time.Time, bool) {
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -177,8 +177,10 @@
 		e.logDecision("target", "gone", name+" at revision "+itoa(s.Revision))
 	}
 	for _, t := range localList {
-		if before, ok := old[t.Name()]; !ok || before.Draining() != t.Draining() || before.RunID() != t.RunID() {
-			e.logDecision("target", listingState(t), t.Name()+" at revision "+itoa(s.Revision))
+		before, ok := old[t.Name()]
+		becameCold := before.ColdRemaining() == 0 && t.ColdRemaining() > 0
+		if !ok || before.Draining() != t.Draining() || before.RunID() != t.RunID() || becameCold {
+			e.logDecision("target", listingState(t), describeListed(t, s.Revision))
 		}
 	}
 	e.picker.UpdateTargets(s.AsOf, s.ReceivedAt, e.Settings().TargetReportInterval, localList)
@@ -191,6 +193,15 @@
 	return "listed"
 }
 
+// describeListed describes a listed target for the log.
+func describeListed(t target.Target, revision int64) string {
+	text := t.Name() + " at revision " + itoa(revision) + ", run " + itoa(t.RunID())
+	if cold := t.ColdRemaining(); cold > 0 {
+		text += ", cold for " + cold.String()
+	}
+	return text
+}
+
 // refreshTargets applies the target list if it has changed, the grace period for missing
 // targets has ended or the store was unavailable. Otherwise it records that the list is
 // still valid. It holds the part's lock, since a list that is being applied must not be
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -181,6 +181,7 @@
 		OnConnected: func() {
 			a.sentAt = g.Now()
 			a.dest.ticket.Sent(a.sentAt)
+			x.recordSent(t.Name(), a.sentAt)
 		},
 		Accepts: func(h http.Header) bool {
 			id := g.Protocol.ResponseRequestID(h)
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -73,6 +73,9 @@
 	if len(x.broken) > 0 {
 		parts = append(parts, "broken="+strings.Join(x.broken, ","), "parts="+x.partIDs())
 	}
+	if len(x.sentAt) > 0 {
+		parts = append(parts, "sent_at="+strings.Join(x.sentAt, ","))
+	}
 	for _, belief := range x.coldBeliefs {
 		parts = append(parts, "believed="+belief)
 	}
@@ -115,6 +118,11 @@
 	g.Metrics.ResponseEnd(resp.Framing(), end)
 }
 
+// recordSent keeps when a request was sent to a target, in Unix milliseconds.
+func (x *exchange) recordSent(name string, at time.Time) {
+	x.sentAt = append(x.sentAt, name+"@"+strconv.FormatInt(at.UnixMilli(), 10))
+}
+
 // recordColdBelief keeps what was believed about the target of an ended attempt, if it
 // was cold or had been recently.
 func (x *exchange) recordColdBelief(ticket *placement.Ticket) {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -86,6 +86,7 @@
 	lastDestination   string        // target or instance of the last attempt
 	broken            []string      // targets whose connection broke, each with the phase of the attempt, for the log
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
+	sentAt            []string      // target and time of each attempt that had a connection, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
 	deferral          time.Duration // until the first of this region's targets wants requests again, if none does now
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -163,12 +163,12 @@
 	case Unreachable:
 		s.recordFailure(now)
 		t.eject(now, s)
-		s.suspectSince, s.lastSuspected = now, now
+		t.suspect(now, s, o)
 	case ConnectionBroken:
 		// Only a failure to connect ejects a target: the last target of a
 		// service must stay usable while some of its answers break.
 		s.recordFailure(now)
-		s.suspectSince, s.lastSuspected = now, now
+		t.suspect(now, s, o)
 	case TimedOut:
 		s.recordFailure(now)
 	case Replaced:
@@ -179,6 +179,14 @@
 	}
 }
 
+// suspect records a sign that the target may have restarted.
+func (t *Ticket) suspect(now time.Time, s *targetState, o Outcome) {
+	if s.suspectSince.IsZero() && t.picker.OnSuspected != nil {
+		t.picker.OnSuspected(now, t.target.Name(), o)
+	}
+	s.suspectSince, s.lastSuspected = now, now
+}
+
 // eject excludes the target for a time that doubles with each consecutive ejection,
 // up to maxEjection.
 func (t *Ticket) eject(now time.Time, s *targetState) {
