--- a/chervilctl/coldrate/coldrate.go
+++ b/chervilctl/coldrate/coldrate.go
@@ -53,7 +53,7 @@
 // connection in sent_at, and what was believed of those at targets that were not warm for
 // long.
 func (c *Counter) addRequest(e trace.Entry) {
-	believedCold := make(map[string]bool)
+	believedCold, left := make(map[string]bool), make(map[string]time.Duration)
 	words := strings.FieldsFunc(e.Reason, func(r rune) bool { return r == ' ' || r == ';' })
 	for _, word := range words {
 		belief, ok := strings.CutPrefix(word, "believed=")
@@ -62,6 +62,7 @@
 		}
 		parts := strings.Split(belief, ",")
 		believedCold[parts[0]] = slices.Contains(parts, "cold") || slices.Contains(parts, "became-cold")
+		left[parts[0]] = duration(parts, "left=") - duration(parts, "sent=")
 	}
 	for _, word := range words {
 		list, ok := strings.CutPrefix(word, "sent_at=")
@@ -71,12 +72,27 @@
 		for attempt := range strings.SplitSeq(list, ",") {
 			name, ms, _ := strings.Cut(attempt, "@")
 			if n, err := strconv.ParseInt(ms, 10, 64); err == nil {
-				c.sends[name] = append(c.sends[name], send{time.UnixMilli(n), believedCold[name]})
+				at := time.UnixMilli(n)
+				c.sends[name] = append(c.sends[name], send{at, believedCold[name]})
+				if left[name] > 0 {
+					c.ends[name] = append(c.ends[name], at.Add(left[name]))
+				}
 			}
 		}
 	}
 }
 
+// duration returns the value of the part with the given prefix, 0 if there is none.
+func duration(parts []string, prefix string) time.Duration {
+	for _, part := range parts {
+		if text, ok := strings.CutPrefix(part, prefix); ok {
+			d, _ := time.ParseDuration(text) // 0 on an error
+			return d
+		}
+	}
+	return 0
+}
+
 // addColdTime adds the remaining cold time that the target list or a health check told, such
 // as "NAME at revision 7, run 3, cold for 2s".
 func (c *Counter) addColdTime(e trace.Entry) {
@@ -91,10 +107,12 @@
 }
 
 // Peaks returns the peak of each target, the largest first. A target is taken for cold for
-// coldTime before the end of each of its cold times.
+// coldTime before the end of each of its cold times. Of the ends that were told within
+// coldTime the earliest counts, since what instances hear late ends late.
 func (c *Counter) Peaks(coldTime time.Duration) []Peak {
 	var list []Peak
-	for name, ends := range c.ends {
+	for name, told := range c.ends {
+		ends := earliest(told, coldTime)
 		sends := slices.Clone(c.sends[name])
 		slices.SortFunc(sends, func(a, b send) int { return a.at.Compare(b.at) })
 		sends = slices.DeleteFunc(sends, func(s send) bool {
@@ -111,6 +129,18 @@
 	return list
 }
 
+// earliest returns the times that are at least distance after the one returned before, in
+// chronological order.
+func earliest(times []time.Time, distance time.Duration) []time.Time {
+	var list []time.Time
+	for _, t := range slices.SortedFunc(slices.Values(times), time.Time.Compare) {
+		if len(list) == 0 || t.Sub(list[len(list)-1]) >= distance {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // peak returns the largest number of the sends within period.
 func peak(sends []send) Peak {
 	var best Peak
