Add failing tests of requests to a target whose cold time is not known yet

Putting a target list into effect publishes the targets first and hands the cold times to the picker later; taking back a data centre does the same.

--- a/chervilyard/edge/views_test.go
+++ b/chervilyard/edge/views_test.go
@@ -197,3 +197,39 @@
 		t.Errorf("the rank is %d after east-1 and east-4", rank)
 	}
 }
+
+// Guards against requests to a new target before its cold time is known: no request may
+// find it between the first and the last step of putting a list into effect.
+func TestNewTargetIsColdAtOnce(t *testing.T) {
+	r := newRestartingTarget()
+	r.read(2)
+	r.edge.now = func() time.Time { // called as each listed target is logged
+		if r.send() != nil {
+			t.Error("a request goes to a new target that is listed as cold")
+		}
+		return r.now
+	}
+	r.edge.applyNewest(r.now, PartTargets)
+	if r.send() != nil {
+		t.Error("a request goes to a target that is listed as cold")
+	}
+}
+
+// Guards against requests to targets of a data centre that gets requests again before they
+// are taken for cold.
+func TestReadmittedTargetIsColdAtOnce(t *testing.T) {
+	r := newRestartingTarget()
+	r.read(1)
+	r.edge.applyNewest(r.now, PartTargets)
+	r.edge.setEvacuated(r.now, map[string]bool{"c": true})
+	r.edge.now = func() time.Time { // called as the change is logged
+		if r.send() != nil {
+			t.Error("a request goes to a target that may be cold")
+		}
+		return r.now
+	}
+	r.edge.setEvacuated(r.now, nil)
+	if r.send() != nil {
+		t.Error("a request goes to a target that may be cold")
+	}
+}
