Tell the picker cold times before requests can find the targets

An instance put a target list into effect in two steps: the targets were published first, their cold times known later. A request between the two found an idle target that looked warm, and took it. The end of an evacuation had the same order.

Now the picker learns of a list first, and a request that finds a target finds its cold time as well.

--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -167,12 +167,10 @@
 		}
 		removed = append(removed, name)
 	}
-	e.targets.local, e.targets.remote = localByName, remote
-	e.targets.byHash = make(map[uint32]string, len(localByName))
-	for name := range localByName {
-		e.targets.byHash[targetHash(name)] = name
-	}
 	e.targets.mu.Unlock()
+	// The picker must know the cold times before a request can find the targets.
+	e.picker.UpdateTargets(s.AsOf, s.ReceivedAt, e.Settings().TargetReportInterval, localList)
+	e.targets.publish(localByName, remote)
 	for _, name := range removed {
 		e.logDecision("target", "gone", name+" at revision "+itoa(s.Revision))
 	}
@@ -183,7 +181,17 @@
 			e.logDecision("target", listingState(t), describeListed(t, s.Revision))
 		}
 	}
-	e.picker.UpdateTargets(s.AsOf, s.ReceivedAt, e.Settings().TargetReportInterval, localList)
+}
+
+// publish replaces the targets that requests can find.
+func (t *targetList) publish(local map[string]target.Target, remote map[string][]target.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.local, t.remote = local, remote
+	t.byHash = make(map[uint32]string, len(local))
+	for name := range local {
+		t.byHash[targetHash(name)] = name
+	}
 }
 
 func listingState(t target.Target) string {
@@ -233,13 +241,17 @@
 func (e *Edge) setEvacuated(now time.Time, evacuated map[string]bool) {
 	e.targets.mu.Lock()
 	before := e.targets.evacuated
-	e.targets.evacuated = evacuated
 	var readmitted []string
 	for _, t := range e.targets.local {
 		if before[t.Centre()] && !evacuated[t.Centre()] {
 			readmitted = append(readmitted, t.Name())
 		}
 	}
+	// The target list may be older than the end of the evacuation, so the targets stay
+	// cold until a newer list can have arrived. The picker must know before a request can
+	// find them.
+	e.picker.MarkCold(now, readmitted, e.Settings().TargetReportInterval+targetListAge)
+	e.targets.evacuated = evacuated
 	e.targets.mu.Unlock()
 	for centre := range evacuated {
 		if !before[centre] {
@@ -251,9 +263,6 @@
 			e.logDecision("centre", "taken back", centre)
 		}
 	}
-	// The target list may be older than the end of the evacuation, so the targets stay
-	// cold until a newer list can have arrived.
-	e.picker.MarkCold(now, readmitted, e.Settings().TargetReportInterval+targetListAge)
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
