Add failing tests of requests that wait before they are sent to a cold target

A target becomes cold between the choice and the connection: the request is sent though the instance has no share.

--- /dev/null
+++ b/chervilyard/gateway/cold_test.go
@@ -0,0 +1,92 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chervilyard.example/yard/catalog"
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/service"
+)
+
+// newColdTestInstance returns an instance with the given target, cold targets of whose
+// service bear a request a second, and with the given share of them.
+func newColdTestInstance(t *testing.T, f *fakeTarget, share placement.ColdShare) *testInstance {
+	t.Helper()
+	n := newTestInstance(t, "near", []*fakeTarget{f})
+	c := testCatalogOf(service.New("s").WithColdLimit(1))
+	n.gateway.Catalog = func() *catalog.Catalog { return c }
+	n.gateway.ColdShare = func(time.Time) placement.ColdShare { return share }
+	return n
+}
+
+// Guards against sending a request that was chosen for a warm target once the target has
+// become cold and the instance has no share of its limit.
+func TestRequestWithheldFromColdTarget(t *testing.T) {
+	f := newFakeTarget(t, "e", "ok hello")
+	n := newColdTestInstance(t, f, placement.ColdShare{})
+	n.gateway.Pool.OnDial = func(string) { n.gateway.Picker.MarkCold(time.Now(), []string{"e"}, time.Minute) }
+	status, body, _ := roundTrip(t, n, getRequest("/read/x"))
+	if got := len(f.requests()); got != 0 || status != http.StatusServiceUnavailable {
+		t.Errorf("the cold target received %d requests, the response is %d %s", got, status, body)
+	}
+	// The request was not the target's fault.
+	n.gateway.Pool.OnDial = nil
+	n.gateway.ColdShare = func(time.Time) placement.ColdShare {
+		return placement.ColdShare{Instances: 1, RateFactor: 1}
+	}
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK {
+		t.Errorf("the next request gets %d %s", status, body)
+	}
+}
+
+// A process stalls between reading the clock and sending a request, once for longer than
+// the limit's period. Guards against counting the request from before the stall: the next
+// one would be sent within the same second.
+func TestColdLimitAfterStall(t *testing.T) {
+	const period = time.Second
+	for _, stall := range []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(stall.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFakeTarget(t, "e", "ok hello")
+			arrivals := make(chan time.Time, 64)
+			f.beforeResponse = func() { arrivals <- time.Now() }
+			n := newColdTestInstance(t, f, placement.ColdShare{Instances: 1, RateFactor: 1})
+			n.gateway.Picker.MarkCold(time.Now(), []string{"e"}, time.Minute)
+			var connected, stalled atomic.Bool
+			n.gateway.Pool.OnDial = func(string) { connected.Store(true) }
+			n.gateway.Now = func() time.Time {
+				now := time.Now()
+				if connected.Load() && stalled.CompareAndSwap(false, true) {
+					time.Sleep(stall)
+				}
+				return now
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				roundTrip(t, n, getRequest("/read/x")) // its own deadline may pass
+			}()
+			for !stalled.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			for began := time.Now(); time.Since(began) < stall+1800*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+				roundTrip(t, n, getRequest("/read/x"))
+			}
+			<-done
+			close(arrivals)
+			var last time.Time
+			for at := range arrivals {
+				if !last.IsZero() && at.Sub(last) < period {
+					t.Errorf("two requests arrive at a cold target within %v, one a second is allowed", at.Sub(last))
+				}
+				last = at
+			}
+			if last.IsZero() {
+				t.Error("no request arrived")
+			}
+		})
+	}
+}
