--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/target"
 )
 
@@ -51,19 +52,26 @@
 	service := c.Service(services[0])
 	path := service.HealthPath()
 	now := e.now()
-	if path == "" || !e.picker.AllowHealthCheck(now, t.Name(), service, e.coldTargetShare(now)) {
+	if path == "" {
 		return
 	}
-	go e.probe(t, path, now)
+	if check := e.picker.StartHealthCheck(now, t.Name(), service, e.coldTargetShare(now)); check != nil {
+		go e.probe(t, path, check)
+	}
 }
 
-func (e *Edge) probe(t target.Target, path string, allowedAt time.Time) {
+func (e *Edge) probe(t target.Target, path string, check *placement.HealthCheck) {
+	defer func() { check.End(e.now()) }()
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
 	defer cancel()
 	sentAt := e.now()
 	resp, err := e.pool.Do(ctx, t.Address(), &pool.Request{
 		Method: http.MethodGet, RequestTarget: path, Host: t.Address(), Header: http.Header{}, NewConn: true,
-		OnConnected: func() { e.picker.HealthCheckSent(allowedAt, e.now(), t.Name()) },
+		Admit: func() bool {
+			check.Admit()
+			return true
+		},
+		OnWritten: func() { check.Sent(e.now()) },
 	})
 	if err != nil {
 		e.logDecision("target", "not proved", t.Name()+": "+err.Error())
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -178,11 +178,16 @@
 	return g.Pool.Do(ctx, t.Address(), &pool.Request{
 		Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Body: x.body,
 		NewConn: !x.route.Idempotent() && !x.route.Stream(),
-		OnConnected: func() {
-			a.sentAt = g.Now()
-			a.dest.ticket.Sent(a.sentAt)
-			x.recordSent(t.Name(), a.sentAt)
+		Admit: func() bool {
+			now := g.Now()
+			if !a.dest.ticket.Admit(now, g.ColdShare(now)) {
+				return false
+			}
+			a.sentAt = now
+			x.recordSent(t.Name(), now)
+			return true
 		},
+		OnWritten: func() { a.dest.ticket.Sent(g.Now()) },
 		Accepts: func(h http.Header) bool {
 			id := g.Protocol.ResponseRequestID(h)
 			return id == "" || id == x.req.ID
@@ -214,6 +219,8 @@
 		return false, g.cutOffOrGone(now, x, cause)
 	case sent:
 		g.endBrokenAttempt(ctx, a, now)
+	case poolErr.Op == pool.OpAdmit:
+		g.endAttempt(a, now, placement.Withheld)
 	default:
 		g.endAttempt(a, now, placement.Unreachable)
 	}
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -91,11 +91,14 @@
 	var bodyWritten chan error
 	if len(r.Body) <= maxInlineBody {
 		n, err := c.raw.Write(append(header, r.Body...))
+		r.written()
 		if err != nil && !c.responseAvailable() {
 			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
 		}
 	} else {
-		if n, err := c.raw.Write(header); err != nil {
+		n, err := c.raw.Write(header)
+		r.written()
+		if err != nil {
 			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
 		}
 		bodyWritten = make(chan error, 1)
@@ -112,6 +115,12 @@
 	return resp, nil
 }
 
+func (r *Request) written() {
+	if r.OnWritten != nil {
+		r.OnWritten()
+	}
+}
+
 // responseAvailable reports whether a response arrived although the write failed.
 // The server may reject a request before it has read all of it.
 func (c *conn) responseAvailable() bool {
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -35,9 +35,14 @@
 	silenceThreshold = 500 * time.Millisecond
 )
 
+// OpAdmit is the operation of the error of a request that Request.Admit withheld.
+const OpAdmit = "admit"
+
+var errWithheld = errors.New("the request was withheld")
+
 // Error is the error of a request that got no response.
 type Error struct {
-	Op        string // "dial", "write" or "read"; other packages may set other operations
+	Op        string // "dial", OpAdmit, "write" or "read"; other packages may set other operations
 	Address   string
 	MaybeSent bool // a byte may have reached the server
 	Err       error
@@ -60,9 +65,12 @@
 	// NewConn requests a new connection, on which the request cannot cross a close by
 	// the server.
 	NewConn bool
-	// OnConnected is called once there is a connection, before a byte is sent. It
-	// may be nil.
-	OnConnected func()
+	// Admit is called once there is a connection, before a byte is sent. If it returns
+	// false, nothing is sent, and the error is a *Error with OpAdmit. It may be nil.
+	Admit func() bool
+	// OnWritten is called once the header, and a short body, have been written. It may be
+	// nil.
+	OnWritten func()
 	// Accepts reports whether a response belongs to this request. Responses to other,
 	// abandoned requests are skipped. If it is nil, all responses belong to it.
 	Accepts func(http.Header) bool
@@ -90,8 +98,9 @@
 		_ = c.raw.Close() // nothing was sent on it
 		return nil, &Error{Op: "dial", Address: address, Err: context.Cause(ctx)}
 	}
-	if r.OnConnected != nil {
-		r.OnConnected()
+	if r.Admit != nil && !r.Admit() {
+		_ = c.raw.Close() // nothing was sent on it
+		return nil, &Error{Op: OpAdmit, Address: address, Err: errWithheld}
 	}
 	stopClose := context.AfterFunc(ctx, func() { _ = c.raw.Close() }) // closing twice is harmless
 	start := time.Now()
--- a/yard/coldlimit/coldlimit.go
+++ b/yard/coldlimit/coldlimit.go
@@ -2,56 +2,48 @@
 // window, over all instances that may send to it.
 package coldlimit
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // windowLength is longer than the second to which a limit applies, since requests
 // sent more than a second apart may arrive within one second.
 const windowLength = 1200 * time.Millisecond
 
-// Window records the requests sent within windowLength. The zero value is empty.
-// It is not safe for concurrent use.
+// Window counts the requests that are about to be sent, and those sent within
+// windowLength. A request counts from Reserve until windowLength after Sent: connecting can
+// take most of a second, and a process may stall at any point. The zero value is empty. It
+// is not safe for concurrent use.
 type Window struct {
-	sent []time.Time // ascending
+	reserved int
+	sent     []time.Time // ascending
 }
 
-// Take records a request and returns true, unless the window already has limit
-// requests.
-func (w *Window) Take(now time.Time, limit int) bool {
+// Reserve counts a request that is about to be sent and returns true, unless the window
+// already has limit requests. Sent or Release must follow.
+func (w *Window) Reserve(now time.Time, limit int) bool {
 	if !w.Allows(now, limit) {
 		return false
 	}
-	w.sent = append(w.sent, now)
+	w.reserved++
 	return true
 }
 
-// MoveTo moves the request that was recorded at taken to sent, the time at which it
-// was actually sent. Connecting can take most of a second, and the limit applies
-// to the time of sending.
-func (w *Window) MoveTo(taken, sent time.Time) {
-	if i := slices.IndexFunc(w.sent, taken.Equal); i >= 0 {
-		w.sent = slices.Delete(w.sent, i, i+1)
-	}
-	w.Add(sent)
+// Sent records that a reserved request has been sent, at now at the latest.
+func (w *Window) Sent(now time.Time) {
+	w.Release()
+	w.sent = append(w.sent, now)
 }
 
-// Add records a request sent at sent, even if the window is full. It is for a request
-// that was allowed before the target became cold.
-func (w *Window) Add(sent time.Time) {
-	w.sent = append(w.sent, sent)
-	slices.SortFunc(w.sent, time.Time.Compare)
-}
+// Release stops counting a reserved request, which was not sent.
+func (w *Window) Release() { w.reserved = max(w.reserved-1, 0) }
 
-// Allows reports whether Take would return true. It drops expired requests.
+// Allows reports whether Reserve would return true. It drops expired requests.
 func (w *Window) Allows(now time.Time, limit int) bool {
 	expired := 0
 	for expired < len(w.sent) && now.Sub(w.sent[expired]) >= windowLength {
 		expired++
 	}
 	w.sent = w.sent[expired:]
-	return len(w.sent) < limit
+	return w.reserved+len(w.sent) < limit
 }
 
 // InstanceLimit returns the share of a limit of perSecond requests per second for
--- a/yard/placement/cold_test.go
+++ b/yard/placement/cold_test.go
@@ -44,11 +44,16 @@
 				pickers[i], started[i] = &placement.Picker{}, now
 				pickers[i].UpdateTargets(now, now, limitPeriod, list)
 			case 1:
-				if pickers[i].AllowHealthCheck(now, "a", engineService, share) {
+				if check := pickers[i].StartHealthCheck(now, "a", engineService, share); check != nil {
+					check.Sent(now)
 					arrivals = append(arrivals, now)
 				}
 			default:
 				if ticket := pickers[i].Choose(now, list, placement.Request{Service: engineService, PromptTokens: 10}, share); ticket != nil {
+					if !ticket.Admit(now, share) {
+						t.Fatal("a request is withheld at the time of its choice")
+					}
+					ticket.Sent(now)
 					arrivals = append(arrivals, now)
 					ticket.RecordFirstByte(now)
 					ticket.End(now, placement.Answered)
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -386,11 +386,9 @@
 func (p *Picker) newTicket(now time.Time, t target.Target, r Request, wait time.Duration, coldShare ColdShare) *Ticket {
 	s := p.state(t.Name())
 	cold := p.isCold(now, s)
-	if cold {
-		s.window.Take(now, p.coldLimit(r, coldShare))
-	}
+	reserved := cold && s.window.Reserve(now, p.coldLimit(r, coldShare))
 	ticket := &Ticket{
-		coldLimited: cold, belief: p.coldBelief(now, s, r, coldShare),
+		request: r, reserved: reserved, belief: p.coldBelief(now, s, r, coldShare),
 		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
 		uncachedTokens: max(r.PromptTokens-p.cachedPrefix(now, s, r.Parts, false), 0), memoryTokens: r.PromptTokens + r.MaxOutputTokens, isEngine: r.Service.Slots() > 0,
 	}
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -32,8 +32,9 @@
 //	list A=run:2         the same; A has a new run ID
 //	send K 500 x,y -> A  request K with 500 prompt tokens and parts x and y goes to A
 //	send K 500           the same without parts, to any target
-//	sends 20 500 -> 9    9 of 20 requests find a target
-//	sent K               the connection for K is established
+//	sends 20 500 -> 9    9 of 20 requests find a target, and are sent at once
+//	sent K               the connection for K is established, and the request is sent at once
+//	withheld K           the connection for K is established, and the request may not be sent
 //	first K, end K OUTCOME, pause K 200ms
 //	believed K TEXT      the description of what was believed for K; - if it is empty
 //	proved A 0s          a health check after a failure reports how long A stays cold
@@ -69,15 +70,21 @@
 	case "sends":
 		found := 0
 		for n := range int(s.Number(p.t, 1)) {
-			if p.send(s, fmt.Sprint("many", n), s.Words[2:]) != "none" {
+			if label := fmt.Sprint("many", n); p.send(s, label, s.Words[2:]) != "none" {
 				found++
+				p.sent(s, label)
 			}
 		}
 		if want := int(s.Number(p.t, 4)); found != want {
 			p.t.Errorf("line %d: %d requests find a target, want %d", s.Line, found, want)
 		}
 	case "sent":
-		p.tickets[s.Words[1]].Sent(s.At)
+		p.sent(s, s.Words[1])
+	case "withheld":
+		if p.tickets[s.Words[1]].Admit(s.At, coldShare) {
+			p.t.Errorf("line %d: the request may be sent", s.Line)
+		}
+		p.tickets[s.Words[1]].End(s.At, placement.Withheld)
 	case "first":
 		p.tickets[s.Words[1]].RecordFirstByte(s.At)
 	case "end":
@@ -100,9 +107,13 @@
 			p.t.Errorf("line %d: the deferral is %s, want %s", s.Line, got, want)
 		}
 	case "ask":
-		if got, want := p.picker.AllowHealthCheck(s.At, s.Words[1], engineService, coldShare), s.Words[2] == "yes"; got != want {
+		check := p.picker.StartHealthCheck(s.At, s.Words[1], engineService, coldShare)
+		if got, want := check != nil, s.Words[2] == "yes"; got != want {
 			p.t.Errorf("line %d: a health check may be sent: %v, want %v", s.Line, got, want)
 		}
+		if check != nil {
+			check.Sent(s.At)
+		}
 	case "proved":
 		p.picker.HealthCheckPassed(s.At, s.At, s.Words[1], s.Duration(p.t, 2))
 	case "peer":
@@ -112,6 +123,13 @@
 	}
 }
 
+func (p *player) sent(s scripttest.Step, label string) {
+	if !p.tickets[label].Admit(s.At, coldShare) {
+		p.t.Errorf("line %d: the request may not be sent", s.Line)
+	}
+	p.tickets[label].Sent(s.At)
+}
+
 func (p *player) named(names []string) []target.Target {
 	return slices.DeleteFunc(slices.Clone(p.targets), func(t target.Target) bool { return !slices.Contains(names, t.Name()) })
 }
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -18,6 +18,7 @@
 	Overloaded                      // the target refused the request for lack of capacity and did not run it
 	Replaced                        // another target now uses the address
 	Canceled                        // the caller disconnected or the deadline passed
+	Withheld                        // Ticket.Admit returned false; nothing was sent
 	TimedOut                        // no response arrived before the timeout
 )
 
@@ -33,9 +34,10 @@
 	memoryTokens   int
 	isEngine       bool
 	belief         *coldBelief // about the target when it was chosen; see Picker.coldBelief
-	sentAt         time.Time   // zero until Sent is called
-	becameCold     bool        // the target was warm when it was chosen and cold at sentAt
-	coldLimited    bool        // counted against the rate limit of a cold target when it was chosen
+	request        Request
+	sentAt         time.Time // zero until Admit allowed the request
+	becameCold     bool      // the target was warm when it was chosen and cold at sentAt
+	reserved       bool      // counts against the rate limit of a cold target and is not known to be sent
 	isProbe        bool        // sent after an ejection; shows whether the target has recovered
 	gotFirst       bool
 	ended          bool
@@ -47,19 +49,37 @@
 // ExpectedWait returns the expected time to the first byte.
 func (t *Ticket) ExpectedWait() time.Duration { return t.expectedWait }
 
-// Sent records that the connection is established and the request is sent at now. If
-// the target is cold by then, the request counts against its rate limit.
-func (t *Ticket) Sent(now time.Time) {
+// Admit reports whether the request may be sent now that its connection is established. It
+// returns false if the target has become cold since it was chosen and its rate limit is used
+// up, or has no share for this instance.
+func (t *Ticket) Admit(now time.Time, coldShare ColdShare) bool {
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
 	s := t.picker.state(t.target.Name())
-	t.sentAt = now
-	switch {
-	case t.coldLimited:
-		s.window.MoveTo(t.chosenAt, now)
-	case t.picker.isCold(now, s):
+	if !t.reserved && t.picker.isCold(now, s) {
 		t.becameCold = true
-		s.window.Add(now)
+		if !s.window.Reserve(now, t.picker.coldLimit(t.request, coldShare)) {
+			return false
+		}
+		t.reserved = true
+	}
+	t.sentAt = now
+	return true
+}
+
+// Sent records that the request has been sent, at now at the latest. It must follow Admit.
+func (t *Ticket) Sent(now time.Time) {
+	t.picker.mu.Lock()
+	defer t.picker.mu.Unlock()
+	t.countSent(now, t.picker.state(t.target.Name()))
+}
+
+// countSent counts the request against the rate limit of a cold target as sent now. The caller
+// must hold the picker's lock.
+func (t *Ticket) countSent(now time.Time, s *targetState) {
+	if t.reserved {
+		t.reserved = false
+		s.window.Sent(now)
 	}
 }
 
@@ -129,6 +149,13 @@
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
 	s := t.picker.state(t.target.Name())
+	switch {
+	case t.reserved && t.sentAt.IsZero():
+		t.reserved = false
+		s.window.Release()
+	case t.reserved: // part of it may have been sent
+		t.countSent(now, s)
+	}
 	s.open--
 	s.memoryTokens -= t.memoryTokens
 	if !t.gotFirst {
@@ -175,7 +202,7 @@
 		t.eject(now, s)
 	case Overloaded:
 		// The target stays usable: running requests end continually and free slots.
-	case Canceled:
+	case Canceled, Withheld:
 	}
 }
 
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -12,26 +12,55 @@
 	"chervilyard.example/yard/target"
 )
 
-// AllowHealthCheck reports whether a health check may be sent to the named target,
-// which Defer can prevent. If the target is cold, the health check counts against its
+// StartHealthCheck returns a health check of the named target, or nil if it may not be sent,
+// which Ticket.Defer can prevent. If the target is cold, the health check counts against its
 // rate limit like a request.
-func (p *Picker) AllowHealthCheck(now time.Time, name string, s service.Service, coldShare ColdShare) bool {
+func (p *Picker) StartHealthCheck(now time.Time, name string, s service.Service, coldShare ColdShare) *HealthCheck {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ts := p.state(name)
 	if now.Before(ts.deferredUntil) {
-		return false
+		return nil
+	}
+	c := &HealthCheck{picker: p, name: name, reserved: p.isCold(now, ts)}
+	if c.reserved && !ts.window.Reserve(now, p.coldLimit(Request{Service: s}, coldShare)) {
+		return nil
 	}
-	return !p.isCold(now, ts) || ts.window.Take(now, p.coldLimit(Request{Service: s}, coldShare))
+	return c
 }
 
-// HealthCheckSent records that the health check that AllowHealthCheck allowed at
-// allowedAt is sent at now.
-func (p *Picker) HealthCheckSent(allowedAt, now time.Time, name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.state(name); p.isCold(now, s) {
-		s.window.MoveTo(allowedAt, now)
+// HealthCheck is one health check of a target. It is not safe for concurrent use.
+type HealthCheck struct {
+	picker   *Picker
+	name     string
+	reserved bool // counts against the rate limit of a cold target and is not known to be sent
+	admitted bool
+}
+
+// Admit records that the connection is established and the health check is about to be sent.
+func (c *HealthCheck) Admit() { c.admitted = true }
+
+// Sent records that the health check has been sent, at now at the latest.
+func (c *HealthCheck) Sent(now time.Time) {
+	c.picker.mu.Lock()
+	defer c.picker.mu.Unlock()
+	if c.reserved {
+		c.reserved = false
+		c.picker.state(c.name).window.Sent(now)
+	}
+}
+
+// End ends the health check. One that was admitted counts as sent.
+func (c *HealthCheck) End(now time.Time) {
+	if c.admitted {
+		c.Sent(now)
+		return
+	}
+	c.picker.mu.Lock()
+	defer c.picker.mu.Unlock()
+	if c.reserved {
+		c.reserved = false
+		c.picker.state(c.name).window.Release()
 	}
 }
 
