--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -38,7 +38,7 @@
 	sentAt         time.Time // zero until Admit allowed the request
 	becameCold     bool      // the target was warm when it was chosen and cold at sentAt
 	reserved       bool      // counts against the rate limit of a cold target and is not known to be sent
-	isProbe        bool        // sent after an ejection; shows whether the target has recovered
+	isProbe        bool      // sent after an ejection; shows whether the target has recovered
 	gotFirst       bool
 	ended          bool
 }
