Add a failing test of the shares of a cold target's limit while a region changes

A simulated region of 3 to 295 instances joins, leaves, restarts and is cut while each sends what it may.

--- /dev/null
+++ b/chervilyard/edge/cold_share_test.go
@@ -0,0 +1,216 @@
+package edge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/target"
+)
+
+// simulatedRegion is a region whose instances all send as many requests to one cold target
+// as they may, while instances come, go, restart and are cut off from each other.
+type simulatedRegion struct {
+	random    *rand.Rand
+	now       time.Time
+	size      int // that entries in the store tell
+	instances []*simulatedInstance
+	deliver   []delivery // messages on their way
+	cutUntil  time.Time
+	sent      []time.Time
+	steps     int
+	list      []target.Target
+	request   placement.Request
+	names     int
+}
+
+// simulatedInstance is one instance. A run that has ended stays until the next one starts.
+type simulatedInstance struct {
+	name     string
+	edge     *Edge
+	picker   *placement.Picker
+	running  bool
+	startsAt time.Time // of the next run; zero if there is none
+	apart    bool      // on the smaller side of a cut
+	mark     uint64    // fingerprint of the run as a member
+}
+
+// delivery is the first message of a run of an instance to another one. It tells of the
+// sender and of all members that it knows.
+type delivery struct {
+	at       time.Time
+	to, from *simulatedInstance
+}
+
+const (
+	simulatedStep    = 25 * time.Millisecond
+	simulatedDelay   = 900 * time.Millisecond // of first messages, at most
+	simulatedBeats   = 8                      // steps between two heartbeats of a pair
+	simulatedPerStep = 2                      // requests that an instance tries to send
+)
+
+func newSimulatedRegion(size int, seed uint64) *simulatedRegion {
+	r := &simulatedRegion{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), size: size,
+		list:    []target.Target{target.New("a", "c", "", []string{"s"}, 64, 1, false).WithColdRemaining(time.Hour)},
+		request: placement.Request{Service: service.New("s").WithColdLimit(4.4)},
+	}
+	for range size {
+		r.instances = append(r.instances, r.newInstance())
+	}
+	for _, i := range r.instances {
+		r.start(i)
+	}
+	return r
+}
+
+// newInstance returns an instance whose name sorts anywhere among the others.
+func (r *simulatedRegion) newInstance() *simulatedInstance {
+	r.names++
+	return &simulatedInstance{name: fmt.Sprintf("east-%04d-%d", r.random.IntN(10000), r.names)}
+}
+
+// start starts a run of the instance, which hears of the others and they of it.
+func (r *simulatedRegion) start(i *simulatedInstance) {
+	e := &Edge{started: r.now, runID: r.random.Int64(), now: func() time.Time { return r.now }}
+	e.settings.Store(&Settings{Name: i.name, Region: "east", Centre: "c", ColdRateFactor: 1.5, ColdExtraRequests: 3})
+	e.sizes.merge([]membership.Member{{Name: "entry", Region: "east", Neighbours: r.size}}, "east")
+	i.edge, i.picker, i.running, i.startsAt, i.mark = e, &placement.Picker{}, true, time.Time{}, e.self(r.now).Fingerprint()
+	i.picker.UpdateTargets(r.now, r.now, time.Second, r.list)
+	for _, other := range r.instances {
+		if other != i && other.running {
+			r.tell(other, i)
+			r.tell(i, other)
+		}
+	}
+}
+
+func (r *simulatedRegion) tell(to, from *simulatedInstance) {
+	d := time.Duration(r.random.Int64N(int64(simulatedDelay)))
+	r.deliver = append(r.deliver, delivery{at: r.now.Add(d), to: to, from: from})
+}
+
+// connected reports whether messages between the two get through.
+func (r *simulatedRegion) connected(a, b *simulatedInstance) bool {
+	return r.now.After(r.cutUntil) || a.apart == b.apart
+}
+
+// step lets messages arrive, something happen at random, and all instances send.
+func (r *simulatedRegion) step() {
+	r.now = r.now.Add(simulatedStep)
+	r.deliver = slices.DeleteFunc(r.deliver, func(d delivery) bool {
+		if d.at.After(r.now) || !r.connected(d.to, d.from) {
+			return false // after a cut, members hear of each other again
+		}
+		if d.to.running && d.from.running {
+			d.to.edge.memberTable.Update(d.from.edge.self(r.now))
+			for _, m := range d.from.edge.memberTable.All() {
+				if m.Name != d.to.name {
+					d.to.edge.memberTable.Update(m)
+				}
+			}
+		}
+		return true
+	})
+	if r.steps++; r.steps%simulatedBeats == 0 {
+		r.exchangeHeartbeats()
+	}
+	r.happen()
+	for _, i := range r.instances {
+		if !i.startsAt.IsZero() && !i.startsAt.After(r.now) {
+			r.start(i)
+		}
+		for n := 0; i.running && n < simulatedPerStep; n++ {
+			share := i.edge.coldTargetShare(r.now)
+			ticket := i.picker.Choose(r.now, r.list, r.request, share)
+			if ticket == nil || !ticket.Admit(r.now, share) {
+				break
+			}
+			ticket.Sent(r.now)
+			ticket.End(r.now, placement.Answered)
+			r.sent = append(r.sent, r.now)
+		}
+	}
+}
+
+// exchangeHeartbeats lets all instances hear the members that they know and can reach.
+func (r *simulatedRegion) exchangeHeartbeats() {
+	for _, to := range r.instances {
+		for _, from := range r.instances {
+			if to != from && to.running && from.running && r.connected(to, from) {
+				to.edge.memberTable.RecordHeartbeat(from.mark, r.now)
+			}
+		}
+	}
+}
+
+// happen lets one thing happen in about one of eight steps.
+func (r *simulatedRegion) happen() {
+	i := r.instances[r.random.IntN(len(r.instances))]
+	switch r.random.IntN(64) {
+	case 0, 1, 2, 3: // a restart
+		if i.running {
+			i.running, i.startsAt = false, r.now.Add(time.Duration(200+r.random.IntN(1500))*time.Millisecond)
+		}
+	case 4: // an instance is lost for good
+		if i.running && len(r.instances) > r.size/2 {
+			i.running = false
+		}
+	case 5, 6: // an instance is added
+		if len(r.instances) < r.size*5/4 {
+			added := r.newInstance()
+			added.apart = r.random.IntN(2) == 0
+			r.instances = append(r.instances, added)
+			r.start(added)
+		}
+	case 7: // some instances are cut off
+		if r.now.After(r.cutUntil) {
+			r.cutUntil = r.now.Add(time.Duration(1+r.random.IntN(8)) * time.Second)
+			share := 1 + r.random.IntN(5) // tenths
+			for _, other := range r.instances {
+				other.apart = r.random.IntN(10) < share
+			}
+		}
+	}
+}
+
+// mostInSecond returns the largest number of requests sent within a second.
+func (r *simulatedRegion) mostInSecond() int {
+	most, first := 0, 0
+	for n, at := range r.sent {
+		for at.Sub(r.sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// Guards against more requests to a cold target than it bears while members of a region
+// join, leave, restart and are cut off, so that their lists of members differ.
+func TestColdLimitAsRegionChanges(t *testing.T) {
+	const limit = 4.4*1.5 + 3
+	for _, c := range []struct {
+		size  int
+		seeds uint64
+		time  time.Duration
+	}{{3, 60, 20 * time.Second}, {9, 40, 20 * time.Second}, {27, 20, 20 * time.Second}, {72, 6, 15 * time.Second}, {295, 1, 6 * time.Second}} {
+		sent := 0
+		for seed := range c.seeds {
+			r := newSimulatedRegion(c.size, seed)
+			for range c.time / simulatedStep {
+				r.step()
+			}
+			sent += len(r.sent)
+			if most := r.mostInSecond(); float64(most) > limit {
+				t.Errorf("%d instances, seed %d: %d requests within a second, at most %v", c.size, seed, most, limit)
+			}
+		}
+		t.Logf("%d instances: %.1f requests a second", c.size, float64(sent)/c.time.Seconds()/float64(c.seeds))
+	}
+}
