Share a cold target's limit by the age of runs, and use a larger share only later

Callers saw a cold target flooded (FAILBACK). Nine requests a second were divided by rank among the region's instances, in the order of their names in each instance's own list. An instance that joined took a place among the first nine, and one that was cut off, or had not heard of it yet, kept the place it had before: ten holders. A place that became free was used at once, while what its last holder had sent still counted in the same second; in small regions an instance that did not know of a new one kept a share of a smaller division.

Now ranks follow the age of runs, which lists tell alike (a run's identifier starts with the time of its start), so one that joins comes last and moves nobody. A larger share is used 1.2 s after the place was gained. A new instance has no share while a member that it has not heard since its start may divide by fewer instances.

What callers lose: a started instance sends to cold targets after 1.7 s in place of 1 s.

--- /dev/null
+++ b/chervilyard/edge/cold_share.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/placement"
+)
+
+const (
+	// introductionPeriod is how long after its start an instance may still be unknown to a
+	// member that others hear, and not know all members itself.
+	introductionPeriod = 500 * time.Millisecond
+	// takeOverDelay is how long an instance waits before it uses a larger share: what the
+	// member that had it sent before counts for a second.
+	takeOverDelay = 1200 * time.Millisecond
+)
+
+// coldTargetShare returns how the region's instances divide the request rate to cold
+// targets.
+func (e *Edge) coldTargetShare(now time.Time) placement.ColdShare {
+	s := e.Settings()
+	p := e.coldTargetPosition(now)
+	return placement.ColdShare{
+		Position: p, Earlier: e.positions.record(now, p),
+		RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests,
+	}
+}
+
+// coldTargetPosition returns the instance's position among those that divide the request
+// rate to cold targets. Silent instances count for shareRetention, since they may still send
+// requests. A started instance has no position until it can have heard the others.
+func (e *Edge) coldTargetPosition(now time.Time) placement.Position {
+	introduced := e.started.Add(introductionPeriod)
+	if now.Before(introduced) {
+		return placement.Position{}
+	}
+	region := e.Settings().Region
+	others := slices.DeleteFunc(e.sharingMembers(now), func(m membership.Member) bool { return m.Region != region })
+	p := placement.Position{Instances: len(others) + 1, Rank: membership.Rank(e.self(now), others)}
+	p.New = now.Sub(e.started) < shareRetention && slices.ContainsFunc(others, func(m membership.Member) bool { return m.Heard.Before(introduced) })
+	if _, regionSize := e.sizes.get(now, e.started); regionSize > p.Instances {
+		p.Instances, p.Rank = regionSize, regionSize-1 // its rank among all is not known yet
+	}
+	return p
+}
+
+// positionHistory holds the positions that an instance had within takeOverDelay. The zero
+// value is empty. It is safe for concurrent use.
+type positionHistory struct {
+	mu      sync.Mutex
+	current placement.Position
+	earlier []earlierPosition
+}
+
+type earlierPosition struct {
+	placement.Position
+	until time.Time
+}
+
+// record records the present position and returns the earlier ones within takeOverDelay.
+func (h *positionHistory) record(now time.Time, p placement.Position) []placement.Position {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p != h.current {
+		h.earlier = append(h.earlier, earlierPosition{h.current, now})
+		h.current = p
+	}
+	h.earlier = slices.DeleteFunc(h.earlier, func(e earlierPosition) bool { return now.Sub(e.until) >= takeOverDelay })
+	var list []placement.Position
+	for _, e := range h.earlier {
+		list = append(list, e.Position)
+	}
+	return list
+}
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -56,7 +56,7 @@
 	decisions *decisionlog.Log
 	meter     *meter.Meter
 	now       func() time.Time
-	runID     int64 // random, identifies this run of the instance
+	runID     int64 // identifies this run of the instance
 	started   time.Time
 
 	gateway     gateway.Gateway
@@ -65,6 +65,7 @@
 	division    atomic.Pointer[division.Division] // of the customers' limits; nil before a configuration is known
 	refunds     refunds
 	sizes       listedSizes
+	positions   positionHistory
 	budget      retry.Budget
 	pool        pool.Pool
 	memberTable membership.Table
@@ -101,7 +102,7 @@
 // Stop is called. If ctx ends first, the background tasks end, but not the servers. If an
 // address cannot be opened, Start closes the others and returns the error.
 func Start(ctx context.Context, c Config) (*Edge, error) {
-	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: int64(rand.Uint64() >> 1), eraChanged: make(chan struct{}, 1)}
+	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: membership.NewRun(c.Now()), eraChanged: make(chan struct{}, 1)}
 	e.settings.Store(&c.Settings)
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	listen := c.Listen
@@ -262,6 +263,7 @@
 		e.endRollbacks(now)
 		e.targets.leaving.evict(now)
 		e.divideQuota(now)
+		e.coldTargetShare(now) // keeps the history of positions current without requests
 		e.refreshTargets(now)
 	})
 }
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -10,14 +10,8 @@
 	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/hub"
 	"chervilyard.example/yard/membership"
-	"chervilyard.example/yard/placement"
 )
 
-// settlePeriod is how long a started instance sends nothing to cold targets. Until it
-// has heard from the other instances of its region, it would use their shares of the
-// request rate as well.
-const settlePeriod = time.Second
-
 // forwardPeersPerRegion is the number of instances of another region that this one forwards
 // requests to where it knows the region's waiting times from a hub.
 const forwardPeersPerRegion = 3
@@ -149,19 +143,3 @@
 	slices.SortStableFunc(list, func(a, b gateway.RemoteInstance) int { return cmp.Compare(a.Wait, b.Wait) })
 	return list
 }
-
-// coldTargetShare returns how the region's instances divide the request rate to cold
-// targets. Silent instances count for shareRetention, since they may still send
-// requests. For settlePeriod after its start the instance has no share.
-func (e *Edge) coldTargetShare(now time.Time) placement.ColdShare {
-	s := e.Settings()
-	if now.Sub(e.started) < settlePeriod {
-		return placement.ColdShare{RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests} // Instances is zero: no share
-	}
-	others := slices.DeleteFunc(e.sharingMembers(now), func(m membership.Member) bool { return m.Region != s.Region })
-	share := placement.ColdShare{Instances: len(others) + 1, Rank: membership.Rank(s.Name, others), RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests}
-	if _, regionSize := e.sizes.get(now, e.started); regionSize > share.Instances {
-		share.Instances, share.Rank = regionSize, regionSize-1 // its rank among all is not known yet
-	}
-	return share
-}
--- a/chervilyard/edge/suspects.go
+++ b/chervilyard/edge/suspects.go
@@ -8,6 +8,10 @@
 	"chervilyard.example/yard/suspect"
 )
 
+// settlePeriod is how long after its start an instance may not have heard the others of its
+// region.
+const settlePeriod = time.Second
+
 // buildSuspects connects the ledger of suspect parts to the log and the heartbeats.
 func (e *Edge) buildSuspects() {
 	log := func(choice string) func(time.Time, suspect.Verdict) {
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,7 @@
 // encoded as JSON in the store, so its field names are part of the stored data.
 type Member struct {
 	Name    string // stable across restarts
-	Run     int64  // identifies one run of the process
+	Run     int64  // identifies one run of the process; see NewRun
 	Region  string
 	Centre  string
 	Callers string // address for callers, IP:PORT
@@ -35,6 +36,15 @@
 	Heard time.Time // time of the last known heartbeat; zero if there was none
 }
 
+// runBits is the number of random bits of a run.
+const runBits = 20
+
+// NewRun returns the identifier of a run that starts at the given time. It is higher than
+// that of runs that started earlier by their machines' clocks.
+func NewRun(started time.Time) int64 {
+	return started.UnixMilli()<<runBits | rand.Int64N(1<<runBits)
+}
+
 // Fingerprint returns a fingerprint of the announced state. It covers every field
 // except Heard and those of the entry in the store only.
 func (m Member) Fingerprint() uint64 {
@@ -263,12 +273,12 @@
 
 func compareName(e *entry, name string) int { return cmp.Compare(e.Name, name) }
 
-// Rank returns the position, from 0, of the name self in the sorted order of self
-// and the names of the others.
-func Rank(self string, others []Member) int {
+// Rank returns the position, from 0, of self among itself and the others by the age of
+// their runs, the oldest first: a member that joins changes no rank but its own.
+func Rank(self Member, others []Member) int {
 	rank := 0
 	for _, m := range others {
-		if m.Name < self {
+		if cmp.Or(cmp.Compare(m.Run, self.Run), cmp.Compare(m.Name, self.Name)) < 0 {
 			rank++
 		}
 	}
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
 )
@@ -93,11 +94,27 @@
 	Cost time.Duration // Wait minus the value of the cached prompt parts; it may be negative
 }
 
+// Position is the position of an instance among those of its region.
+type Position struct {
+	Instances int  // number of instances in the region; 0 allows no requests to cold targets
+	Rank      int  // index of this instance among them, from 0
+	New       bool // some of them may not know this instance yet
+}
+
+// limit returns the share of a limit of perSecond requests per second. A new instance has none
+// if those that do not know it divide the limit by fewer than they would otherwise.
+func (p Position) limit(perSecond float64) int {
+	if p.New && p.Instances <= int(perSecond) {
+		return 0
+	}
+	return coldlimit.InstanceLimit(perSecond, p.Instances, p.Rank)
+}
+
 // ColdShare describes how the instances of a region share the rate limit of a cold
 // target, which is the rate of its service times RateFactor, plus ExtraRequests.
 type ColdShare struct {
-	Instances     int // number of instances in the region; 0 allows no requests to cold targets
-	Rank          int // index of this instance among them, from 0
+	Position
+	Earlier       []Position // recent ones, whose shares bound that of the present one
 	RateFactor    float64
 	ExtraRequests float64 // requests per second
 }
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
 )
@@ -162,5 +161,10 @@
 	if r.Service.ColdRequestsPerSecond() <= 0 {
 		return math.MaxInt32
 	}
-	return coldlimit.InstanceLimit(r.Service.ColdRequestsPerSecond()*coldShare.RateFactor+coldShare.ExtraRequests, coldShare.Instances, coldShare.Rank)
+	perSecond := r.Service.ColdRequestsPerSecond()*coldShare.RateFactor + coldShare.ExtraRequests
+	limit := coldShare.limit(perSecond)
+	for _, p := range coldShare.Earlier {
+		limit = min(limit, p.limit(perSecond))
+	}
+	return limit
 }
