--- a/yard/placement/cold_test.go
+++ b/yard/placement/cold_test.go
@@ -99,3 +99,23 @@
 		t.Errorf("%d of 20 requests go to a target that is no longer cold", n)
 	}
 }
+
+// Guards against taking a target for warm because of an entry that was written before it
+// restarted: a target that is cut off from the store stays listed for three report intervals.
+func TestSuspicionOutlivesOldEntry(t *testing.T) {
+	const reportInterval = 1200 * time.Millisecond
+	var p placement.Picker
+	noShare := placement.ColdShare{Position: placement.Position{Instances: 24, Rank: 9}, RateFactor: 1.5, ExtraRequests: 3}
+	start := time.Unix(1_700_000_000, 0)
+	list := []target.Target{target.New("a", "c", "", []string{"m"}, 64, 1, false).WithRunID(1)}
+	p.UpdateTargets(start, start, reportInterval, list)
+	request := placement.Request{Service: engineService, PromptTokens: 10}
+	p.Choose(start, list, request, noShare).End(start, placement.ConnectionBroken)
+	for after := time.Duration(0); after < 3*reportInterval; after += 100 * time.Millisecond {
+		now := start.Add(after)
+		p.UpdateTargets(now, now, reportInterval, list)
+		if ticket := p.Choose(now, list, request, noShare); ticket != nil {
+			t.Fatalf("%v after its connection broke, an instance without a share sends a request to a target that may be cold", after)
+		}
+	}
+}
