Keep a suspicion for as long as an entry from before it can be listed

Callers saw a cold target flooded (FAILBACK). A broken or refused connection makes an instance take a target for one that may have restarted; it stopped doing so once a list was read one report interval (1.2 s) later. A target that is cut off from the store, or whose reports are late, stays listed for three intervals by an entry from before its restart. Instances with a share ask its health check; the others, at the grown size 15 of 24, then sent their whole load.

An entry that is still listed, of the same run, three intervals later has been written since.

--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -58,6 +58,9 @@
 	minSharers = 9
 	// maxSample is the number of targets in a sample.
 	maxSample = 4
+	// entryIntervals is the number of report intervals for which the entry of a target that
+	// does not refresh it stays listed.
+	entryIntervals = 3
 	// stateTTL is how long the state of a target that is no longer listed is kept.
 	stateTTL = time.Minute
 	// peerLoadTTL is how long the load report of a peer counts.
@@ -155,8 +158,8 @@
 // UpdateTargets updates the state from a list of targets that was requested at
 // readAt and received at receivedAt. Each target refreshes its entry every
 // reportInterval. The remaining cold times count from receivedAt, since an entry may
-// be written after readAt. A possible restart is dismissed once a list was requested
-// more than reportInterval after it. A target with a new run ID keeps only its load
+// be written after readAt. The entry of a silent target stays for entryIntervals, so a
+// possible restart is dismissed once a list was requested that long after it. A target with a new run ID keeps only its load
 // and the requests that count against its cold limit.
 func (p *Picker) UpdateTargets(readAt, receivedAt time.Time, reportInterval time.Duration, targets []target.Target) {
 	p.mu.Lock()
@@ -175,7 +178,7 @@
 		if t.ColdRemaining() > 0 {
 			s.coldUntil = receivedAt.Add(t.ColdRemaining())
 		}
-		if !s.suspectSince.IsZero() && readAt.Sub(s.suspectSince) > reportInterval {
+		if !s.suspectSince.IsZero() && readAt.Sub(s.suspectSince) > entryIntervals*reportInterval {
 			s.suspectSince = time.Time{}
 			if p.OnDismissed != nil {
 				p.OnDismissed(receivedAt, t.Name())
