Compute the share of a cold target only for requests that need it when they are sent

Each request asked for the instance's share once more when its connection was made, which copies the list of members; only one whose target has become cold since its choice needs it. The delay of a larger share is the window's length by name.

--- a/chervilyard/edge/cold_share.go
+++ b/chervilyard/edge/cold_share.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/placement"
 )
@@ -13,9 +14,9 @@
 	// introductionPeriod is how long after its start an instance may still be unknown to a
 	// member that others hear, and not know all members itself.
 	introductionPeriod = 500 * time.Millisecond
-	// takeOverDelay is how long an instance waits before it uses a larger share: what the
-	// member that had it sent before counts for a second.
-	takeOverDelay = 1200 * time.Millisecond
+	// takeOverDelay is how long an instance waits before it uses a larger share, since the
+	// requests of the member that had it before still count.
+	takeOverDelay = coldlimit.WindowLength
 )
 
 // coldTargetShare returns how the region's instances divide the request rate to cold
--- a/chervilyard/edge/cold_share_test.go
+++ b/chervilyard/edge/cold_share_test.go
@@ -127,7 +127,7 @@
 		for n := 0; i.running && n < simulatedPerStep; n++ {
 			share := i.edge.coldTargetShare(r.now)
 			ticket := i.picker.Choose(r.now, r.list, r.request, share)
-			if ticket == nil || !ticket.Admit(r.now, share) {
+			if ticket == nil || !ticket.Admit(r.now, i.edge.coldTargetShare) {
 				break
 			}
 			ticket.Sent(r.now)
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -180,7 +180,7 @@
 		NewConn: !x.route.Idempotent() && !x.route.Stream(),
 		Admit: func() bool {
 			now := g.Now()
-			if !a.dest.ticket.Admit(now, g.ColdShare(now)) {
+			if !a.dest.ticket.Admit(now, g.ColdShare) {
 				return false
 			}
 			a.sentAt = now
--- a/yard/coldlimit/coldlimit.go
+++ b/yard/coldlimit/coldlimit.go
@@ -4,12 +4,13 @@
 
 import "time"
 
-// windowLength is longer than the second to which a limit applies, since requests
-// sent more than a second apart may arrive within one second.
-const windowLength = 1200 * time.Millisecond
+// WindowLength is how long a sent request counts. It is longer than the second to
+// which a limit applies, since requests sent more than a second apart may arrive within
+// one second.
+const WindowLength = 1200 * time.Millisecond
 
 // Window counts the requests that are about to be sent, and those sent within
-// windowLength. A request counts from Reserve until windowLength after Sent: connecting can
+// WindowLength. A request counts from Reserve until WindowLength after Sent: connecting can
 // take most of a second, and a process may stall at any point. The zero value is empty. It
 // is not safe for concurrent use.
 type Window struct {
@@ -39,7 +40,7 @@
 // Allows reports whether Reserve would return true. It drops expired requests.
 func (w *Window) Allows(now time.Time, limit int) bool {
 	expired := 0
-	for expired < len(w.sent) && now.Sub(w.sent[expired]) >= windowLength {
+	for expired < len(w.sent) && now.Sub(w.sent[expired]) >= WindowLength {
 		expired++
 	}
 	w.sent = w.sent[expired:]
--- a/yard/placement/cold_test.go
+++ b/yard/placement/cold_test.go
@@ -50,7 +50,7 @@
 				}
 			default:
 				if ticket := pickers[i].Choose(now, list, placement.Request{Service: engineService, PromptTokens: 10}, share); ticket != nil {
-					if !ticket.Admit(now, share) {
+					if !ticket.Admit(now, func(time.Time) placement.ColdShare { return share }) {
 						t.Fatal("a request is withheld at the time of its choice")
 					}
 					ticket.Sent(now)
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -159,8 +159,8 @@
 // readAt and received at receivedAt. Each target refreshes its entry every
 // reportInterval. The remaining cold times count from receivedAt, since an entry may
 // be written after readAt. The entry of a silent target stays for entryIntervals, so a
-// possible restart is dismissed once a list was requested that long after it. A target with a new run ID keeps only its load
-// and the requests that count against its cold limit.
+// possible restart is dismissed once a list was requested that long after it. A target
+// with a new run ID keeps only its load and the requests that count against its cold limit.
 func (p *Picker) UpdateTargets(readAt, receivedAt time.Time, reportInterval time.Duration, targets []target.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -21,6 +21,8 @@
 	coldShare     = placement.ColdShare{Position: placement.Position{Instances: 1}, RateFactor: 1.5, ExtraRequests: 3}
 )
 
+func fixedShare(time.Time) placement.ColdShare { return coldShare }
+
 var outcomes = map[string]placement.Outcome{
 	"answered": placement.Answered, "failed": placement.Failed, "unreachable": placement.Unreachable,
 	"broken": placement.ConnectionBroken, "full": placement.Overloaded, "silent": placement.TimedOut, "left": placement.Canceled,
@@ -81,7 +83,7 @@
 	case "sent":
 		p.sent(s, s.Words[1])
 	case "withheld":
-		if p.tickets[s.Words[1]].Admit(s.At, coldShare) {
+		if p.tickets[s.Words[1]].Admit(s.At, fixedShare) {
 			p.t.Errorf("line %d: the request may be sent", s.Line)
 		}
 		p.tickets[s.Words[1]].End(s.At, placement.Withheld)
@@ -124,7 +126,7 @@
 }
 
 func (p *player) sent(s scripttest.Step, label string) {
-	if !p.tickets[label].Admit(s.At, coldShare) {
+	if !p.tickets[label].Admit(s.At, fixedShare) {
 		p.t.Errorf("line %d: the request may not be sent", s.Line)
 	}
 	p.tickets[label].Sent(s.At)
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -51,14 +51,15 @@
 
 // Admit reports whether the request may be sent now that its connection is established. It
 // returns false if the target has become cold since it was chosen and its rate limit is used
-// up, or has no share for this instance.
-func (t *Ticket) Admit(now time.Time, coldShare ColdShare) bool {
+// up, or has no share for this instance. The function coldShare is called only if the target
+// has become cold, and must not call methods of the Picker.
+func (t *Ticket) Admit(now time.Time, coldShare func(now time.Time) ColdShare) bool {
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
 	s := t.picker.state(t.target.Name())
 	if !t.reserved && t.picker.isCold(now, s) {
 		t.becameCold = true
-		if !s.window.Reserve(now, t.picker.coldLimit(t.request, coldShare)) {
+		if !s.window.Reserve(now, t.picker.coldLimit(t.request, coldShare(now))) {
 			return false
 		}
 		t.reserved = true
