Add a failing test of a target that restarts unseen

A target whose entry in the store does not change ends and starts again under its name within 0.2 s.

--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -170,6 +170,7 @@
 	Version int64
 	Rate    float64 // of customer c, in tokens per second; the burst is the same number of tokens
 	Keys    []string
+	Cold    float64 // requests per second that a cold target of service s bears; 0 for no limit
 }
 
 type targetEntry struct {
@@ -307,7 +308,7 @@
 		}
 		return catalog.New(catalog.Config{
 			Version: d.Version, CustomerByKey: keys, DefaultTokens: map[string]float64{"c": 1},
-			Services:  []service.Service{service.New("s")},
+			Services:  []service.Service{service.New("s").WithColdLimit(d.Cold)},
 			Customers: []customer.Customer{customer.New("c", d.Rate, d.Rate, 1, "")},
 			Routes: []route.Route{
 				route.New("r", route.KindService, route.Timeout(2*time.Second), route.Repeatable(true), route.Forward(route.Forwarding{
