--- a/chervilyard/edge/cold_share_test.go
+++ b/chervilyard/edge/cold_share_test.go
@@ -78,7 +78,7 @@
 
 // start starts a run of the instance, which hears of the others and they of it.
 func (r *simulatedRegion) start(i *simulatedInstance) {
-	e := &Edge{started: r.now, runID: membership.NewRun(r.now), now: func() time.Time { return r.now }}
+	e := &Edge{started: r.now, runID: membership.NewRun(r.now, r.random.Int64()), now: func() time.Time { return r.now }}
 	e.settings.Store(&Settings{Name: i.name, Region: "east", Centre: "c", ColdRateFactor: 1.5, ColdExtraRequests: 3})
 	e.sizes.merge([]membership.Member{{Name: "entry", Region: "east", Neighbours: r.size}}, "east")
 	i.edge, i.picker, i.running, i.startsAt, i.mark = e, &placement.Picker{}, true, time.Time{}, e.self(r.now).Fingerprint()
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -102,7 +102,7 @@
 // Stop is called. If ctx ends first, the background tasks end, but not the servers. If an
 // address cannot be opened, Start closes the others and returns the error.
 func Start(ctx context.Context, c Config) (*Edge, error) {
-	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: membership.NewRun(c.Now()), eraChanged: make(chan struct{}, 1)}
+	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: membership.NewRun(c.Now(), rand.Int64()), eraChanged: make(chan struct{}, 1)}
 	e.settings.Store(&c.Settings)
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	listen := c.Listen
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -39,10 +38,10 @@
 // runBits is the number of random bits of a run.
 const runBits = 20
 
-// NewRun returns the identifier of a run that starts at the given time. It is higher than
-// that of runs that started earlier by their machines' clocks.
-func NewRun(started time.Time) int64 {
-	return started.UnixMilli()<<runBits | rand.Int64N(1<<runBits)
+// NewRun returns the identifier of a run that starts at the given time, from a random
+// number. It is higher than that of runs that started earlier by their machines' clocks.
+func NewRun(started time.Time, random int64) int64 {
+	return started.UnixMilli()<<runBits | random&(1<<runBits-1)
 }
 
 // Fingerprint returns a fingerprint of the announced state. It covers every field
--- a/yard/membership/membership_test.go
+++ b/yard/membership/membership_test.go
@@ -93,16 +93,16 @@
 // ordered by name.
 func TestRank(t *testing.T) {
 	started := time.Unix(1_700_000_000, 0)
-	old, young := membership.NewRun(started), membership.NewRun(started.Add(time.Millisecond))
+	old, young := membership.NewRun(started, 7), membership.NewRun(started.Add(time.Millisecond), 0)
 	others := []membership.Member{{Name: "a", Run: young}, {Name: "c", Run: old}}
 	for _, c := range []struct {
 		self membership.Member
 		want int
 	}{
-		{membership.Member{Name: "b", Run: membership.NewRun(started.Add(-time.Millisecond))}, 0},
+		{membership.Member{Name: "b", Run: membership.NewRun(started.Add(-time.Millisecond), -1)}, 0},
 		{membership.Member{Name: "b", Run: old}, 0},
 		{membership.Member{Name: "d", Run: old}, 1},
-		{membership.Member{Name: "0", Run: membership.NewRun(started.Add(2 * time.Millisecond))}, 2},
+		{membership.Member{Name: "0", Run: membership.NewRun(started.Add(2*time.Millisecond), 0)}, 2},
 	} {
 		if got := membership.Rank(c.self, others); got != c.want {
 			t.Errorf("the rank of %+v is %d, want %d", c.self, got, c.want)
