--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -451,7 +451,7 @@
 	cancel()
 	<-logged
 	decisions := n.gateway.Decisions.History("1")
-	if len(decisions) != 1 || !strings.Contains(decisions[0].Reason, " believed=e,cold,left=") || !strings.Contains(decisions[0].Reason, ",limit=1,rank=2/3,") {
+	if len(decisions) != 1 || !strings.Contains(decisions[0].Reason, " sent_at=e@") || !strings.Contains(decisions[0].Reason, " believed=e,cold,left=") || !strings.Contains(decisions[0].Reason, ",limit=1,rank=2/3,") {
 		t.Errorf("decisions %+v", decisions)
 	}
 }
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -147,9 +147,8 @@
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
 	// math/rand are used. It must not be changed after first use.
 	Random func(n int) int
-	// OnSuspected is called when a target may have restarted, with the outcome that shows
-	// it, and OnDismissed when a target list rules that out. Neither is called again before
-	// the other, or before a health check or a new run ended the suspicion. They may be nil,
+	// OnSuspected is called when a suspicion begins that a target has restarted, with the
+	// outcome that raised it, and OnDismissed when a target list ends one. They may be nil,
 	// must not be changed after first use and must not call methods of the Picker.
 	OnSuspected func(now time.Time, name string, o Outcome)
 	OnDismissed func(now time.Time, name string)
