Log the rate limits that targets name, and count requests beside them

A target in need names in its responses the requests a second that it takes from all instances together.

Nothing acts on the limits yet.

--- a/chervilctl/fleet.go
+++ b/chervilctl/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chervilyard.example/chervilctl/coldrate"
+	"chervilyard.example/chervilctl/limitrate"
 	"chervilyard.example/chervilctl/trace"
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/instance"
@@ -207,7 +208,8 @@
 	Most     int           `long:"most" default:"20" value-name:"N" description:"print at most N targets"`
 }
 
-// Execute prints the cold targets with the most requests sent within one second.
+// Execute prints the cold targets with the most requests sent within one second, and the
+// targets with a limit with the most sent within four, relative to what the limits allow.
 func (c *coldCommand) Execute([]string) error {
 	var logs trace.Logs
 	for _, name := range c.Logs {
@@ -220,17 +222,26 @@
 		}
 	}
 	var counter coldrate.Counter
+	var limited limitrate.Counter
 	for _, e := range logs.Entries() {
 		counter.Add(e)
+		limited.Add(e)
 	}
-	peaks := counter.Peaks(c.ColdTime)
+	peaks, limitPeaks := counter.Peaks(c.ColdTime), limited.Peaks()
 	if global.JSON {
-		return printJSON(peaks)
+		return printJSON(struct {
+			Cold    []coldrate.Peak
+			Limited []limitrate.Peak
+		}{peaks, limitPeaks})
 	}
 	fmt.Printf("%-20s %-14s %8s %13s\n", "TARGET", "FROM", "REQUESTS", "TAKEN AS COLD")
 	for _, p := range peaks[:min(c.Most, len(peaks))] {
 		fmt.Printf("%-20s %-14s %8d %13d\n", p.Target, p.Start.UTC().Format("15:04:05.000"), p.Requests, p.ByCold)
 	}
+	fmt.Printf("\n%-20s %-14s %8s %8s %8s\n", "TARGET", "FROM", "LIMIT", "IN 4 S", "ALLOWED")
+	for _, p := range limitPeaks[:min(c.Most, len(limitPeaks))] {
+		fmt.Printf("%-20s %-14s %8.1f %8d %8.1f\n", p.Target, p.Start.UTC().Format("15:04:05.000"), p.Limit, p.Requests, p.Allowed)
+	}
 	return nil
 }
 
--- a/chervilctl/main.go
+++ b/chervilctl/main.go
@@ -41,7 +41,7 @@
 	Key      keyCommand      `command:"key" description:"issue, withdraw and list keys"`
 	Status   statusCommand   `command:"status" description:"show the state of each instance"`
 	Explain  explainCommand  `command:"explain" description:"show the decisions on a request"`
-	Cold     coldCommand     `command:"cold" description:"count the requests per second to cold targets, from logs"`
+	Cold     coldCommand     `command:"cold" description:"count the requests to cold targets and to targets with a limit, from logs"`
 }
 
 var global options
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -33,6 +33,7 @@
 	"chervilyard.example/yard/retry"
 	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/targetrate"
 	"chervilyard.example/yard/view"
 )
 
@@ -64,6 +65,8 @@
 	quota       ratelimit.Limiter
 	division    atomic.Pointer[division.Division] // of the customers' limits; nil before a configuration is known
 	refunds     refunds
+	rates       targetrate.Ledger // limits that the region's targets named, by targetRunHash
+	malformed   runSet            // runs that named a limit that cannot be read
 	sizes       listedSizes
 	positions   positionHistory
 	budget      retry.Budget
@@ -151,6 +154,7 @@
 	g.Remotes = e.remoteInstances
 	g.OnRemoteLeaving = e.recordLeaving
 	g.OnTargetLeaving = e.recordTargetLeaving
+	g.OnRateLimit = e.recordRateLimit
 	g.PreferredTarget = e.preferredTarget
 	g.StateAges = func(now time.Time) (time.Duration, time.Duration) {
 		configuration, _ := e.views[PartConfiguration].Age(now)
@@ -192,6 +196,7 @@
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.InFlight()) })
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
 	e.meter.Gauge("chervil_blocked_parts", func() float64 { return float64(e.suspects.Blocked()) })
+	e.meter.Gauge("chervil_target_limits", func() float64 { return float64(e.rates.InEffect()) })
 	e.meter.Gauge("chervil_members", func() float64 { return float64(len(e.memberTable.Live(e.now(), liveTimeout))) })
 	for name, v := range e.views {
 		e.meter.Gauge(fmt.Sprintf("chervil_view_age_seconds{part=%q}", name), func() float64 {
@@ -262,6 +267,7 @@
 		e.pool.CloseExpired(now)
 		e.endRollbacks(now)
 		e.targets.leaving.evict(now)
+		e.evictRates(now)
 		e.divideQuota(now)
 		e.coldTargetShare(now) // keeps the history of positions current without requests
 		e.refreshTargets(now)
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -80,9 +80,13 @@
 	defer resp.Close()
 	now := e.now()
 	name, cold, healthy := e.gateway.Protocol.ParseHealth(resp.Status, resp.Header)
-	if name == t.Name() && e.gateway.Protocol.ClassifyResponse(resp.Status, resp.Header).Leaving {
+	class := e.gateway.Protocol.ClassifyResponse(resp.Status, resp.Header)
+	if name == t.Name() && class.Leaving {
 		e.recordTargetLeaving(now, t)
 	}
+	if name == t.Name() && len(class.RateLimit) > 0 {
+		e.recordRateLimit(sentAt, now, t, class.RateLimit)
+	}
 	if name != t.Name() || !healthy {
 		e.logDecision("target", "not proved", t.Name()+": status "+itoa(int64(resp.Status))+" from "+name)
 		return
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -99,6 +99,17 @@
 	t.leaving.tell(now, runs)
 }
 
+// runs returns the runs of the region's targets, by targetRunHash.
+func (t *targetList) runs() map[uint64]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	runs := make(map[uint64]bool, len(t.local))
+	for _, listed := range t.local {
+		runs[targetRunHash(listed)] = true
+	}
+	return runs
+}
+
 // services returns the names of the services that the region's targets serve, sorted.
 func (t *targetList) services() []string {
 	t.mu.Lock()
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -47,6 +47,23 @@
 	NotRun     bool // the target did not run the request
 	Replaced   bool // a different target now has this address
 	Leaving    bool // the target is leaving and wants no new requests
+	// RateLimit holds the values of the field that names the requests per second that the
+	// target takes from all instances together; see targetrate.Parse. It is nil if the
+	// response has none.
+	RateLimit []string
+}
+
+// TellsRateLimit reports whether the response tells if the target has a rate limit: one
+// that names a limit does if the target itself sent it, also in a failure, and one without
+// does only if the request succeeded.
+func (c ResponseClass) TellsRateLimit(status int) bool {
+	if c.Replaced {
+		return false
+	}
+	if len(c.RateLimit) > 0 {
+		return c.FromTarget || c.NotRun
+	}
+	return c.FromTarget && status >= 200 && status < 300
 }
 
 // Protocol translates between the gateway and the protocols of callers and targets.
@@ -112,6 +129,9 @@
 	// OnTargetLeaving is called with a target that said in a response that it is leaving.
 	// It may be nil.
 	OnTargetLeaving func(now time.Time, t target.Target)
+	// OnRateLimit is called with a target whose response, to a request sent at sentAt, names
+	// a rate limit, or has no value and so names none. It may be nil.
+	OnRateLimit func(sentAt, now time.Time, t target.Target, values []string)
 	// PreferredTarget returns the target that all instances prefer for the shared
 	// parts of a prompt, so that its cache holds them, and the region of that
 	// target. Only regions for which reachable returns true are considered. Both
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -60,6 +60,9 @@
 		if class.Leaving && !class.Replaced && g.OnTargetLeaving != nil {
 			g.OnTargetLeaving(g.Now(), a.dest.ticket.Target())
 		}
+		if g.OnRateLimit != nil && class.TellsRateLimit(resp.Status) {
+			g.OnRateLimit(a.sentAt, g.Now(), a.dest.ticket.Target(), class.RateLimit)
+		}
 	}
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
