--- /dev/null
+++ b/chervilyard/edge/limit_test.go
@@ -0,0 +1,121 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// limitedTarget is a target that can name a rate limit in its responses.
+type limitedTarget struct {
+	mu       sync.Mutex
+	limit    string    // "" for none
+	namedAt  time.Time // when the first response named one
+	arrivals []time.Time
+}
+
+func (l *limitedTarget) name(limit string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
+func (l *limitedTarget) serve(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	now := time.Now()
+	l.arrivals = append(l.arrivals, now)
+	limit := l.limit
+	if limit != "" && l.namedAt.IsZero() {
+		l.namedAt = now
+	}
+	l.mu.Unlock()
+	if limit != "" {
+		w.Header().Set("Limit", limit)
+	}
+	time.Sleep(20 * time.Millisecond)
+	w.WriteHeader(http.StatusOK)
+}
+
+// mostInPeriod returns the largest number of requests that arrived within the period, from
+// the given time after the first response that named a limit.
+func (l *limitedTarget) mostInPeriod(period, after time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most, first := 0, 0
+	for n, at := range l.arrivals {
+		for first < n && (at.Sub(l.arrivals[first]) >= period || l.arrivals[first].Before(l.namedAt.Add(after))) {
+			first++
+		}
+		if !at.Before(l.namedAt.Add(after)) {
+			most = max(most, n-first+1)
+		}
+	}
+	return most
+}
+
+// load lets each instance get a request in every pause until stop is called, which returns
+// the numbers of responses by status.
+func (f *fleet) load(pause time.Duration) (stop func() map[int]int) {
+	var mu sync.Mutex
+	outcomes := make(map[int]int)
+	var stopped atomic.Bool
+	var callers sync.WaitGroup
+	n := 0
+	for _, e := range f.edges {
+		offset := pause * time.Duration(n) / time.Duration(len(f.edges))
+		n++
+		callers.Go(func() {
+			for time.Sleep(offset); !stopped.Load(); time.Sleep(pause) {
+				status, _ := call(e, "k", 1)
+				mu.Lock()
+				outcomes[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	return func() map[int]int {
+		stopped.Store(true)
+		callers.Wait()
+		return outcomes
+	}
+}
+
+// Guards against a flood of a target that names a limit, of all instances together, while
+// another target has room.
+func TestNamedLimitAcrossInstances(t *testing.T) {
+	const (
+		limit   = 3.1
+		period  = 4 * time.Second
+		allowed = 1.5*4*limit + 5
+		heard   = time.Second // after which all instances know the limit
+	)
+	for _, instances := range []int{9, 24} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.store.put("configuration/document", document{Version: 1, Rate: 1e9, Keys: []string{"k"}})
+			var limited, sound limitedTarget
+			f.addTarget("a", "east-a", limited.serve)
+			f.addTarget("b", "east-a", sound.serve)
+			for n := range instances {
+				f.start("east", 10+n)
+			}
+			f.waitReady()
+			time.Sleep(time.Second) // until the instances know each other
+			stop := f.load(time.Duration(instances) * 12 * time.Millisecond)
+			time.Sleep(time.Second)
+			limited.name(fmt.Sprint(limit))
+			time.Sleep(heard + period + time.Second)
+			outcomes := stop()
+			if most := limited.mostInPeriod(period, heard); float64(most) > allowed {
+				t.Errorf("%d requests within %v at a target that named %v a second, at most %v", most, period, limit, allowed)
+			}
+			if len(outcomes) != 1 || outcomes[http.StatusOK] == 0 {
+				t.Errorf("responses by status: %v", outcomes)
+			}
+		})
+	}
+}
