Keep the rate limits that targets name, over all instances of a region

Callers saw a target in need flooded by the region that it had asked to slow down (LIMIT): a target that named 3.1 requests a second got 75 in four seconds, 24 allowed. Cause: no instance heeded what targets name; the field was passed on to callers like any other. The class is a limit of the fleet that is told to one instance at a time.

Now the instances of a region tell each other the last word of each run with their heartbeats, and a request to a target with a limit needs a permit, as do health checks, repeats, resumed streams and forwarded requests. One instance for each run of a target, the first by rendezvous hashing that can, issues them. One that does not answer is passed over; the next in order asks the first ranks to leave the issuing to it, and takes over what was assigned, or starts with an empty schedule. On the smaller side of a cut little is issued; an issuer that cannot reach one before it issues half until it knows its side. A permit is void half a second after its slot, checked as the request is sent. The choice of a target counts one without a permit as unusable, so load goes to targets and regions with room; what none can take is refused at once with the time of the next permit.

--- a/chervilyard/edge/cold_share_test.go
+++ b/chervilyard/edge/cold_share_test.go
@@ -27,6 +27,12 @@
 	list      []target.Target
 	request   placement.Request
 	names     int
+	// onStart is called with an instance that starts, and onMessage with the first message
+	// that arrives from another one. They may be nil.
+	onStart   func(i *simulatedInstance)
+	onMessage func(to, from *simulatedInstance)
+	stalls    bool // instances stand still at times
+	calmSteps int  // of each step in which something may happen, how many follow in which nothing does
 }
 
 // simulatedInstance is one instance. A run that has ended stays until the next one starts.
@@ -37,6 +43,7 @@
 	running  bool
 	startsAt time.Time // of the next run; zero if there is none
 	apart    bool      // on the smaller side of a cut
+	stalled  time.Time // until when it stands still
 	mark     uint64    // fingerprint of the run as a member
 }
 
@@ -81,8 +88,12 @@
 	e := &Edge{started: r.now, runID: membership.NewRun(r.now, r.random.Int64()), now: func() time.Time { return r.now }}
 	e.settings.Store(&Settings{Name: i.name, Region: "east", Centre: "c", ColdRateFactor: 1.5, ColdExtraRequests: 3})
 	e.sizes.merge([]membership.Member{{Name: "entry", Region: "east", Neighbours: r.size}}, "east")
-	i.edge, i.picker, i.running, i.startsAt, i.mark = e, &placement.Picker{}, true, time.Time{}, e.self(r.now).Fingerprint()
+	i.edge, i.picker, i.running, i.startsAt = e, &placement.Picker{}, true, time.Time{}
 	i.picker.UpdateTargets(r.now, r.now, time.Second, r.list)
+	if r.onStart != nil {
+		r.onStart(i)
+	}
+	i.mark = e.self(r.now).Fingerprint()
 	for _, other := range r.instances {
 		if other != i && other.running {
 			r.tell(other, i)
@@ -98,11 +109,28 @@
 
 // connected reports whether messages between the two get through.
 func (r *simulatedRegion) connected(a, b *simulatedInstance) bool {
-	return r.now.After(r.cutUntil) || a.apart == b.apart
+	return (r.now.After(r.cutUntil) || a.apart == b.apart) && !r.now.Before(a.stalled) && !r.now.Before(b.stalled)
 }
 
-// step lets messages arrive, something happen at random, and all instances send.
+// step advances the region, and all instances send.
 func (r *simulatedRegion) step() {
+	r.advance()
+	for _, i := range r.instances {
+		for n := 0; i.running && n < simulatedPerStep; n++ {
+			share := i.edge.coldTargetShare(r.now)
+			ticket := i.picker.Choose(r.now, r.list, r.request, share)
+			if ticket == nil || !ticket.Admit(r.now, i.edge.coldTargetShare) {
+				break
+			}
+			ticket.Sent(r.now)
+			ticket.End(r.now, placement.Answered)
+			r.sent = append(r.sent, r.now)
+		}
+	}
+}
+
+// advance lets messages arrive, something happen at random, and instances start.
+func (r *simulatedRegion) advance() {
 	r.now = r.now.Add(simulatedStep)
 	r.deliver = slices.DeleteFunc(r.deliver, func(d delivery) bool {
 		if d.at.After(r.now) || !r.connected(d.to, d.from) {
@@ -110,6 +138,9 @@
 		}
 		if d.to.running && d.from.running {
 			d.to.edge.memberTable.Update(d.from.edge.self(r.now))
+			if r.onMessage != nil {
+				r.onMessage(d.to, d.from)
+			}
 			if r.random.IntN(len(r.instances)/simulatedLists+1) == 0 {
 				r.passList(d.to, d.from)
 			}
@@ -119,21 +150,13 @@
 	if r.steps++; r.steps%simulatedBeats == 0 {
 		r.exchangeHeartbeats()
 	}
-	r.happen()
+	if r.steps%(r.calmSteps+1) == 0 {
+		r.happen()
+	}
 	for _, i := range r.instances {
 		if !i.startsAt.IsZero() && !i.startsAt.After(r.now) {
 			r.start(i)
 		}
-		for n := 0; i.running && n < simulatedPerStep; n++ {
-			share := i.edge.coldTargetShare(r.now)
-			ticket := i.picker.Choose(r.now, r.list, r.request, share)
-			if ticket == nil || !ticket.Admit(r.now, i.edge.coldTargetShare) {
-				break
-			}
-			ticket.Sent(r.now)
-			ticket.End(r.now, placement.Answered)
-			r.sent = append(r.sent, r.now)
-		}
 	}
 }
 
@@ -183,6 +206,10 @@
 				other.apart = r.random.IntN(10) < share
 			}
 		}
+	case 8, 9:
+		if r.stalls {
+			i.stalled = r.now.Add(time.Second)
+		}
 	}
 }
 
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -66,6 +66,7 @@
 	division    atomic.Pointer[division.Division] // of the customers' limits; nil before a configuration is known
 	refunds     refunds
 	rates       targetrate.Ledger // limits that the region's targets named, by targetRunHash
+	permits     permits           // for requests to them
 	malformed   runSet            // runs that named a limit that cannot be read
 	sizes       listedSizes
 	positions   positionHistory
@@ -155,6 +156,8 @@
 	g.OnRemoteLeaving = e.recordLeaving
 	g.OnTargetLeaving = e.recordTargetLeaving
 	g.OnRateLimit = e.recordRateLimit
+	g.ObtainPermit = e.obtainPermit
+	e.picker.RateLimit = e.rateLimit
 	g.PreferredTarget = e.preferredTarget
 	g.StateAges = func(now time.Time) (time.Duration, time.Duration) {
 		configuration, _ := e.views[PartConfiguration].Age(now)
@@ -241,6 +244,7 @@
 		e.serve("peers", func() error { return e.peerServer.Serve(listeners[2]) }),
 		e.gossiper.Run(e.ctx),
 		e.announce(e.ctx),
+		e.confirmIssuers(e.ctx),
 		e.maintain(e.ctx))
 	for _, r := range e.readers() {
 		e.taskDone = append(e.taskDone, r.Run(e.ctx))
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -21,8 +21,10 @@
 		Self: e.self, Members: &e.memberTable, Now: e.now, Decisions: e.decisions,
 		Seeds:   func() []string { return e.Settings().Seeds },
 		Payload: e.heartbeatPayload, Wants: e.wantedTokens, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare, TakeWhole: e.takeWhole,
+		IssuePermit: e.issuePermit, YieldPermits: e.yieldPermits,
 		OnMessage: e.countPeerMessage,
 	}
+	e.permits.ask, e.permits.yield = e.gossiper.RequestPermit, e.gossiper.RequestYield
 }
 
 func (e *Edge) self(now time.Time) membership.Member {
@@ -53,6 +55,9 @@
 		h.Loads = encodeLoads(e.picker.Loads())
 	}
 	h.Leaving = e.targets.leaving.list(now, isHub)
+	for _, w := range e.rates.Tell(now) {
+		h.Limits = append(h.Limits, encodeWord(now, w))
+	}
 	return h
 }
 
@@ -97,6 +102,7 @@
 			e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
 		}
 		e.targets.leaving.tell(now, h.GetLeaving())
+		e.hearRates(now, written, h)
 	} else {
 		e.remoteWaits.hear(now, from.Region, h)
 	}
--- a/chervilyard/edge/limit_test.go
+++ b/chervilyard/edge/limit_test.go
@@ -119,3 +119,94 @@
 		})
 	}
 }
+
+// A target names a limit, then a lower one, and withdraws it. Guards against a limit that
+// outlives the target's word.
+func TestLimitIsWithdrawn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.put("configuration/document", document{Version: 1, Rate: 1e9, Keys: []string{"k"}})
+	var limited, sound limitedTarget
+	f.addTarget("a", "east-a", limited.serve)
+	f.addTarget("b", "east-a", sound.serve)
+	for n := range 5 {
+		f.start("east", 10+n)
+	}
+	f.waitReady()
+	time.Sleep(time.Second)
+	stop := f.load(50 * time.Millisecond)
+	for _, limit := range []string{"8", "2", "0"} {
+		limited.name(limit)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	limited.name("")
+	eventually(t, 12*time.Second, "the target gets requests again", func() bool {
+		limited.mu.Lock()
+		defer limited.mu.Unlock()
+		n := len(limited.arrivals)
+		return n > 20 && time.Since(limited.arrivals[n-20]) < time.Second
+	})
+	if outcomes := stop(); len(outcomes) != 1 || outcomes[http.StatusOK] == 0 {
+		t.Errorf("responses by status: %v", outcomes)
+	}
+}
+
+// All targets of a service name limits. Guards against requests that wait for what no target
+// can take, and against capacity that is left unused while requests are refused.
+func TestAllTargetsLimited(t *testing.T) {
+	t.Parallel()
+	const (
+		targets = 3
+		limit   = 6
+		callers = 8 // of each instance
+		loaded  = 6 * time.Second
+	)
+	f := newFleet(t)
+	f.store.put("configuration/document", document{Version: 1, Rate: 1e9, Keys: []string{"k"}})
+	var limited [targets]limitedTarget
+	for n := range limited {
+		f.addTarget(fmt.Sprint("t", n), "east-a", limited[n].serve)
+		limited[n].name(fmt.Sprint(limit))
+	}
+	for n := range 5 {
+		f.start("east", 10+n)
+	}
+	f.waitReady()
+	time.Sleep(time.Second)
+	warmUp := f.load(100 * time.Millisecond)
+	time.Sleep(time.Second) // until all have named their limits
+	warmUp()
+	var stops []func() map[int]int
+	for range callers {
+		stops = append(stops, f.load(100*time.Millisecond))
+	}
+	time.Sleep(time.Second)
+	began := time.Now()
+	time.Sleep(loaded)
+	outcomes := make(map[int]int)
+	for _, stop := range stops {
+		for status, n := range stop() {
+			outcomes[status] += n
+		}
+	}
+	served := 0
+	for n := range limited {
+		l := &limited[n]
+		l.mu.Lock()
+		for _, at := range l.arrivals {
+			if at.After(began) {
+				served++
+			}
+		}
+		l.mu.Unlock()
+		if most := l.mostInPeriod(4*time.Second, time.Second); float64(most) > 1.5*4*limit+5 {
+			t.Errorf("%d requests within four seconds at a target that named %v a second", most, limit)
+		}
+	}
+	if sum := targets * limit * time.Since(began).Seconds(); float64(served) < 0.8*sum {
+		t.Errorf("%d requests reached the targets, at least 0.8 of %.0f wanted", served, sum)
+	}
+	if len(outcomes) != 2 || outcomes[http.StatusServiceUnavailable] == 0 {
+		t.Errorf("responses by status: %v", outcomes)
+	}
+}
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -64,10 +64,22 @@
 	defer func() { check.End(e.now()) }()
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
 	defer cancel()
+	var permitUntil time.Time
+	if _, limited := e.rateLimit(e.now(), t); limited {
+		p, ok := e.obtainPermit(ctx, t, 0)
+		if !ok {
+			return
+		}
+		permitUntil = p.Until
+	}
 	sentAt := e.now()
 	resp, err := e.pool.Do(ctx, t.Address(), &pool.Request{
 		Method: http.MethodGet, RequestTarget: path, Host: t.Address(), Header: http.Header{}, NewConn: true,
 		Admit: func() bool {
+			now := e.now()
+			if _, limited := e.rateLimit(now, t); limited && !now.Before(permitUntil) {
+				return false
+			}
 			check.Admit()
 			return true
 		},
--- a/chervilyard/edge/rates.go
+++ b/chervilyard/edge/rates.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/targetrate"
 )
@@ -26,7 +27,7 @@
 	}
 	w := targetrate.Word{Run: run, Limited: limited, PerSecond: perSecond, At: now}
 	if !limited {
-		if _, known := e.rates.Get(run); !known {
+		if !e.rates.MayEnd(run, sentAt) {
 			return
 		}
 		w.At = sentAt
@@ -34,6 +35,24 @@
 	e.hearRate(now, t, w, "its response")
 }
 
+// hearRates takes the words in a heartbeat of another instance of the region that was written
+// no earlier than written.
+func (e *Edge) hearRates(now, written time.Time, h *fleet.Heartbeat) {
+	if len(h.GetLimits()) == 0 {
+		return
+	}
+	listed := e.targets.runs()
+	for _, l := range h.GetLimits() {
+		w := decodeWord(written, l)
+		t, ok := listed[w.Run]
+		if !ok { // the run may be listed soon
+			e.rates.Hear(now, w)
+			continue
+		}
+		e.hearRate(now, t, w, h.GetName())
+	}
+}
+
 // hearRate takes a word on the limit of a target and logs what it changes.
 func (e *Edge) hearRate(now time.Time, t target.Target, w targetrate.Word, source string) {
 	change := e.rates.Hear(now, w)
@@ -50,7 +69,10 @@
 		return
 	}
 	listed := e.targets.runs()
-	e.rates.Evict(now, rateRetention, func(run uint64) bool { return listed[run] })
+	e.rates.Evict(now, rateRetention, func(run uint64) bool {
+		_, ok := listed[run]
+		return ok
+	})
 	e.malformed.retain(listed)
 }
 
@@ -81,11 +103,11 @@
 }
 
 // retain removes the runs that are not in keep.
-func (s *runSet) retain(keep map[uint64]bool) {
+func (s *runSet) retain(keep map[uint64]target.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for run := range s.runs {
-		if !keep[run] {
+		if _, ok := keep[run]; !ok {
 			delete(s.runs, run)
 		}
 	}
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -99,13 +99,13 @@
 	t.leaving.tell(now, runs)
 }
 
-// runs returns the runs of the region's targets, by targetRunHash.
-func (t *targetList) runs() map[uint64]bool {
+// runs returns the region's targets by targetRunHash.
+func (t *targetList) runs() map[uint64]target.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	runs := make(map[uint64]bool, len(t.local))
+	runs := make(map[uint64]target.Target, len(t.local))
 	for _, listed := range t.local {
-		runs[targetRunHash(listed)] = true
+		runs[targetRunHash(listed)] = listed
 	}
 	return runs
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -22,6 +22,9 @@
 	// maxDestinations is how many destinations are chosen for one request at most.
 	// It also counts those that the request could not be sent to.
 	maxDestinations = 4
+	// maxPermitsRefused is how many targets with a rate limit have no permit for a request
+	// before each counts as a destination.
+	maxPermitsRefused = 8
 	// An idempotent request is retried elsewhere, where it can be, if the first byte
 	// takes longer than firstByteObjectiveFraction of the route's latency objective
 	// and longer than firstByteWaitFactor times the expected wait.
@@ -62,6 +65,12 @@
 			if dest.ticket = g.Picker.Choose(now, dest.local, dest.request, dest.coldShare); dest.ticket == nil {
 				return g.noTarget(x)
 			}
+			if !g.obtainPermit(ctx, now, x, dest.ticket) {
+				if x.permitsRefused++; x.permitsRefused <= maxPermitsRefused {
+					n-- // the request has not been sent anywhere
+				}
+				continue
+			}
 		}
 		retryable, err := g.tryDestination(ctx, x, dest)
 		if !retryable {
@@ -118,6 +127,28 @@
 	return true
 }
 
+// obtainPermit obtains a permit for the ticket's target if it has a rate limit, and otherwise
+// ends the ticket and returns false. The request waits for a permit only if no target without
+// a limit can take it, and not for so long that its response would be late.
+func (g *Gateway) obtainPermit(ctx context.Context, now time.Time, x *exchange, ticket *placement.Ticket) bool {
+	needed, alternative := ticket.NeedsPermit()
+	if !needed || g.ObtainPermit == nil {
+		return true
+	}
+	patience := max(g.waitLimit(now, x)-ticket.ExpectedWait(), 0)
+	if alternative {
+		patience = 0
+	}
+	p, ok := g.ObtainPermit(ctx, ticket.Target(), patience)
+	x.recordPermit(ticket.Target().Name(), p, ok)
+	if !ok {
+		ticket.End(g.Now(), placement.Withheld)
+		return false
+	}
+	ticket.Permit(p.Until)
+	return true
+}
+
 // untry allows attempts at other instances of a region again.
 func (x *exchange) untry(region string) {
 	x.tried = slices.DeleteFunc(x.tried, func(name string) bool { return name == region })
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -132,6 +132,10 @@
 	// OnRateLimit is called with a target whose response, to a request sent at sentAt, names
 	// a rate limit, or has no value and so names none. It may be nil.
 	OnRateLimit func(sentAt, now time.Time, t target.Target, values []string)
+	// ObtainPermit obtains a permit to send a request to a target with a rate limit. It
+	// waits for its slot for up to patience, and reports false if there is none before. If it
+	// is nil, targets have no limits.
+	ObtainPermit func(ctx context.Context, t target.Target, patience time.Duration) (Permit, bool)
 	// PreferredTarget returns the target that all instances prefer for the shared
 	// parts of a prompt, so that its cache holds them, and the region of that
 	// target. Only regions for which reachable returns true are considered. Both
@@ -177,6 +181,15 @@
 	inFlight gauge
 }
 
+// Permit allows one request to a target with a rate limit.
+type Permit struct {
+	Until     time.Time     // when it expires
+	Issuer    string        // instance that issued it; "" if the target turned out to have no limit
+	PerSecond float64       // limit of the target as this instance knew it
+	Age       time.Duration // time since the target named it
+	Waited    time.Duration
+}
+
 // RemoteInstance is an instance of another region.
 type RemoteInstance struct {
 	Member membership.Member
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -76,6 +77,9 @@
 	if len(x.sentAt) > 0 {
 		parts = append(parts, "sent_at="+strings.Join(x.sentAt, ","))
 	}
+	for _, permit := range x.permitLog {
+		parts = append(parts, "permit="+permit)
+	}
 	for _, belief := range x.coldBeliefs {
 		parts = append(parts, "believed="+belief)
 	}
@@ -123,6 +127,17 @@
 	x.sentAt = append(x.sentAt, name+"@"+strconv.FormatInt(at.UnixMilli(), 10))
 }
 
+// recordPermit keeps what was known of the limit of a target for which a permit was asked, who
+// issued it and how long the request waited.
+func (x *exchange) recordPermit(name string, p Permit, ok bool) {
+	result := "refused"
+	if ok {
+		result = "issuer=" + p.Issuer
+	}
+	x.permitLog = append(x.permitLog, fmt.Sprintf("%s,limit=%g,age=%v,%s,waited=%v",
+		name, p.PerSecond, p.Age.Round(time.Millisecond), result, p.Waited.Round(time.Millisecond)))
+}
+
 // recordColdBelief keeps what was believed about the target of an ended attempt, if it
 // was cold or had been recently.
 func (x *exchange) recordColdBelief(ticket *placement.Ticket) {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -86,6 +86,8 @@
 	lastDestination   string        // target or instance of the last attempt
 	broken            []string      // targets whose connection broke, each with the phase of the attempt, for the log
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
+	permitLog         []string      // of each target with a rate limit, for the log
+	permitsRefused    int           // how often no permit could be obtained
 	sentAt            []string      // target and time of each attempt that had a connection, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -30,6 +30,10 @@
 	// another region, and a request for tokens to any member.
 	localTimeout  = 400 * time.Millisecond
 	remoteTimeout = 900 * time.Millisecond
+	// permitTimeout bounds a request for a permit, and yieldTimeout one to leave the issuing of
+	// permits to this instance, which is sent while others wait for permits.
+	permitTimeout = 300 * time.Millisecond
+	yieldTimeout  = 120 * time.Millisecond
 	// silentAfter is the time without a heartbeat after which a member is logged as
 	// lost and treated as silent.
 	silentAfter = 3 * time.Second
@@ -78,6 +82,12 @@
 	// bucket may hold the amount.
 	TakeWhole func(now time.Time, customer string, amount float64) (bool, time.Duration)
 
+	// IssuePermit answers the request of an instance for a permit to send a request to a
+	// target with a rate limit, and YieldPermits leaves the issuing of a target's permits to an
+	// instance.
+	IssuePermit  func(ctx context.Context, t *fleet.Turn) *fleet.Slot
+	YieldPermits func(now time.Time, t *fleet.Turn) *fleet.Handover
+
 	// OnMessage is called for each message that this instance sends to begin an exchange,
 	// and for the reply, with the kind of exchange, whether the member is of another region,
 	// and the encoded size in bytes. It may be nil.
@@ -296,6 +306,33 @@
 	return len(reply.GetGrants()) > 0, time.Duration(reply.GetWait()) * time.Millisecond
 }
 
+// RequestPermit asks a member of the region for a permit.
+func (g *Gossiper) RequestPermit(ctx context.Context, m membership.Member, t *fleet.Turn) (*fleet.Slot, error) {
+	conn, err := g.conn(m.Peers)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	slot, err := fleet.NewFleetClient(conn).Permit(ctx, t)
+	g.countMessages("permit", m, t, slot)
+	return slot, err
+}
+
+// RequestYield asks a member of the region to leave the issuing of a target's permits to this
+// instance.
+func (g *Gossiper) RequestYield(ctx context.Context, m membership.Member, t *fleet.Turn) (*fleet.Handover, error) {
+	conn, err := g.conn(m.Peers)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
+	defer cancel()
+	h, err := fleet.NewFleetClient(conn).Yield(ctx, t)
+	g.countMessages("yield", m, t, h)
+	return h, err
+}
+
 // Receive processes a heartbeat that another instance sent and returns the sender. It
 // takes the latency of the message as the average round-trip time to the sender, as the
 // sender tells it if it is not known here, or as remoteTimeout while neither knows it.
--- a/chervilyard/gossip/server.go
+++ b/chervilyard/gossip/server.go
@@ -58,6 +58,17 @@
 	return grant, nil
 }
 
+// Permit issues a permit, or says when to ask again or that another instance issues them.
+func (s *Server) Permit(ctx context.Context, t *fleet.Turn) (*fleet.Slot, error) {
+	return s.Gossiper.IssuePermit(ctx, t), nil
+}
+
+// Yield leaves the issuing of a target's permits to the sender, unless this instance stays
+// the issuer.
+func (s *Server) Yield(_ context.Context, t *fleet.Turn) (*fleet.Handover, error) {
+	return s.Gossiper.YieldPermits(s.Gossiper.Now(), t), nil
+}
+
 // Read returns this instance's copy of a part of the store.
 func (s *Server) Read(_ context.Context, p *fleet.Part) (*fleet.Content, error) {
 	return s.Content(s.Gossiper.Now(), p.GetName()), nil
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -85,6 +85,12 @@
 	m.set.GetOrCreateCounter(`chervil_leaving_targets_total`).Inc()
 }
 
+// CountPermit counts a request for a permit to send a request to a target with a rate limit,
+// by its result.
+func (m *Meter) CountPermit(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_permits_total{result=%q}`, result)).Inc()
+}
+
 // CountConnection counts a new connection to a target or to another instance.
 func (m *Meter) CountConnection() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
 
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -44,6 +44,9 @@
 	return started.UnixMilli()<<runBits | random&(1<<runBits-1)
 }
 
+// Started returns when the member's run started by its machine's clock.
+func (m Member) Started() time.Time { return time.UnixMilli(m.Run >> runBits) }
+
 // Fingerprint returns a fingerprint of the announced state. It covers every field
 // except Heard and those of the entry in the store only.
 func (m Member) Fingerprint() uint64 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -147,6 +147,10 @@
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
 	// math/rand are used. It must not be changed after first use.
 	Random func(n int) int
+	// RateLimit reports whether the target has a rate limit, and the time after which it is
+	// worth asking for a permit to send it a request. If it is nil, no target has a limit. It
+	// must not be changed after first use and must not call methods of the Picker.
+	RateLimit func(now time.Time, t target.Target) (wait time.Duration, limited bool)
 	// OnSuspected is called when a suspicion begins that a target has restarted, with the
 	// outcome that raised it, and OnDismissed when a target list ends one. They may be nil,
 	// must not be changed after first use and must not call methods of the Picker.
@@ -306,7 +310,22 @@
 	if best == nil {
 		return nil
 	}
-	return p.newTicket(now, *best, r, e.Wait, coldShare)
+	ticket := p.newTicket(now, *best, r, e.Wait, coldShare)
+	if _, ticket.limited = p.rateLimit(now, best); ticket.limited {
+		ticket.alternative = slices.ContainsFunc(candidates, func(t target.Target) bool {
+			_, limited := p.rateLimit(now, &t)
+			return !limited && !slices.Contains(r.Exclude, t.Name()) && p.usable(now, &t, r, coldShare)
+		})
+	}
+	return ticket
+}
+
+// rateLimit calls RateLimit.
+func (p *Picker) rateLimit(now time.Time, t *target.Target) (time.Duration, bool) {
+	if p.RateLimit == nil {
+		return 0, false
+	}
+	return p.RateLimit(now, *t)
 }
 
 // sample returns a few of the candidates that are usable, chosen at random, and those that
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -38,6 +38,9 @@
 	sentAt         time.Time // zero until Admit allowed the request
 	becameCold     bool      // the target was warm when it was chosen and cold at sentAt
 	reserved       bool      // counts against the rate limit of a cold target and is not known to be sent
+	limited        bool      // the target had a rate limit when it was chosen
+	alternative    bool      // another target without one could have been chosen
+	permitUntil    time.Time // when the permit for the request expires; zero if there is none
 	isProbe        bool      // sent after an ejection; shows whether the target has recovered
 	gotFirst       bool
 	ended          bool
@@ -49,13 +52,24 @@
 // ExpectedWait returns the expected time to the first byte.
 func (t *Ticket) ExpectedWait() time.Duration { return t.expectedWait }
 
+// NeedsPermit reports whether the target has a rate limit, so that Permit has to be called
+// before Admit, and whether another target without one could take the request.
+func (t *Ticket) NeedsPermit() (needed, alternative bool) { return t.limited, t.alternative }
+
+// Permit records a permit to send the request until a time.
+func (t *Ticket) Permit(until time.Time) { t.permitUntil = until }
+
 // Admit reports whether the request may be sent now that its connection is established. It
 // returns false if the target has become cold since it was chosen and its rate limit is used
-// up, or has no share for this instance. The function coldShare is called only if the target
-// has become cold, and must not call methods of the Picker.
+// up, or has no share for this instance, and if the target has named a limit and there is no
+// permit that is still valid. The function coldShare is called only if the target has become
+// cold, and must not call methods of the Picker.
 func (t *Ticket) Admit(now time.Time, coldShare func(now time.Time) ColdShare) bool {
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
+	if _, limited := t.picker.rateLimit(now, &t.target); limited && !now.Before(t.permitUntil) {
+		return false
+	}
 	s := t.picker.state(t.target.Name())
 	if !t.reserved && t.picker.isCold(now, s) {
 		t.becameCold = true
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -91,14 +91,15 @@
 	}
 }
 
-// DeferralLeft returns the time until the first of the candidates wants requests again, and
-// false if none of them is deferred or one of them is not.
+// DeferralLeft returns the time until the first of the candidates wants requests again, or
+// may have a permit for one, and false if one of them waits for neither.
 func (p *Picker) DeferralLeft(now time.Time, candidates []target.Target) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left := time.Duration(math.MaxInt64)
 	for i := range candidates {
-		d := p.state(candidates[i].Name()).deferredUntil.Sub(now)
+		wait, _ := p.rateLimit(now, &candidates[i])
+		d := max(p.state(candidates[i].Name()).deferredUntil.Sub(now), wait)
 		if d <= 0 {
 			return 0, false
 		}
@@ -116,6 +117,7 @@
 	for i := range candidates {
 		t := &candidates[i]
 		s := p.state(t.Name())
+		permitWait, _ := p.rateLimit(now, t)
 		switch {
 		case slices.Contains(r.Exclude, t.Name()):
 			list = append(list, t.Name()+" tried")
@@ -123,6 +125,8 @@
 			list = append(list, t.Name()+" wants no request for "+s.deferredUntil.Sub(now).Round(time.Millisecond).String())
 		case now.Before(s.ejectedUntil):
 			list = append(list, t.Name()+" failed "+strconv.Itoa(s.failures)+" times")
+		case permitWait > 0:
+			list = append(list, t.Name()+" has a limit and no permit for "+permitWait.Round(time.Millisecond).String())
 		case !p.usable(now, t, r, coldShare) && p.isCold(now, s):
 			list = append(list, t.Name()+" cold")
 		case !p.usable(now, t, r, coldShare):
@@ -138,6 +142,9 @@
 	if now.Before(s.ejectedUntil) || now.Before(s.deferredUntil) {
 		return false
 	}
+	if wait, _ := p.rateLimit(now, t); wait > 0 {
+		return false
+	}
 	if s.failures > 0 && s.probing > 0 {
 		return false // a single probe decides whether the target has recovered
 	}
--- a/yard/targetrate/targetrate.go
+++ b/yard/targetrate/targetrate.go
@@ -54,6 +54,7 @@
 type entry struct {
 	Word
 	changedAt  time.Time // when the value last changed here
+	heardAt    time.Time // when the word was heard here
 	lower      float64   // a lower limit that stays in effect until lowerUntil
 	lowerUntil time.Time
 }
@@ -69,7 +70,7 @@
 		if l.words == nil {
 			l.words = make(map[uint64]*entry)
 		}
-		l.words[w.Run] = &entry{Word: w, changedAt: now}
+		l.words[w.Run] = &entry{Word: w, changedAt: now, heardAt: now}
 		if !w.Limited {
 			return Unchanged
 		}
@@ -78,7 +79,7 @@
 		return Unchanged
 	}
 	before, effective := e.Word, e.effective(now)
-	e.Word = w
+	e.Word, e.heardAt = w, now
 	change := Unchanged
 	switch {
 	case before.Limited && !w.Limited:
@@ -118,6 +119,15 @@
 	return e.effective(now), true
 }
 
+// MayEnd reports whether a response without a limit, to a request sent at sentAt, ends the
+// limit of the run: it has one, and its last word had been heard here when the request was sent.
+func (l *Ledger) MayEnd(run uint64, sentAt time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.words[run]
+	return e != nil && e.Limited && sentAt.After(e.heardAt)
+}
+
 // Get returns the last word of a run, and false if there is none.
 func (l *Ledger) Get(run uint64) (Word, bool) {
 	l.mu.Lock()
