--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -128,18 +128,13 @@
 }
 
 // obtainPermit obtains a permit for the ticket's target if it has a rate limit, and otherwise
-// ends the ticket and returns false. The request waits for a permit only if no target without
-// a limit can take it, and not for so long that its response would be late.
+// ends the ticket and returns false. The request waits for a permit for as long as it would
+// elsewhere at most, and not for so long that its response would be late.
 func (g *Gateway) obtainPermit(ctx context.Context, now time.Time, x *exchange, ticket *placement.Ticket) bool {
-	needed, alternative := ticket.NeedsPermit()
-	if !needed || g.ObtainPermit == nil {
+	if !ticket.NeedsPermit() || g.ObtainPermit == nil {
 		return true
 	}
-	patience := max(g.waitLimit(now, x)-ticket.ExpectedWait(), 0)
-	if alternative {
-		patience = 0
-	}
-	p, ok := g.ObtainPermit(ctx, ticket.Target(), patience)
+	p, ok := g.ObtainPermit(ctx, ticket.Target(), ticket.PermitPatience(g.waitLimit(now, x)))
 	x.recordPermit(ticket.Target().Name(), p, ok)
 	if !ok {
 		ticket.End(g.Now(), placement.Withheld)
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -312,10 +312,13 @@
 	}
 	ticket := p.newTicket(now, *best, r, e.Wait, coldShare)
 	if _, ticket.limited = p.rateLimit(now, best); ticket.limited {
-		ticket.alternative = slices.ContainsFunc(candidates, func(t target.Target) bool {
+		unlimited := slices.DeleteFunc(slices.Clone(candidates), func(t target.Target) bool {
 			_, limited := p.rateLimit(now, &t)
-			return !limited && !slices.Contains(r.Exclude, t.Name()) && p.usable(now, &t, r, coldShare)
+			return limited
 		})
+		var other *target.Target
+		other, e = p.best(now, unlimited, r, coldShare)
+		ticket.alternative, ticket.alternativeWait = other != nil, e.Wait
 	}
 	return ticket
 }
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -24,26 +24,27 @@
 
 // Ticket tracks one request at its target. It is not safe for concurrent use.
 type Ticket struct {
-	picker         *Picker
-	target         target.Target
-	service        string
-	chosenAt       time.Time
-	expectedWait   time.Duration
-	uncachedTokens int // prompt tokens that the target is expected to process
-	tokensAhead    int // prompt tokens that waited at the target when it was chosen
-	memoryTokens   int
-	isEngine       bool
-	belief         *coldBelief // about the target when it was chosen; see Picker.coldBelief
-	request        Request
-	sentAt         time.Time // zero until Admit allowed the request
-	becameCold     bool      // the target was warm when it was chosen and cold at sentAt
-	reserved       bool      // counts against the rate limit of a cold target and is not known to be sent
-	limited        bool      // the target had a rate limit when it was chosen
-	alternative    bool      // another target without one could have been chosen
-	permitUntil    time.Time // when the permit for the request expires; zero if there is none
-	isProbe        bool      // sent after an ejection; shows whether the target has recovered
-	gotFirst       bool
-	ended          bool
+	picker          *Picker
+	target          target.Target
+	service         string
+	chosenAt        time.Time
+	expectedWait    time.Duration
+	uncachedTokens  int // prompt tokens that the target is expected to process
+	tokensAhead     int // prompt tokens that waited at the target when it was chosen
+	memoryTokens    int
+	isEngine        bool
+	belief          *coldBelief // about the target when it was chosen; see Picker.coldBelief
+	request         Request
+	sentAt          time.Time     // zero until Admit allowed the request
+	becameCold      bool          // the target was warm when it was chosen and cold at sentAt
+	reserved        bool          // counts against the rate limit of a cold target and is not known to be sent
+	limited         bool          // the target had a rate limit when it was chosen
+	alternative     bool          // another target without one could have been chosen
+	alternativeWait time.Duration // expected time to the first byte there
+	permitUntil     time.Time     // when the permit for the request expires; zero if there is none
+	isProbe         bool          // sent after an ejection; shows whether the target has recovered
+	gotFirst        bool
+	ended           bool
 }
 
 // Target returns the chosen target.
@@ -53,8 +54,17 @@
 func (t *Ticket) ExpectedWait() time.Duration { return t.expectedWait }
 
 // NeedsPermit reports whether the target has a rate limit, so that Permit has to be called
-// before Admit, and whether another target without one could take the request.
-func (t *Ticket) NeedsPermit() (needed, alternative bool) { return t.limited, t.alternative }
+// before Admit.
+func (t *Ticket) NeedsPermit() bool { return t.limited }
+
+// PermitPatience returns the longest time that the request should wait for a permit, if its
+// first byte may take waitLimit: no longer than it takes at another target without a limit.
+func (t *Ticket) PermitPatience(waitLimit time.Duration) time.Duration {
+	if t.alternative {
+		waitLimit = min(waitLimit, t.alternativeWait)
+	}
+	return max(waitLimit-t.expectedWait, 0)
+}
 
 // Permit records a permit to send the request until a time.
 func (t *Ticket) Permit(until time.Time) { t.permitUntil = until }
