Let an issuer of permits confirm that no other instance issues them

An instance left the issuing to one that its askers do not know, and began anew as they asked.

An active issuer now asks the first ranks every 0.5 s to leave the issuing to it, also if it is the first. One that issues stays if it does not know the other one. An issuer that hears a member which does not answer it, as if messages got through one way only, issues half. It costs three messages in 0.5 s for each target with a limit. Changes of the issuer are logged.

--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/meter"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/fleet"
@@ -52,7 +55,7 @@
 		list: []target.Target{l.target}, stalls: true, onStart: l.prepare,
 	}
 	l.onMessage = func(to, from *simulatedInstance) {
-		for _, w := range from.edge.rates.Tell(l.now) {
+		for _, w := range from.edge.rates.Tell(l.now, func(uint64) bool { return true }) {
 			l.hear(to, w)
 		}
 	}
@@ -93,7 +96,8 @@
 // prepare makes a started instance ready and connects it to the others.
 func (l *limitedRegion) prepare(i *simulatedInstance) {
 	e := i.edge
-	e.meter = meter.New()
+	e.meter, e.decisions = meter.New(), decisionlog.New(hclog.NewNullLogger())
+	e.heardRegion.Store(true)
 	e.buildViews()
 	e.views[PartTargets].Update(view.Snapshot{Revision: 1, AsOf: l.now})
 	e.catalog.Store(catalog.New(catalog.Config{}))
--- a/chervilyard/edge/permits.go
+++ b/chervilyard/edge/permits.go
@@ -81,6 +81,7 @@
 	schedule     permit.Schedule
 	confirmedAt  time.Time // when the instances of lower ranks were last asked
 	reducedUntil time.Time
+	unanswered   map[string]time.Time // when instances were asked last that did not answer, by name
 	usedAt       time.Time
 }
 
@@ -442,21 +443,24 @@
 		if h.GetIssued() {
 			i.schedule = permit.Schedule{}
 			i.schedule.TakeOver(now, decodeHandover(h))
+			e.logIssuing("permits issued here", run, "taken over from the last issuer")
 			return true
 		}
 	}
 	// The slots that the last issuer assigned are not known.
 	i.schedule.Postpone(now, perSecond)
-	if silent {
+	if i.mayBeCutOff(e.Settings().Name, run, now, silent) {
 		i.reducedUntil = now.Add(e.cutSilence())
+		e.logIssuing("permits issued here", run, "an instance before this one does not answer, half of them for now")
+		return true
 	}
+	e.logIssuing("permits issued here", run, "no other instance issues them")
 	return true
 }
 
 // askToYield asks the other instances of the first ranks to leave the issuing to this one. It
-// returns their answers, and whether one of a lower rank did not answer although it may still
-// run.
-func (e *Edge) askToYield(ctx context.Context, run uint64) (answers []*fleet.Handover, silent bool) {
+// returns their answers, and those that did not answer although they may run.
+func (e *Edge) askToYield(ctx context.Context, run uint64) (answers []*fleet.Handover, silent []membership.Member) {
 	now := e.now()
 	self := e.self(now).Name
 	turn := &fleet.Turn{Name: self, Limit: &fleet.Limit{Run: run}}
@@ -471,8 +475,8 @@
 			switch {
 			case err == nil:
 				answers = append(answers, h)
-			case !hasEnded(err) && precedes(run, m.Name, self):
-				silent = true
+			case !hasEnded(err):
+				silent = append(silent, m)
 			}
 		})
 	}
@@ -480,6 +484,15 @@
 	return answers, silent
 }
 
+// logIssuing logs a change of the issuer of a run's permits.
+func (e *Edge) logIssuing(choice string, run uint64, reason string) {
+	name := "run " + issuerKey(run)
+	if t, ok := e.targets.runs()[run]; ok {
+		name = t.Name()
+	}
+	e.logDecision("target", choice, name+": "+reason)
+}
+
 // hasEnded reports whether the error of a call tells that no process listens at the address.
 func hasEnded(err error) bool {
 	var ended *endedError
@@ -495,13 +508,17 @@
 // yieldPermits answers an instance that wants to issue a target's permits.
 func (e *Edge) yieldPermits(now time.Time, turn *fleet.Turn) *fleet.Handover {
 	run := turn.GetLimit().GetRun()
-	precedes := precedes(run, e.Settings().Name, turn.GetName())
-	if precedes && e.mayIssue(now) {
+	if precedes(run, e.Settings().Name, turn.GetName()) && e.mayIssue(now) {
 		return &fleet.Handover{Stays: true}
 	}
+	known := slices.ContainsFunc(e.issuerCandidates(now), func(m membership.Member) bool { return m.Name == turn.GetName() })
 	i := e.permits.issuer(run)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.active && !known && e.mayIssue(now) {
+		// Those that do not know the other one either would ask this one again.
+		return &fleet.Handover{Stays: true}
+	}
 	i.superseded = true
 	if !i.active {
 		if i.usedAt.IsZero() {
@@ -510,41 +527,71 @@
 		return &fleet.Handover{}
 	}
 	i.active = false
+	e.logIssuing("permits issued elsewhere", run, "by "+turn.GetName())
 	return encodeHandover(i.schedule.Handover(now))
 }
 
-// confirmIssuers asks, at intervals, whether instances of lower ranks can issue the permits
-// that this one issues because they did not answer.
+// confirmIssuers asks the other instances of the first ranks again and again to leave the
+// issuing of permits to this one.
 func (e *Edge) confirmIssuers(ctx context.Context) <-chan struct{} {
 	return pause.Every(ctx, confirmInterval/2, func() { e.confirmIssuing(ctx, e.now()) })
 }
 
 func (e *Edge) confirmIssuing(ctx context.Context, now time.Time) {
 	e.permits.evict(now)
-	self := e.Settings().Name
 	for run, i := range e.permits.all() {
-		i.mu.Lock()
-		due := i.active && now.Sub(i.confirmedAt) >= confirmInterval
-		if due {
-			i.confirmedAt = now
-		}
-		i.mu.Unlock()
-		if !due {
+		if !i.startConfirming(now) {
 			continue
 		}
-		first := hub.Nearest(issuerKey(run), e.issuerCandidates(now), 1)
-		if len(first) == 0 || precedes(run, self, first[0].Name) {
-			continue
+		answers, silent := e.askToYield(ctx, run)
+		e.endConfirming(e.now(), run, i, answers, silent)
+	}
+}
+
+// startConfirming reports whether the issuer has to ask the others again, and records that it
+// does.
+func (i *issuer) startConfirming(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.active || now.Sub(i.confirmedAt) < confirmInterval {
+		return false
+	}
+	i.confirmedAt = now
+	return true
+}
+
+// endConfirming takes the answers of the others: one of them may stay the issuer, may have
+// issued permits as well, or may be cut off.
+func (e *Edge) endConfirming(now time.Time, run uint64, i *issuer, answers []*fleet.Handover, silent []membership.Member) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, h := range answers {
+		if h.GetStays() && i.active {
+			i.active = false
+			e.logIssuing("permits issued elsewhere", run, "an instance before this one answers")
 		}
-		answers, _ := e.askToYield(ctx, run)
-		i.mu.Lock()
-		for _, h := range answers {
-			if h.GetStays() {
-				i.active = false
-			}
+		if h.GetIssued() {
+			i.schedule.TakeOver(now, decodeHandover(h))
 		}
-		i.mu.Unlock()
 	}
+	if i.mayBeCutOff(e.Settings().Name, run, now, silent) {
+		i.reducedUntil = now.Add(e.cutSilence())
+	}
+}
+
+// mayBeCutOff reports whether one of the instances that did not answer may be issuing permits
+// itself: one of a lower rank, or one that was heard since it did not answer before, so that
+// messages get through in one direction only. The caller must hold i.mu.
+func (i *issuer) mayBeCutOff(self string, run uint64, now time.Time, silent []membership.Member) bool {
+	cutOff := false
+	unanswered := make(map[string]time.Time, len(silent))
+	for _, m := range silent {
+		before, again := i.unanswered[m.Name]
+		cutOff = cutOff || precedes(run, m.Name, self) || again && m.Heard.After(before)
+		unanswered[m.Name] = now
+	}
+	i.unanswered = unanswered
+	return cutOff
 }
 
 func encodeWord(now time.Time, w targetrate.Word) *fleet.Limit {
