Let started instances hear the limits of targets before they serve

An instance that starts knew no limits: it was ready once it had configuration and targets, which may come from another region or the store, and sent what it got until the first response told it.

It is now ready once it has heard another instance of its region, or half a second after its start. Instances of other regions keep the words that this one told them and tell those that start, in case all that know a limit restart together.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -67,6 +67,7 @@
 	refunds     refunds
 	rates       targetrate.Ledger // limits that the region's targets named, by targetRunHash
 	permits     permits           // for requests to them
+	heardRegion atomic.Bool       // a heartbeat of another instance of the region has arrived
 	malformed   runSet            // runs that named a limit that cannot be read
 	sizes       listedSizes
 	positions   positionHistory
@@ -327,8 +328,12 @@
 	return !e.leaving() && e.contentLoaded()
 }
 
-// contentLoaded reports whether the configuration and the targets are known.
-func (e *Edge) contentLoaded() bool { return e.catalog.Load() != nil && e.views[PartTargets].Loaded() }
+// contentLoaded reports whether the configuration and the targets are known, and the limits
+// that targets named: those come with heartbeats of the region, if it has other instances.
+func (e *Edge) contentLoaded() bool {
+	return e.catalog.Load() != nil && e.views[PartTargets].Loaded() &&
+		(e.heardRegion.Load() || e.now().Sub(e.started) >= introductionPeriod)
+}
 
 // awaitContentLoaded waits until the configuration and the targets are known or the
 // context ends.
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -47,6 +47,7 @@
 	switch {
 	case to.Region != e.Settings().Region:
 		h.Rooms = e.localWaits(now)
+		h.Limits = e.tellRates(now, false)
 		return h
 	case isHub && !plan.Includes(to.Name):
 		h.Others = encodeLoads(e.picker.LoadsWithout(now, to.Name))
@@ -55,9 +56,7 @@
 		h.Loads = encodeLoads(e.picker.Loads())
 	}
 	h.Leaving = e.targets.leaving.list(now, isHub)
-	for _, w := range e.rates.Tell(now) {
-		h.Limits = append(h.Limits, encodeWord(now, w))
-	}
+	h.Limits = e.tellRates(now, true)
 	return h
 }
 
@@ -94,7 +93,9 @@
 	if len(h.GetMarks()) == 0 || from.Region == "" {
 		return // a reply to RequestTokens, or the sender is not known yet
 	}
+	e.hearRates(now, written, h)
 	if from.Region == e.Settings().Region {
+		e.heardRegion.Store(true)
 		if h.GetOthers() != nil {
 			e.picker.UpdateOtherLoads(now, e.targets.decodeLoads(h.GetOthers()))
 			e.remoteWaits.hearRelayed(written, h.GetRooms())
@@ -102,7 +103,6 @@
 			e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
 		}
 		e.targets.leaving.tell(now, h.GetLeaving())
-		e.hearRates(now, written, h)
 	} else {
 		e.remoteWaits.hear(now, from.Region, h)
 	}
--- a/chervilyard/edge/rates.go
+++ b/chervilyard/edge/rates.go
@@ -35,8 +35,26 @@
 	e.hearRate(now, t, w, "its response")
 }
 
-// hearRates takes the words in a heartbeat of another instance of the region that was written
-// no earlier than written.
+// tellRates returns the words to tell an instance of the region or of another one. Other
+// regions keep what this one told them and tell it to its instances that start, in case all
+// that know it restart.
+func (e *Edge) tellRates(now time.Time, local bool) []*fleet.Limit {
+	if e.rates.Size() == 0 {
+		return nil
+	}
+	listed := e.targets.runs()
+	words := e.rates.Tell(now, func(run uint64) bool {
+		_, ok := listed[run]
+		return ok || !local
+	})
+	var list []*fleet.Limit
+	for _, w := range words {
+		list = append(list, encodeWord(now, w))
+	}
+	return list
+}
+
+// hearRates takes the words in a heartbeat that was written no earlier than written.
 func (e *Edge) hearRates(now, written time.Time, h *fleet.Heartbeat) {
 	if len(h.GetLimits()) == 0 {
 		return
@@ -45,7 +63,7 @@
 	for _, l := range h.GetLimits() {
 		w := decodeWord(written, l)
 		t, ok := listed[w.Run]
-		if !ok { // the run may be listed soon
+		if !ok { // of another region, or the run may be listed soon
 			e.rates.Hear(now, w)
 			continue
 		}
--- a/yard/targetrate/targetrate.go
+++ b/yard/targetrate/targetrate.go
@@ -166,13 +166,17 @@
 	turns      = 8
 )
 
-// Tell returns the words to tell another instance, sorted by run.
-func (l *Ledger) Tell(now time.Time) []Word {
+// Tell returns the words to tell another instance, sorted by run, of the runs for which
+// include returns true.
+func (l *Ledger) Tell(now time.Time, include func(run uint64) bool) []Word {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.turn++
 	var list []Word
 	for run, e := range l.words {
+		if !include(run) {
+			continue
+		}
 		if len(l.words) <= maxTold || now.Sub(e.changedAt) < newsPeriod || (run+uint64(l.turn))%turns == 0 {
 			list = append(list, e.Word)
 		}
