--- /dev/null
+++ b/chervilyard/edge/issuing.go
@@ -0,0 +1,304 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/hub"
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/pause"
+	"chervilyard.example/yard/permit"
+)
+
+// issuer issues the permits for a run of a target.
+type issuer struct {
+	mu           sync.Mutex
+	active       bool
+	takingOver   chan struct{} // closed when the take-over in progress ends; nil if there is none
+	superseded   bool          // an instance of a lower rank took over during the take-over
+	schedule     permit.Schedule
+	confirmedAt  time.Time            // when the others were last asked to leave the issuing to this one
+	reducedUntil time.Time            // until when half of the permits are issued
+	unanswered   map[string]time.Time // when instances were asked last that did not answer, by name
+	usedAt       time.Time
+}
+
+func (i *issuer) idle(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.takingOver == nil && now.Sub(i.usedAt) > issuerIdleTime
+}
+
+// issuerKey is the key by which the instances order themselves for a run of a target.
+func issuerKey(run uint64) string { return strconv.FormatUint(run, 16) }
+
+// precedes reports whether the first instance ranks before the second one as issuer of the run.
+func precedes(run uint64, a, b string) bool {
+	return hub.Nearest(issuerKey(run), []membership.Member{{Name: a}, {Name: b}}, 1)[0].Name == a
+}
+
+// mayIssue reports whether this instance may issue permits: it is serving, and was started
+// long enough ago to know the others.
+func (e *Edge) mayIssue(now time.Time) bool {
+	return e.Ready() && now.Sub(e.started) >= introductionPeriod
+}
+
+// issuePermit answers the request of an instance, which may be this one, for a permit.
+func (e *Edge) issuePermit(ctx context.Context, turn *fleet.Turn) *fleet.Slot {
+	now := e.now()
+	run := turn.GetLimit().GetRun()
+	perSecond, limited := e.rates.Limit(now, run)
+	if !limited {
+		slot := &fleet.Slot{Elsewhere: true}
+		if word, ok := e.rates.Get(run); ok {
+			slot.Limit, slot.Elsewhere = encodeWord(now, word), false
+		}
+		return slot
+	}
+	if !e.mayIssue(now) {
+		return &fleet.Slot{Elsewhere: true}
+	}
+	i := e.permits.issuer(run)
+	if !e.becomeIssuer(ctx, run, i, perSecond) {
+		return &fleet.Slot{Elsewhere: true}
+	}
+	now = e.now()
+	share := e.issuingShare(now)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.usedAt = now
+	if now.Before(i.reducedUntil) {
+		share /= 2
+	}
+	wait, ok := i.schedule.Issue(now, permit.Ask{
+		Instance: turn.GetName(), PerSecond: perSecond * share, Spread: e.random(),
+		Patience: time.Duration(turn.GetPatience()) * time.Millisecond,
+	})
+	word, _ := e.rates.Get(run)
+	return &fleet.Slot{Granted: ok, Wait: (wait + time.Millisecond - 1).Milliseconds(), Limit: encodeWord(now, word)}
+}
+
+// random returns a random number in [0, 1).
+func (e *Edge) random() float64 {
+	if e.gateway.Random == nil {
+		return rand.Float64()
+	}
+	return e.gateway.Random()
+}
+
+// becomeIssuer takes over the issuing of the permits unless this instance issues them already,
+// and reports whether it does then. It waits for a take-over in progress.
+func (e *Edge) becomeIssuer(ctx context.Context, run uint64, i *issuer, perSecond float64) bool {
+	i.mu.Lock()
+	if i.active {
+		i.mu.Unlock()
+		return true
+	}
+	done := i.takingOver
+	if done != nil {
+		i.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return i.active
+	}
+	done = make(chan struct{})
+	i.takingOver, i.superseded = done, false
+	i.mu.Unlock()
+	answers, silent := e.askToYield(ctx, run)
+	now := e.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	defer close(done)
+	i.takingOver = nil
+	i.confirmedAt, i.usedAt = now, now
+	if i.superseded {
+		return false
+	}
+	if slices.ContainsFunc(answers, func(h *fleet.Handover) bool { return h.GetStays() }) {
+		return false
+	}
+	i.active = true
+	for _, h := range answers {
+		if h.GetIssued() {
+			i.schedule = permit.Schedule{}
+			i.schedule.TakeOver(now, decodeHandover(h))
+			e.logIssuing("permits issued here", run, "taken over from the last issuer")
+			return true
+		}
+	}
+	// The slots that the last issuer assigned are not known.
+	i.schedule.Postpone(now, perSecond)
+	if i.mayBeCutOff(e.Settings().Name, run, now, silent) {
+		i.reducedUntil = now.Add(e.cutSilence())
+		e.logIssuing("permits issued here", run, "an instance before this one does not answer, half of them for now")
+		return true
+	}
+	e.logIssuing("permits issued here", run, "no other instance issues them")
+	return true
+}
+
+// askToYield asks the issuerRanks others of the lowest ranks to leave the issuing to this one.
+// It returns their answers, and those that did not answer although they may run.
+func (e *Edge) askToYield(ctx context.Context, run uint64) (answers []*fleet.Handover, silent []membership.Member) {
+	now := e.now()
+	self := e.self(now).Name
+	turn := &fleet.Turn{Name: self, Limit: &fleet.Limit{Run: run}}
+	others := hub.Nearest(issuerKey(run), e.issuerCandidates(now), issuerRanks)
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, m := range others {
+		asked.Go(func() {
+			h, err := e.permits.yield(ctx, m, turn)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				answers = append(answers, h)
+			case !hasEnded(err):
+				silent = append(silent, m)
+			}
+		})
+	}
+	asked.Wait()
+	return answers, silent
+}
+
+// logIssuing logs a change of the issuer of a run's permits.
+func (e *Edge) logIssuing(choice string, run uint64, reason string) {
+	name := "run " + issuerKey(run)
+	if t, ok := e.targets.runs()[run]; ok {
+		name = t.Name()
+	}
+	e.logDecision("target", choice, name+": "+reason)
+}
+
+// hasEnded reports whether the error of a call tells that no process listens at the address.
+// An instance that did not answer for longer may look so as well.
+func hasEnded(err error) bool {
+	var ended *endedError
+	return errors.As(err, &ended) || status.Code(err) == codes.Unavailable
+}
+
+// endedError is the error of a call to an instance that does not run.
+type endedError struct{ Name string }
+
+// Error returns the name of the instance.
+func (e *endedError) Error() string { return "instance " + e.Name + " does not run" }
+
+// yieldPermits answers an instance that wants to issue a target's permits.
+func (e *Edge) yieldPermits(now time.Time, turn *fleet.Turn) *fleet.Handover {
+	run := turn.GetLimit().GetRun()
+	if precedes(run, e.Settings().Name, turn.GetName()) && e.mayIssue(now) {
+		return &fleet.Handover{Stays: true}
+	}
+	known := slices.ContainsFunc(e.issuerCandidates(now), func(m membership.Member) bool { return m.Name == turn.GetName() })
+	i := e.permits.issuer(run)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.active && !known && e.mayIssue(now) {
+		// Those that do not know the other one either would ask this one again.
+		return &fleet.Handover{Stays: true}
+	}
+	i.superseded = true
+	if !i.active {
+		if i.usedAt.IsZero() {
+			i.usedAt = now
+		}
+		return &fleet.Handover{}
+	}
+	i.active = false
+	e.logIssuing("permits issued elsewhere", run, "by "+turn.GetName())
+	return encodeHandover(i.schedule.Handover(now))
+}
+
+// confirmIssuers asks the other instances of the first ranks again and again to leave the
+// issuing of permits to this one.
+func (e *Edge) confirmIssuers(ctx context.Context) <-chan struct{} {
+	return pause.Every(ctx, confirmInterval/2, func() { e.confirmIssuing(ctx, e.now()) })
+}
+
+func (e *Edge) confirmIssuing(ctx context.Context, now time.Time) {
+	e.permits.evict(now)
+	for run, i := range e.permits.all() {
+		if !i.startConfirming(now) {
+			continue
+		}
+		answers, silent := e.askToYield(ctx, run)
+		e.endConfirming(e.now(), run, i, answers, silent)
+	}
+}
+
+// startConfirming reports whether the issuer has to ask the others again, and records that it
+// does.
+func (i *issuer) startConfirming(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.active || now.Sub(i.confirmedAt) < confirmInterval {
+		return false
+	}
+	i.confirmedAt = now
+	return true
+}
+
+// endConfirming takes the answers of the others: one of them may stay the issuer, may have
+// issued permits as well, or may be cut off.
+func (e *Edge) endConfirming(now time.Time, run uint64, i *issuer, answers []*fleet.Handover, silent []membership.Member) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, h := range answers {
+		if h.GetStays() && i.active {
+			i.active = false
+			e.logIssuing("permits issued elsewhere", run, "an instance before this one answers")
+		}
+		if h.GetIssued() {
+			i.schedule.TakeOver(now, decodeHandover(h))
+		}
+	}
+	if i.mayBeCutOff(e.Settings().Name, run, now, silent) {
+		i.reducedUntil = now.Add(e.cutSilence())
+	}
+}
+
+// mayBeCutOff reports whether one of the instances that did not answer may be issuing permits
+// itself: one of a lower rank, or one that was heard since it did not answer before, so that
+// messages get through in one direction only. The caller must hold i.mu.
+func (i *issuer) mayBeCutOff(self string, run uint64, now time.Time, silent []membership.Member) bool {
+	cutOff := false
+	unanswered := make(map[string]time.Time, len(silent))
+	for _, m := range silent {
+		before, again := i.unanswered[m.Name]
+		cutOff = cutOff || precedes(run, m.Name, self) || again && m.Heard.After(before)
+		unanswered[m.Name] = now
+	}
+	i.unanswered = unanswered
+	return cutOff
+}
+
+func encodeHandover(h permit.Handover) *fleet.Handover {
+	m := &fleet.Handover{Issued: true, Next: (h.Next + time.Millisecond - 1).Milliseconds()}
+	for _, n := range h.Counts {
+		m.Counts = append(m.Counts, uint32(n))
+	}
+	return m
+}
+
+func decodeHandover(m *fleet.Handover) permit.Handover {
+	h := permit.Handover{Next: time.Duration(m.GetNext()) * time.Millisecond}
+	for _, n := range m.GetCounts() {
+		h.Counts = append(h.Counts, int(n))
+	}
+	return h
+}
