--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 	demand   float64 // requests a second that arrive at the region
 	one      bool    // all arrive at one instance
 	due      []permitted
-	messages int // between instances
+	messages atomic.Int64 // between instances
 	offered  int
 	waited   time.Duration // in all
 	served   int
@@ -104,7 +105,7 @@
 	e.gateway.Random = l.random.Float64
 	// reach returns the instance with the member's name, or the error of a call to it.
 	reach := func(m membership.Member) (*Edge, error) {
-		l.messages++
+		l.messages.Add(1) // several at once to the instances that are asked to yield
 		n := slices.IndexFunc(l.instances, func(other *simulatedInstance) bool { return other.name == m.Name })
 		switch other := l.instances[n]; {
 		case !l.connected(i, other):
@@ -243,11 +244,12 @@
 		for range 3 * time.Second / simulatedStep { // until the first issuer is active
 			l.step(true)
 		}
-		l.sent, l.messages = nil, 0
+		l.sent = nil
+		l.messages.Store(0)
 		for range limitedTime / simulatedStep {
 			l.step(c.calmSteps == calmRegion)
 		}
-		sent, messages = sent+len(l.sent), messages+l.messages
+		sent, messages = sent+len(l.sent), messages+int(l.messages.Load())
 		waited, served = waited+l.waited, served+l.served
 		got := l.mostInPeriod()
 		most = max(most, got)
