Ask the homes that an instance which is none names

Cause: in a region with hubs an instance asks the customer's homes by its own list of members. Just after a start it knows 15 to 23 of 24 instances and takes others for the oldest; those know that they are no homes and refuse with nothing to wait for (traced: both refused, wait=0). The request was refused with them.

Change: an instance that holds no share of the customer's limits names the homes that it knows, and the asker asks these next, six in a region at most. Each still takes from its own share, so that no more is admitted.

The second cause that the traces show, a home that answers late, is not mended by this.

--- a/chervilyard/edge/homes.go
+++ b/chervilyard/edge/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,9 @@
 	"chervilyard.example/yard/membership"
 )
 
+// maxHomesAsked bounds the members of a region that are asked for the tokens of one request.
+const maxHomesAsked = 6
+
 // takeFromHomes takes the tokens of a request from a customer's home: one of the region or,
 // if those have too few, one of another region. If none grants them, it returns the
 // shortest time after which one may.
@@ -24,29 +28,55 @@
 			regions = append(regions, region)
 		}
 	}
-	wait := e.quota.RefillTime(e.now(), customer, tokens) // 0 unless this instance is a home
+	search := homeSearch{
+		self: e.Settings().Name,
+		wait: e.quota.RefillTime(e.now(), customer, tokens), // 0 unless this instance is a home
+		ask: func(ctx context.Context, m membership.Member) (bool, time.Duration, []membership.Member) {
+			return e.gossiper.RequestWhole(ctx, m, customer, tokens)
+		},
+	}
 	for _, region := range regions {
 		homes := d.Homes(region, customer)
 		if region != own && len(homes) > 1 {
 			homes = homes[:1] // there is no time for more
 		}
-		for _, m := range homes {
-			if ctx.Err() != nil {
-				return false, wait
-			}
-			if !e.isLive(m) {
-				continue
-			}
-			ok, after := e.gossiper.RequestWhole(ctx, m, customer, tokens)
-			if ok {
-				return true, 0
-			}
-			if after > 0 && (wait == 0 || after < wait) {
-				wait = after
+		homes = slices.DeleteFunc(homes, func(m membership.Member) bool { return !e.isLive(m) })
+		if search.run(ctx, homes) {
+			return true, 0
+		}
+	}
+	return false, search.wait
+}
+
+// homeSearch asks the homes of a customer for the tokens of one request.
+type homeSearch struct {
+	self string
+	wait time.Duration // until a home may grant the tokens, if known
+	// ask asks a member, which grants the tokens, or returns the time after which it may and
+	// the members that it takes for homes if it is none.
+	ask func(ctx context.Context, m membership.Member) (granted bool, wait time.Duration, homes []membership.Member)
+}
+
+// run asks the members of a region, and those that they name, until one grants the tokens, and
+// reports whether one did. Instances that have not heard of the same members yet have
+// different plans of the homes.
+func (s *homeSearch) run(ctx context.Context, members []membership.Member) bool {
+	for n := 0; n < len(members) && n < maxHomesAsked && ctx.Err() == nil; n++ {
+		granted, wait, homes := s.ask(ctx, members[n])
+		if granted {
+			return true
+		}
+		if wait > 0 && (s.wait == 0 || wait < s.wait) {
+			s.wait = wait
+		}
+		for _, home := range homes {
+			known := func(m membership.Member) bool { return m.Name == home.Name }
+			if home.Name != s.self && !slices.ContainsFunc(members, known) {
+				members = append(members, home)
 			}
 		}
 	}
-	return false, wait
+	return false
 }
 
 // isLive reports whether a member has been heard within liveTimeout.
@@ -55,12 +85,16 @@
 	return ok && e.now().Sub(known.Heard) <= liveTimeout
 }
 
-// takeWhole takes the tokens of another instance's request.
-func (e *Edge) takeWhole(now time.Time, customer string, tokens float64) (bool, time.Duration) {
+// takeWhole takes the tokens of another instance's request. If this instance holds no share of
+// the customer's limits, it returns the members of the region that do.
+func (e *Edge) takeWhole(now time.Time, customer string, tokens float64) (taken bool, wait time.Duration, homes []membership.Member) {
 	if e.quota.Take(now, customer, tokens) {
-		return true, 0
+		return true, 0, nil
+	}
+	if d := e.division.Load(); d != nil && d.Share(customer) == 0 {
+		homes = d.Homes(e.Settings().Region, customer)
 	}
-	return false, e.quota.RefillTime(now, customer, tokens)
+	return false, e.quota.RefillTime(now, customer, tokens), homes
 }
 
 // refundTokens returns the tokens of a request that no target processed to the customer's
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -79,8 +79,9 @@
 	TakeSpare func(now time.Time, customer string, want float64) float64
 	// TakeWhole takes an amount of a customer's tokens out of this instance's token
 	// bucket for a request elsewhere. If it does not, it returns the time after which the
-	// bucket may hold the amount.
-	TakeWhole func(now time.Time, customer string, amount float64) (bool, time.Duration)
+	// bucket may hold the amount, and the members that hold tokens of the customer if this
+	// instance does not.
+	TakeWhole func(now time.Time, customer string, amount float64) (taken bool, wait time.Duration, homes []membership.Member)
 
 	// IssuePermit answers the request of an instance for a permit to send a request to a
 	// target with a rate limit, and YieldPermits leaves the issuing of a target's permits to an
@@ -289,11 +290,11 @@
 
 // RequestWhole asks a member for the tokens of a request, all or none of them, and reports
 // whether it got them. If the member refused, it returns the time after which it may grant
-// them.
-func (g *Gossiper) RequestWhole(ctx context.Context, m membership.Member, customer string, amount float64) (bool, time.Duration) {
+// them, and the members that hold the customer's tokens if it holds none itself.
+func (g *Gossiper) RequestWhole(ctx context.Context, m membership.Member, customer string, amount float64) (granted bool, wait time.Duration, homes []membership.Member) {
 	conn, err := g.conn(m.Peers)
 	if err != nil {
-		return false, 0 // a failure that lasts shows up as missing heartbeats, which are logged
+		return false, 0, nil // a failure that lasts shows up as missing heartbeats, which are logged
 	}
 	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
 	defer cancel()
@@ -301,9 +302,13 @@
 	reply, err := fleet.NewFleetClient(conn).Ask(ctx, wish)
 	g.countMessages("tokens", m, wish, reply)
 	if err != nil {
-		return false, 0 // tokens that the member has taken out are lost
+		return false, 0, nil // tokens that the member has taken out are lost
 	}
-	return len(reply.GetGrants()) > 0, time.Duration(reply.GetWait()) * time.Millisecond
+	now := g.Now()
+	for _, home := range reply.GetHomes() {
+		homes = append(homes, memberFromProto(now, home))
+	}
+	return len(reply.GetGrants()) > 0, time.Duration(reply.GetWait()) * time.Millisecond, homes
 }
 
 // RequestPermit asks a member of the region for a permit.
--- a/chervilyard/gossip/server.go
+++ b/chervilyard/gossip/server.go
@@ -49,11 +49,14 @@
 	}
 	grant := &fleet.Grant{}
 	for _, want := range w.GetWants() {
-		ok, wait := s.Gossiper.TakeWhole(now, want.GetCustomer(), want.GetAmount())
+		ok, wait, homes := s.Gossiper.TakeWhole(now, want.GetCustomer(), want.GetAmount())
 		if ok {
 			grant.Grants = append(grant.Grants, want)
 		}
 		grant.Wait = max(grant.GetWait(), wait.Milliseconds())
+		for _, m := range homes {
+			grant.Homes = append(grant.Homes, memberToProto(now, m))
+		}
 	}
 	return grant, nil
 }
