Ask the next home when one does not answer

Callers saw 429 "the customer's rate is used up" while one of the customer's two homes was silent: the whole time for tokens, a quarter of the latency objective, went to it and the other was not asked.

Change: a home that has not answered within a third of that time no longer keeps the next from being asked; the first grant counts, a second one is returned. Where nobody answers, the request goes on to a quarter of its timeout in place of the objective, as nothing says that the rate is used up; once a home has refused for want of tokens, the old bound holds. Small regions, which gather tokens from all, keep it, too. Tokens that a home took for a request that was cancelled meanwhile are lost, as before.

Evidence: TestQuotaWithSilentHome failed in three of three runs before (20, 20 and 23 of 353, 324 and 335 responses were 429) and passes.

--- a/chervilyard/edge/collect.go
+++ b/chervilyard/edge/collect.go
@@ -26,11 +26,14 @@
 
 // collectTokens requests tokens from the instances of the region and then from those of
 // other regions. It reports whether the request's tokens could be taken from the quota, and
-// otherwise the time after which they may.
-func (e *Edge) collectTokens(ctx context.Context, customer string, tokens float64) (bool, time.Duration) {
+// otherwise the time after which they may. It takes longer than the patience only if homes that
+// it asks do not answer.
+func (e *Edge) collectTokens(ctx context.Context, customer string, tokens float64, patience time.Duration) (bool, time.Duration) {
 	if d := e.division.Load(); d != nil && d.Pooled() {
-		return e.takeFromHomes(ctx, *d, customer, tokens)
+		return e.takeFromHomes(ctx, *d, customer, tokens, patience)
 	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	return e.gatherTokens(ctx, customer, tokens), e.quota.RefillTime(e.now(), customer, tokens)
 }
 
--- a/chervilyard/edge/homes.go
+++ b/chervilyard/edge/homes.go
@@ -12,71 +12,40 @@
 	"chervilyard.example/yard/membership"
 )
 
-// maxHomesAsked bounds the members of a region that are asked for the tokens of one request.
-const maxHomesAsked = 6
-
 // takeFromHomes takes the tokens of a request from a customer's home: one of the region or,
 // if those have too few, one of another region. If none grants them, it returns the
-// shortest time after which one may.
-func (e *Edge) takeFromHomes(ctx context.Context, d division.Division, customer string, tokens float64) (bool, time.Duration) {
+// shortest time after which one may. Past the patience it waits only as long as none has
+// refused.
+func (e *Edge) takeFromHomes(ctx context.Context, d division.Division, customer string, tokens float64, patience time.Duration) (bool, time.Duration) {
 	own := e.Settings().Region
-	regions := []string{own}
+	members := slices.DeleteFunc(d.Homes(own, customer), func(m membership.Member) bool { return !e.isLive(m) })
 	others := d.Regions()
 	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
 	for _, region := range others {
-		if region != own {
-			regions = append(regions, region)
+		// There is no time for more than one.
+		if homes := d.Homes(region, customer); region != own && len(homes) > 0 && e.isLive(homes[0]) {
+			members = append(members, homes[0])
 		}
 	}
 	search := homeSearch{
 		self: e.Settings().Name,
-		wait: e.quota.RefillTime(e.now(), customer, tokens), // 0 unless this instance is a home
-		ask: func(ctx context.Context, m membership.Member) (bool, time.Duration, []membership.Member) {
-			return e.gossiper.RequestWhole(ctx, m, customer, tokens)
+		ask: func(ctx context.Context, m membership.Member) homeAnswer {
+			granted, wait, homes := e.gossiper.RequestWhole(ctx, m, customer, tokens)
+			return homeAnswer{m, granted, wait, homes}
 		},
-	}
-	for _, region := range regions {
-		homes := d.Homes(region, customer)
-		if region != own && len(homes) > 1 {
-			homes = homes[:1] // there is no time for more
-		}
-		homes = slices.DeleteFunc(homes, func(m membership.Member) bool { return !e.isLive(m) })
-		if search.run(ctx, homes) {
-			return true, 0
-		}
-	}
-	return false, search.wait
-}
-
-// homeSearch asks the homes of a customer for the tokens of one request.
-type homeSearch struct {
-	self string
-	wait time.Duration // until a home may grant the tokens, if known
-	// ask asks a member, which grants the tokens, or returns the time after which it may and
-	// the members that it takes for homes if it is none.
-	ask func(ctx context.Context, m membership.Member) (granted bool, wait time.Duration, homes []membership.Member)
-}
-
-// run asks the members of a region, and those that they name, until one grants the tokens, and
-// reports whether one did. Instances that have not heard of the same members yet have
-// different plans of the homes.
-func (s *homeSearch) run(ctx context.Context, members []membership.Member) bool {
-	for n := 0; n < len(members) && n < maxHomesAsked && ctx.Err() == nil; n++ {
-		granted, wait, homes := s.ask(ctx, members[n])
-		if granted {
-			return true
-		}
-		if wait > 0 && (s.wait == 0 || wait < s.wait) {
-			s.wait = wait
-		}
-		for _, home := range homes {
-			known := func(m membership.Member) bool { return m.Name == home.Name }
-			if home.Name != s.self && !slices.ContainsFunc(members, known) {
-				members = append(members, home)
+		patience: patience,
+		overdue:  func(m membership.Member) time.Duration { return max(patience/3, 2*e.gossiper.RoundTripTime(m.Name)) },
+		refund: func(m membership.Member) {
+			if m.Region == own { // others may exchange no heartbeats with this instance
+				e.refunds.add(m.Name, customer, tokens)
 			}
-		}
+		},
+	}
+	granted, wait := search.run(ctx, members)
+	if after := e.quota.RefillTime(e.now(), customer, tokens); after > 0 && (wait == 0 || after < wait) {
+		wait = after // this instance is a home
 	}
-	return false
+	return granted, wait
 }
 
 // isLive reports whether a member has been heard within liveTimeout.
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -151,9 +151,10 @@
 	Picker       *placement.Picker
 	Limiter      *ratelimit.Limiter
 	// CollectTokens takes a request's tokens from the customer's quota, borrowing from
-	// other instances, and reports whether there were enough before ctx was done. If
-	// not, it returns the time after which there may be.
-	CollectTokens func(ctx context.Context, customer string, tokens float64) (bool, time.Duration)
+	// other instances what is missing, and reports whether there were enough and, if not,
+	// the time after which there may be. Past the patience it does not wait any more for
+	// others once some have refused.
+	CollectTokens func(ctx context.Context, customer string, tokens float64, patience time.Duration) (bool, time.Duration)
 	// RefundTokens returns the tokens of a request that no target processed. If it is
 	// nil, they go to Limiter.
 	RefundTokens func(now time.Time, customer string, tokens float64)
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -142,7 +142,7 @@
 			return retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 0.2, ExtraRetries: 4}
 		},
 		Picker: &placement.Picker{}, Limiter: limiter, Suspects: &suspect.Ledger{}, RetryBudget: &retry.Budget{}, Pool: &pool.Pool{},
-		CollectTokens: func(context.Context, string, float64) (bool, time.Duration) { return false, 0 },
+		CollectTokens: func(context.Context, string, float64, time.Duration) (bool, time.Duration) { return false, 0 },
 		Decisions:     decisionlog.NewWithHistory(hclog.NewNullLogger(), 16),
 		Random:        func() float64 { return 0 }, Cutoff: func() (time.Time, bool) { return time.Time{}, false },
 	}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -192,18 +192,19 @@
 	refund(now, x.customer.Name(), x.chargedTokens)
 }
 
-// borrowTokens borrows missing tokens from other instances for at most
-// borrowTimeoutFraction of the latency objective or of a shorter request timeout, so
-// that most of it remains, and reports whether there were enough and, if not, the time after
-// which there may be.
+// borrowTokens borrows missing tokens from other instances, and reports whether there were
+// enough and, if not, the time after which there may be. It takes at most
+// borrowTimeoutFraction of the latency objective or of a shorter request timeout, so that most
+// of it remains, or of the request timeout if the others do not answer.
 func (g *Gateway) borrowTokens(ctx context.Context, x *exchange, tokens float64) (bool, time.Duration) {
-	limit := x.deadline.Sub(x.arrived)
+	limit := time.Duration(borrowTimeoutFraction * float64(x.deadline.Sub(x.arrived)))
+	patience := limit
 	if objective := x.route.LatencyObjective(); objective > 0 {
-		limit = min(limit, objective)
+		patience = min(limit, time.Duration(borrowTimeoutFraction*float64(objective)))
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(borrowTimeoutFraction*float64(limit)))
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return g.CollectTokens(ctx, x.customer.Name(), tokens)
+	return g.CollectTokens(ctx, x.customer.Name(), tokens, patience)
 }
 
 // requestTimeout returns the shortest of caller, route and maxTimeout. A caller or
