Let issuers hear of a limit from those that ask for permits

Callers were refused for some tenths of a second after a target first named a limit, if only that target could take their requests: the issuer had not heard of the limit by a heartbeat yet and answered that others issue the permits, although the request for a permit told it the limit.

Change: an issuer takes the word in a request for a permit, as old as a message that is still waited for may be.

Test: TestPermitOfIssuerWithoutWord failed before (eight of nine instances got no permit) and passes.

--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -93,7 +93,7 @@
 	if len(h.GetMarks()) == 0 || from.Region == "" {
 		return // a reply to RequestTokens, or the sender is not known yet
 	}
-	e.hearRates(now, written, h)
+	e.hearRates(now, written, h.GetLimits(), h.GetName())
 	if from.Region == e.Settings().Region {
 		e.heardRegion.Store(true)
 		if h.GetOthers() != nil {
--- a/chervilyard/edge/issuing.go
+++ b/chervilyard/edge/issuing.go
@@ -55,6 +55,7 @@
 // issuePermit answers the request of an instance, which may be this one, for a permit.
 func (e *Edge) issuePermit(ctx context.Context, turn *fleet.Turn) *fleet.Slot {
 	now := e.now()
+	e.hearAsker(now, turn)
 	run := turn.GetLimit().GetRun()
 	perSecond, limited := e.rates.Limit(now, run)
 	if !limited {
@@ -87,6 +88,15 @@
 	return &fleet.Slot{Granted: ok, Wait: (wait + time.Millisecond - 1).Milliseconds(), Limit: encodeWord(now, word)}
 }
 
+// hearAsker takes the word of an instance that asks for a permit, which may be the first to have
+// heard of the limit. The instance has given up if its message is older than assumed here.
+func (e *Edge) hearAsker(now time.Time, turn *fleet.Turn) {
+	if turn.GetLimit() == nil || turn.GetName() == e.Settings().Name {
+		return
+	}
+	e.hearRates(now, now.Add(-permitMessageAge), []*fleet.Limit{turn.GetLimit()}, turn.GetName())
+}
+
 // random returns a random number in [0, 1).
 func (e *Edge) random() float64 {
 	if e.gateway.Random == nil {
--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -295,6 +295,21 @@
 	}
 }
 
+// Guards against requests that get no permit because the issuer has not heard of the limit yet.
+func TestPermitOfIssuerWithoutWord(t *testing.T) {
+	l := newLimitedRegion(9, 3.1, 0, 1)
+	for range 2 * introductionPeriod / simulatedStep {
+		l.step(true)
+	}
+	for n, i := range l.instances {
+		named := target.New(fmt.Sprint("b", n), "c", "", []string{"s"}, 64, 1, false)
+		i.edge.rates.Hear(l.now, targetrate.Word{Run: targetRunHash(named), Limited: true, PerSecond: 3.1, At: l.now})
+		if _, _, ok := i.edge.requestPermit(context.Background(), l.now, named, 2*time.Second); !ok {
+			t.Errorf("instance %d, which alone has heard of the limit, gets no permit", n)
+		}
+	}
+}
+
 // Guards against permits that nobody gets because the issuer changes. Each take-over costs
 // at least one interval between permits.
 func TestPermitUseInSmallRegions(t *testing.T) {
--- a/chervilyard/edge/permits.go
+++ b/chervilyard/edge/permits.go
@@ -32,6 +32,8 @@
 	permitValidity = 500 * time.Millisecond
 	// noIssuerRetry is the time after which to ask again when no instance issues permits.
 	noIssuerRetry = 200 * time.Millisecond
+	// permitMessageAge is the greatest age of a request for a permit that is still waited for.
+	permitMessageAge = 300 * time.Millisecond
 	// confirmInterval is the time after which an issuer asks the first others again.
 	confirmInterval = 500 * time.Millisecond
 	// directSilence and hubSilence are the times without a heartbeat after which a member
--- a/chervilyard/edge/rates.go
+++ b/chervilyard/edge/rates.go
@@ -54,20 +54,21 @@
 	return list
 }
 
-// hearRates takes the words in a heartbeat that was written no earlier than written.
-func (e *Edge) hearRates(now, written time.Time, h *fleet.Heartbeat) {
-	if len(h.GetLimits()) == 0 {
+// hearRates takes the words in a message of an instance that was written no earlier than
+// written.
+func (e *Edge) hearRates(now, written time.Time, words []*fleet.Limit, source string) {
+	if len(words) == 0 {
 		return
 	}
 	listed := e.targets.runs()
-	for _, l := range h.GetLimits() {
+	for _, l := range words {
 		w := decodeWord(written, l)
 		t, ok := listed[w.Run]
 		if !ok { // of another region, or the run may be listed soon
 			e.rates.Hear(now, w)
 			continue
 		}
-		e.hearRate(now, t, w, h.GetName())
+		e.hearRate(now, t, w, source)
 	}
 }
 
