Test limits in regions whose requests wait seconds for their slots

The simulated region let a request wait 0.3 s for its slot, while the gateway lets it wait for as long as its response would still be in time.

--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -27,8 +27,9 @@
 	*simulatedRegion
 	target   target.Target
 	limit    float64
-	demand   float64 // requests a second that arrive at the region
-	one      bool    // all arrive at one instance
+	demand   float64       // requests a second that arrive at the region
+	one      bool          // all arrive at one instance
+	patience time.Duration // longest wait of a request for its slot
 	due      []permitted
 	messages atomic.Int64 // between instances
 	offered  int
@@ -44,11 +45,9 @@
 	edge      *Edge
 }
 
-const limitedPatience = 300 * time.Millisecond // longest wait of a request for its slot
-
 func newLimitedRegion(size int, limit, demand float64, seed uint64) *limitedRegion {
 	l := &limitedRegion{
-		target: target.New("a", "c", "", []string{"s"}, 64, 1, false), limit: limit, demand: demand,
+		target: target.New("a", "c", "", []string{"s"}, 64, 1, false), limit: limit, demand: demand, patience: 300 * time.Millisecond,
 		heardAt: make(map[*Edge]time.Time),
 	}
 	l.simulatedRegion = &simulatedRegion{
@@ -183,7 +182,7 @@
 	if wait > 0 {
 		return
 	}
-	p, wait, ok := i.edge.requestPermit(context.Background(), l.now, l.target, limitedPatience)
+	p, wait, ok := i.edge.requestPermit(context.Background(), l.now, l.target, l.patience)
 	if !ok {
 		return
 	}
@@ -215,12 +214,13 @@
 type limitedCase struct {
 	size      int
 	limit     float64
-	one       bool // all requests arrive at one instance
-	calmSteps int  // steps between two in which something may happen; negative for a calm region
+	one       bool          // all requests arrive at one instance
+	calmSteps int           // steps between two in which something may happen; negative for a calm region
+	patience  time.Duration // longest wait of a request for its slot; 0 for the usual one
 }
 
 func (c limitedCase) String() string {
-	return fmt.Sprintf("size=%d,limit=%v,one=%v,calm=%d", c.size, c.limit, c.one, c.calmSteps)
+	return fmt.Sprintf("size=%d,limit=%v,one=%v,calm=%d,patience=%v", c.size, c.limit, c.one, c.calmSteps, c.patience)
 }
 
 const (
@@ -241,6 +241,9 @@
 	for seed := range seeds {
 		l := newLimitedRegion(c.size, c.limit, 4*c.limit, seed)
 		l.one, l.calmSteps = c.one, max(c.calmSteps, 0)
+		if c.patience > 0 {
+			l.patience = c.patience
+		}
 		for range 3 * time.Second / simulatedStep { // until the first issuer is active
 			l.step(true)
 		}
@@ -275,7 +278,7 @@
 		for _, limit := range []float64{0.5, 3.1, 12, 40} {
 			for _, calmSteps := range []int{calmRegion, twoChangesPerSecond, sixChangesPerSecond} {
 				for _, one := range []bool{false, true} {
-					c := limitedCase{region.size, limit, one, calmSteps}
+					c := limitedCase{size: region.size, limit: limit, one: one, calmSteps: calmSteps}
 					t.Run(c.String(), func(t *testing.T) {
 						t.Parallel()
 						wanted := 0.0
@@ -295,6 +298,26 @@
 	}
 }
 
+// Guards against slots far ahead that are used although another issuer has assigned the same
+// time again.
+func TestNamedLimitWithLongWaits(t *testing.T) {
+	for _, size := range []int{3, 9, 27} {
+		for _, limit := range []float64{3.1, 12, 40} {
+			for _, calmSteps := range []int{twoChangesPerSecond, sixChangesPerSecond} {
+				for _, one := range []bool{false, true} {
+					for _, patience := range []time.Duration{time.Second, 4 * time.Second} {
+						c := limitedCase{size: size, limit: limit, one: one, calmSteps: calmSteps, patience: patience}
+						t.Run(c.String(), func(t *testing.T) {
+							t.Parallel()
+							c.simulate(t, 6)
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
 // Guards against requests that get no permit because the issuer has not heard of the limit yet.
 func TestPermitOfIssuerWithoutWord(t *testing.T) {
 	l := newLimitedRegion(9, 3.1, 0, 1)
@@ -314,7 +337,9 @@
 // at least one interval between permits.
 func TestPermitUseInSmallRegions(t *testing.T) {
 	for _, c := range []limitedCase{
-		{9, 0.5, false, twoChangesPerSecond}, {9, 3.1, false, twoChangesPerSecond}, {27, 0.5, false, twoChangesPerSecond},
+		{size: 9, limit: 0.5, calmSteps: twoChangesPerSecond},
+		{size: 9, limit: 3.1, calmSteps: twoChangesPerSecond},
+		{size: 27, limit: 0.5, calmSteps: twoChangesPerSecond},
 	} {
 		t.Run(c.String(), func(t *testing.T) {
 			t.Parallel()
