Ask before its slot whether a late slot still holds

Cause: a slot was good until it began, however far ahead. An issuer that takes over without the last one's schedule, because that one was killed, is stalled or is on the other side of a cut, assigns the same seconds again; so does one whose limit or share has become smaller. The simulation had waits of 0.3 s only, so it could not show it.

Change: slots belong to a term. A request whose slot is more than 0.25 s ahead asks once more before it begins; an issuer that does not know the term assigns another slot or refuses. Terms go along with a schedule that is handed over. A lower limit or share begins a new term and frees the slots to come (Schedule.Cancel).

--- a/chervilyard/edge/issuing.go
+++ b/chervilyard/edge/issuing.go
@@ -26,6 +26,8 @@
 	takingOver   chan struct{} // closed when the take-over in progress ends; nil if there is none
 	superseded   bool          // an instance of a lower rank took over during the take-over
 	schedule     permit.Schedule
+	terms        []uint64             // within which the slots to come were assigned, the present term last
+	perSecond    float64              // slots that are assigned, of which no more than these are to come
 	confirmedAt  time.Time            // when the others were last asked to leave the issuing to this one
 	reducedUntil time.Time            // until when half of the permits are issued
 	unanswered   map[string]time.Time // when instances were asked last that did not answer, by name
@@ -73,19 +75,48 @@
 		return &fleet.Slot{Elsewhere: true}
 	}
 	now = e.now()
-	share := e.issuingShare(now)
+	perSecond *= e.issuingShare(now)
+	word, _ := e.rates.Get(run)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.usedAt = now
 	if now.Before(i.reducedUntil) {
-		share /= 2
+		perSecond /= 2
+	}
+	i.setRate(now, perSecond)
+	if slices.Contains(i.terms, turn.GetTerm()) {
+		return &fleet.Slot{Granted: true, Wait: turn.GetBegins(), Limit: encodeWord(now, word), Term: turn.GetTerm()}
 	}
 	wait, ok := i.schedule.Issue(now, permit.Ask{
-		Instance: turn.GetName(), PerSecond: perSecond * share, Spread: e.random(),
+		Instance: turn.GetName(), PerSecond: perSecond, Spread: e.random(),
 		Patience: time.Duration(turn.GetPatience()) * time.Millisecond,
 	})
-	word, _ := e.rates.Get(run)
-	return &fleet.Slot{Granted: ok, Wait: (wait + time.Millisecond - 1).Milliseconds(), Limit: encodeWord(now, word)}
+	return &fleet.Slot{
+		Granted: ok, Wait: (wait + time.Millisecond - 1).Milliseconds(), Limit: encodeWord(now, word), Term: i.terms[len(i.terms)-1],
+	}
+}
+
+// setRate sets the slots a second that are assigned. If they are fewer than before, a new term
+// begins and the slots to come are assigned anew. The caller must hold i.mu.
+func (i *issuer) setRate(now time.Time, perSecond float64) {
+	if perSecond < i.perSecond {
+		i.schedule.Cancel(now.Add(confirmAhead), perSecond)
+		i.terms = nil
+	}
+	i.perSecond = perSecond
+	if len(i.terms) == 0 {
+		i.terms = []uint64{rand.Uint64() | 1}
+	}
+}
+
+// takeOver takes over the slots of another issuer. The caller must hold i.mu.
+func (i *issuer) takeOver(now time.Time, h *fleet.Handover) {
+	i.schedule.TakeOver(now, decodeHandover(h))
+	i.perSecond = max(i.perSecond, h.GetRate())
+	i.terms = append(slices.Clone(h.GetTerms()), i.terms...)
+	if extra := len(i.terms) - maxTerms; extra > 0 {
+		i.terms = i.terms[extra:]
+	}
 }
 
 // hearAsker takes the word of an instance that asks for a permit, which may be the first to have
@@ -141,10 +172,11 @@
 		return false
 	}
 	i.active = true
+	i.terms, i.perSecond = nil, 0
 	for _, h := range answers {
 		if h.GetIssued() {
 			i.schedule = permit.Schedule{}
-			i.schedule.TakeOver(now, decodeHandover(h))
+			i.takeOver(now, h)
 			e.logIssuing("permits issued here", run, "taken over from the last issuer")
 			return true
 		}
@@ -231,7 +263,7 @@
 	}
 	i.active = false
 	e.logIssuing("permits issued elsewhere", run, "by "+turn.GetName())
-	return encodeHandover(i.schedule.Handover(now))
+	return i.handover(now)
 }
 
 // confirmIssuers asks the other instances of the first ranks again and again to leave the
@@ -274,7 +306,7 @@
 			e.logIssuing("permits issued elsewhere", run, "an instance before this one answers")
 		}
 		if h.GetIssued() {
-			i.schedule.TakeOver(now, decodeHandover(h))
+			i.takeOver(now, h)
 		}
 	}
 	if i.mayBeCutOff(e.Settings().Name, run, now, silent) {
@@ -297,8 +329,10 @@
 	return cutOff
 }
 
-func encodeHandover(h permit.Handover) *fleet.Handover {
-	m := &fleet.Handover{Issued: true, Next: (h.Next + time.Millisecond - 1).Milliseconds()}
+// handover returns what the next issuer has to know. The caller must hold i.mu.
+func (i *issuer) handover(now time.Time) *fleet.Handover {
+	h := i.schedule.Handover(now)
+	m := &fleet.Handover{Issued: true, Next: (h.Next + time.Millisecond - 1).Milliseconds(), Terms: i.terms, Rate: i.perSecond}
 	for _, n := range h.Counts {
 		m.Counts = append(m.Counts, uint32(n))
 	}
--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -31,6 +31,7 @@
 	one      bool          // all arrive at one instance
 	patience time.Duration // longest wait of a request for its slot
 	due      []permitted
+	added    []permitted  // since the step began
 	messages atomic.Int64 // between instances
 	offered  int
 	waited   time.Duration // in all
@@ -40,7 +41,10 @@
 
 // permitted is a request that waits for its slot.
 type permitted struct {
-	at, until time.Time
+	slot      reservation
+	until     time.Time
+	lastStart time.Time // of a slot that the request may wait for
+	confirmed bool
 	from      *simulatedInstance
 	edge      *Edge
 }
@@ -156,18 +160,24 @@
 	}
 	l.due = slices.DeleteFunc(l.due, func(p permitted) bool {
 		switch {
-		case p.at.After(l.now):
+		case p.confirmed && p.slot.begins.After(l.now) || !p.confirmed && p.slot.begins.After(l.now.Add(confirmAhead)):
 			return false
 		case p.from.edge != p.edge || !p.from.running:
 			return true
 		case l.now.Before(p.from.stalled):
 			return false
 		}
+		if !p.confirmed {
+			l.request(p.from, p.lastStart, p.slot)
+			return true
+		}
 		if l.now.Before(p.until) {
 			l.send(p.from)
 		}
 		return true
 	})
+	l.due = append(l.due, l.added...)
+	l.added = nil
 }
 
 // arrive lets a request arrive at an instance.
@@ -182,13 +192,23 @@
 	if wait > 0 {
 		return
 	}
-	p, wait, ok := i.edge.requestPermit(context.Background(), l.now, l.target, l.patience)
+	l.request(i, l.now.Add(l.patience), reservation{})
+}
+
+// request requests a permit for a request of the instance, which may have a slot already.
+func (l *limitedRegion) request(i *simulatedInstance, lastStart time.Time, held reservation) {
+	p, slot, ok := i.edge.requestPermit(context.Background(), l.now, l.target, lastStart.Sub(l.now), held)
 	if !ok {
 		return
 	}
-	l.waited += wait
-	l.served++
-	l.due = append(l.due, permitted{at: l.now.Add(wait), until: p.Until, from: i, edge: i.edge})
+	confirmed := slot == held || slot.begins.Sub(l.now) <= confirmAhead
+	if confirmed {
+		l.served++
+	}
+	if slot != held {
+		l.waited += slot.begins.Sub(l.now)
+	}
+	l.added = append(l.added, permitted{slot: slot, until: p.Until, lastStart: lastStart, confirmed: confirmed, from: i, edge: i.edge})
 }
 
 // send records a request, unless its instance heard of the limit less than half a second ago.
@@ -327,7 +347,7 @@
 	for n, i := range l.instances {
 		named := target.New(fmt.Sprint("b", n), "c", "", []string{"s"}, 64, 1, false)
 		i.edge.rates.Hear(l.now, targetrate.Word{Run: targetRunHash(named), Limited: true, PerSecond: 3.1, At: l.now})
-		if _, _, ok := i.edge.requestPermit(context.Background(), l.now, named, 2*time.Second); !ok {
+		if _, _, ok := i.edge.requestPermit(context.Background(), l.now, named, 2*time.Second, reservation{}); !ok {
 			t.Errorf("instance %d, which alone has heard of the limit, gets no permit", n)
 		}
 	}
--- a/chervilyard/edge/permits.go
+++ b/chervilyard/edge/permits.go
@@ -34,6 +34,11 @@
 	noIssuerRetry = 200 * time.Millisecond
 	// permitMessageAge is the greatest age of a request for a permit that is still waited for.
 	permitMessageAge = 300 * time.Millisecond
+	// confirmAhead is how long before the begin of its slot a request that waits for longer asks
+	// whether the slot still holds: another issuer may have taken over without knowing of it.
+	confirmAhead = 250 * time.Millisecond
+	// maxTerms bounds the terms of former issuers that an issuer keeps.
+	maxTerms = 8
 	// confirmInterval is the time after which an issuer asks the first others again.
 	confirmInterval = 500 * time.Millisecond
 	// directSilence and hubSilence are the times without a heartbeat after which a member
@@ -167,65 +172,100 @@
 	return e.permits.wait(now, run), true
 }
 
+// reservation is a slot that an issuer has assigned to a request.
+type reservation struct {
+	term   uint64 // within which it holds; 0 if there is none
+	begins time.Time
+}
+
 // obtainPermit obtains a permit to send a request to a target and waits for its slot. It
 // reports false if there is none within patience, or the context ended.
 func (e *Edge) obtainPermit(ctx context.Context, t target.Target, patience time.Duration) (gateway.Permit, bool) {
 	asked := e.now()
-	p, wait, ok := e.requestPermit(ctx, asked, t, patience)
-	if ok && wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			ok = false
-		case <-timer.C:
+	now := asked
+	var r reservation
+	for {
+		p, slot, ok := e.requestPermit(ctx, now, t, patience-now.Sub(asked), r)
+		now = e.now()
+		ahead := slot.begins.Sub(now)
+		if ok && ahead > confirmAhead && slot != r {
+			ok = sleep(ctx, ahead-confirmAhead)
+			now, r = e.now(), slot
+			if ok {
+				continue
+			}
+		} else if ok && ahead > 0 {
+			ok = sleep(ctx, ahead)
+			now = e.now()
 		}
+		p.Waited = now.Sub(asked)
+		return p, ok
 	}
-	p.Waited = e.now().Sub(asked)
-	return p, ok
 }
 
-// requestPermit requests a permit to send a request to a target. It returns the permit and
-// the time until its slot begins, or false.
-func (e *Edge) requestPermit(ctx context.Context, asked time.Time, t target.Target, patience time.Duration) (gateway.Permit, time.Duration, bool) {
+// sleep waits and reports whether the context has not ended meanwhile.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// requestPermit requests a permit to send a request to a target, in the slot that the request
+// has if that still holds. It returns the permit and its slot, or false.
+func (e *Edge) requestPermit(ctx context.Context, asked time.Time, t target.Target, patience time.Duration, held reservation) (gateway.Permit, reservation, bool) {
 	run := targetRunHash(t)
 	word, _ := e.rates.Get(run)
 	p := gateway.Permit{PerSecond: word.PerSecond, Age: asked.Sub(word.At)}
-	slot, name := e.askIssuers(ctx, asked, t, word, patience)
+	turn := &fleet.Turn{
+		Name: e.Settings().Name, Limit: encodeWord(asked, word), Patience: patience.Milliseconds(),
+		Term: held.term, Begins: max(held.begins.Sub(asked).Milliseconds(), 0),
+	}
+	slot, name := e.askIssuers(ctx, asked, t, turn)
 	now := e.now()
 	if ctx.Err() != nil {
-		return p, 0, false
+		return p, reservation{}, false
 	}
 	if slot == nil {
 		e.meter.CountPermit("no issuer")
 		e.permits.retry(run, now.Add(noIssuerRetry))
-		return p, 0, false
+		return p, reservation{}, false
 	}
 	if _, limited := e.rates.Limit(now, run); !limited {
-		return p, 0, true
+		return p, reservation{}, true
 	}
 	wait := time.Duration(slot.GetWait()) * time.Millisecond
 	if !slot.GetGranted() {
 		e.meter.CountPermit("refused")
 		e.permits.retry(run, now.Add(wait))
-		return p, 0, false
+		return p, reservation{}, false
+	}
+	p.Issuer = name
+	if held.term != 0 && slot.GetTerm() == held.term {
+		e.meter.CountPermit("confirmed")
+		p.Until = held.begins.Add(permitValidity)
+		return p, held, true
 	}
 	e.meter.CountPermit("issued")
-	p.Issuer, p.Until = name, asked.Add(wait+permitValidity)
-	return p, wait, true
+	r := reservation{term: slot.GetTerm(), begins: asked.Add(wait)}
+	p.Until = r.begins.Add(permitValidity)
+	return p, r, true
 }
 
 // askIssuers asks the instances that may issue the target's permits in turn. It returns the
 // answer of the first one that issues them and its name, or nil if there is none.
-func (e *Edge) askIssuers(ctx context.Context, now time.Time, t target.Target, word targetrate.Word, patience time.Duration) (*fleet.Slot, string) {
+func (e *Edge) askIssuers(ctx context.Context, now time.Time, t target.Target, turn *fleet.Turn) (*fleet.Slot, string) {
 	self := e.self(now)
 	candidates := e.issuerCandidates(now)
 	if e.mayIssue(now) {
 		candidates = append(candidates, self)
 	}
-	turn := &fleet.Turn{Name: self.Name, Limit: encodeWord(now, word), Patience: patience.Milliseconds()}
 	tried := 0
-	for _, m := range hub.Nearest(issuerKey(word.Run), candidates, len(candidates)) {
+	for _, m := range hub.Nearest(issuerKey(turn.GetLimit().GetRun()), candidates, len(candidates)) {
 		if tried == issuerRanks || ctx.Err() != nil {
 			return nil, ""
 		}
--- a/yard/permit/permit.go
+++ b/yard/permit/permit.go
@@ -116,6 +116,18 @@
 	maps.DeleteFunc(s.askers, func(_ string, at time.Time) bool { return now.Sub(at) > askerMemory })
 }
 
+// Cancel frees the slots that begin after the given time.
+func (s *Schedule) Cancel(after time.Time, perSecond float64) {
+	if latest := after.Add(time.Duration(float64(time.Second) / max(perSecond, minPerSecond))); s.next.After(latest) {
+		s.next = latest
+	}
+	last := sliceOf(after)
+	for n := max(last, s.newest-int64(sliceCount)) + 1; n <= s.newest; n++ {
+		s.counts[index(n)] = 0
+	}
+	s.newest = min(s.newest, last)
+}
+
 // Postpone delays the next slot by an interval of the limit from now. An issuer that could
 // not take over the slots of the one before starts so.
 func (s *Schedule) Postpone(now time.Time, perSecond float64) {
--- a/yard/permit/permit_test.go
+++ b/yard/permit/permit_test.go
@@ -14,6 +14,10 @@
 	scripttest.Run(t, func(t *testing.T, steps []scripttest.Step) {
 		var schedule permit.Schedule
 		for _, s := range steps {
+			if s.Words[0] == "cancel" {
+				schedule.Cancel(s.At.Add(s.Duration(t, 1)), s.Number(t, 2))
+				continue
+			}
 			wait, ok := schedule.Issue(s.At, permit.Ask{
 				Instance: s.Words[1], PerSecond: s.Number(t, 2), Patience: s.Duration(t, 3), Spread: s.Number(t, 4),
 			})
