Let an issuer that takes over begin at once

Cause: an issuer that could not take over the last one's schedule waited for a whole interval, two seconds at 0.5 a second, at each take-over.

Change: it begins at once and makes up for nothing that was left unused. A take-over so adds one request beyond those that the last issuer assigned for the next 0.25 s, which the fixed part of the bound covers.

--- a/chervilyard/edge/issuing.go
+++ b/chervilyard/edge/issuing.go
@@ -27,7 +27,7 @@
 	superseded   bool          // an instance of a lower rank took over during the take-over
 	schedule     permit.Schedule
 	terms        []uint64             // within which the slots to come were assigned, the present term last
-	perSecond    float64              // slots that are assigned, of which no more than these are to come
+	perSecond    float64              // slots that are assigned; fewer of them begin a new term
 	confirmedAt  time.Time            // when the others were last asked to leave the issuing to this one
 	reducedUntil time.Time            // until when half of the permits are issued
 	unanswered   map[string]time.Time // when instances were asked last that did not answer, by name
@@ -71,7 +71,7 @@
 		return &fleet.Slot{Elsewhere: true}
 	}
 	i := e.permits.issuer(run)
-	if !e.becomeIssuer(ctx, run, i, perSecond) {
+	if !e.becomeIssuer(ctx, run, i) {
 		return &fleet.Slot{Elsewhere: true}
 	}
 	now = e.now()
@@ -138,7 +138,7 @@
 
 // becomeIssuer takes over the issuing of the permits unless this instance issues them already,
 // and reports whether it does then. It waits for a take-over in progress.
-func (e *Edge) becomeIssuer(ctx context.Context, run uint64, i *issuer, perSecond float64) bool {
+func (e *Edge) becomeIssuer(ctx context.Context, run uint64, i *issuer) bool {
 	i.mu.Lock()
 	if i.active {
 		i.mu.Unlock()
@@ -182,7 +182,7 @@
 		}
 	}
 	// The slots that the last issuer assigned are not known.
-	i.schedule.Postpone(now, perSecond)
+	i.schedule.Start(now)
 	if i.mayBeCutOff(e.Settings().Name, run, now, silent) {
 		i.reducedUntil = now.Add(e.cutSilence())
 		e.logIssuing("permits issued here", run, "an instance before this one does not answer, half of them for now")
--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -353,14 +353,21 @@
 	}
 }
 
-// Guards against permits that nobody gets because the issuer changes. Each take-over costs
-// at least one interval between permits.
+// Guards against permits that nobody gets because the issuer changes while a limit is low.
 func TestPermitUseInSmallRegions(t *testing.T) {
-	for _, c := range []limitedCase{
-		{size: 9, limit: 0.5, calmSteps: twoChangesPerSecond},
-		{size: 9, limit: 3.1, calmSteps: twoChangesPerSecond},
-		{size: 27, limit: 0.5, calmSteps: twoChangesPerSecond},
-	} {
+	checkPermitUse(t,
+		limitedCase{size: 9, limit: 0.5, calmSteps: twoChangesPerSecond},
+		limitedCase{size: 27, limit: 0.5, calmSteps: twoChangesPerSecond},
+	)
+}
+
+// Guards against permits that nobody gets while instances are killed and cut off.
+func TestPermitUseInRegionOfNine(t *testing.T) {
+	checkPermitUse(t, limitedCase{size: 9, limit: 3.1, calmSteps: twoChangesPerSecond})
+}
+
+func checkPermitUse(t *testing.T, cases ...limitedCase) {
+	for _, c := range cases {
 		t.Run(c.String(), func(t *testing.T) {
 			t.Parallel()
 			if use := c.simulate(t, 8); use < 0.8 {
--- a/yard/permit/permit.go
+++ b/yard/permit/permit.go
@@ -128,11 +128,9 @@
 	s.newest = min(s.newest, last)
 }
 
-// Postpone delays the next slot by an interval of the limit from now. An issuer that could
-// not take over the slots of the one before starts so.
-func (s *Schedule) Postpone(now time.Time, perSecond float64) {
-	s.next = later(s.next, now.Add(time.Duration(float64(time.Second)/max(perSecond, minPerSecond))))
-}
+// Start lets no slot begin before now. An issuer that could not take over the slots of the one
+// before starts so: what that one left unused is not made up for.
+func (s *Schedule) Start(now time.Time) { s.next = later(s.next, now) }
 
 // Handover is what the next issuer of a target has to know of the slots of the last one.
 type Handover struct {
