Let issuers find others that they do not know as such

A target with a rate limit got up to 1.3 times what the bound of LIMIT allows in simulated regions in which three of ten pairs of instances do not hear each other's heartbeats while their other messages arrive.

Cause: an issuer asks the first three in order of those that it hears to leave the issuing to it. Another one that it does not hear issues as well. And one that stopped for another did not leave it the slots that it had assigned.

Change: a request for a permit names the issuer of the last one within two seconds; an issuer asks that one, too, and at once. One that stays issuer asks the one that wanted to take over. A schedule that nobody has taken over is handed over when asked for.

--- a/chervilyard/edge/cold_share_test.go
+++ b/chervilyard/edge/cold_share_test.go
@@ -27,6 +27,8 @@
 	list      []target.Target
 	request   placement.Request
 	names     int
+	// losesHeartbeat reports whether a heartbeat does not arrive. It may be nil.
+	losesHeartbeat func(to, from *simulatedInstance) bool
 	// onStart is called with an instance that starts, and onMessage with the first message
 	// that arrives from another one. They may be nil.
 	onStart   func(i *simulatedInstance)
@@ -172,7 +174,7 @@
 func (r *simulatedRegion) exchangeHeartbeats() {
 	for _, to := range r.instances {
 		for _, from := range r.instances {
-			if to != from && to.running && from.running && r.connected(to, from) {
+			if to != from && to.running && from.running && r.connected(to, from) && (r.losesHeartbeat == nil || !r.losesHeartbeat(to, from)) {
 				to.edge.memberTable.RecordHeartbeat(from.mark, r.now)
 			}
 		}
--- a/chervilyard/edge/issuing.go
+++ b/chervilyard/edge/issuing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -26,11 +27,13 @@
 	takingOver   chan struct{} // closed when the take-over in progress ends; nil if there is none
 	superseded   bool          // an instance of a lower rank took over during the take-over
 	schedule     permit.Schedule
+	isUnclaimed  bool                 // not active, but no other instance has taken over the schedule
 	terms        []uint64             // within which the slots to come were assigned, the present term last
 	perSecond    float64              // slots that are assigned; fewer of them begin a new term
 	confirmedAt  time.Time            // when the others were last asked to leave the issuing to this one
 	reducedUntil time.Time            // until when half of the permits are issued
 	unanswered   map[string]time.Time // when instances were asked last that did not answer, by name
+	rivals       map[string]time.Time // when instances were last said to issue permits as well, by name
 	usedAt       time.Time
 }
 
@@ -80,6 +83,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.usedAt = now
+	i.noteRival(now, turn.GetIssuer(), e.Settings().Name)
 	if now.Before(i.reducedUntil) {
 		perSecond /= 2
 	}
@@ -109,6 +113,30 @@
 	}
 }
 
+// noteRival records that an instance is said to issue the same permits. This one may not know
+// it as one of the first in order. The caller must hold i.mu.
+func (i *issuer) noteRival(now time.Time, name, self string) {
+	if name == "" || name == self {
+		return
+	}
+	if i.rivals == nil {
+		i.rivals = make(map[string]time.Time)
+	}
+	if now.Sub(i.rivals[name]) > issuerMemory {
+		i.confirmedAt = time.Time{} // the others are asked at once
+	}
+	i.rivals[name] = now
+}
+
+// recentRivals returns the names of the instances that were said to issue the same permits
+// within issuerMemory.
+func (i *issuer) recentRivals(now time.Time) []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	maps.DeleteFunc(i.rivals, func(_ string, at time.Time) bool { return now.Sub(at) > issuerMemory })
+	return slices.Collect(maps.Keys(i.rivals))
+}
+
 // takeOver takes over the slots of another issuer. The caller must hold i.mu.
 func (i *issuer) takeOver(now time.Time, h *fleet.Handover) {
 	i.schedule.TakeOver(now, decodeHandover(h))
@@ -158,7 +186,7 @@
 	done = make(chan struct{})
 	i.takingOver, i.superseded = done, false
 	i.mu.Unlock()
-	answers, silent := e.askToYield(ctx, run)
+	answers, silent := e.askToYield(ctx, run, i)
 	now := e.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -171,7 +199,7 @@
 	if slices.ContainsFunc(answers, func(h *fleet.Handover) bool { return h.GetStays() }) {
 		return false
 	}
-	i.active = true
+	i.active, i.isUnclaimed = true, false
 	i.terms, i.perSecond = nil, 0
 	for _, h := range answers {
 		if h.GetIssued() {
@@ -192,13 +220,20 @@
 	return true
 }
 
-// askToYield asks the issuerRanks others of the lowest ranks to leave the issuing to this one.
-// It returns their answers, and those that did not answer although they may run.
-func (e *Edge) askToYield(ctx context.Context, run uint64) (answers []*fleet.Handover, silent []membership.Member) {
+// askToYield asks the issuerRanks others of the lowest ranks, and those that are said to issue
+// permits as well, to leave the issuing to this one. It returns their answers, and those that
+// did not answer although they may run.
+func (e *Edge) askToYield(ctx context.Context, run uint64, i *issuer) (answers []*fleet.Handover, silent []membership.Member) {
 	now := e.now()
 	self := e.self(now).Name
 	turn := &fleet.Turn{Name: self, Limit: &fleet.Limit{Run: run}}
 	others := hub.Nearest(issuerKey(run), e.issuerCandidates(now), issuerRanks)
+	for _, name := range i.recentRivals(now) {
+		m, ok := e.memberTable.Get(name)
+		if ok && !slices.ContainsFunc(others, func(other membership.Member) bool { return other.Name == name }) {
+			others = append(others, m)
+		}
+	}
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, m := range others {
@@ -243,7 +278,15 @@
 // yieldPermits answers an instance that wants to issue a target's permits.
 func (e *Edge) yieldPermits(now time.Time, turn *fleet.Turn) *fleet.Handover {
 	run := turn.GetLimit().GetRun()
-	if precedes(run, e.Settings().Name, turn.GetName()) && e.mayIssue(now) {
+	self := e.Settings().Name
+	if precedes(run, self, turn.GetName()) && e.mayIssue(now) {
+		i := e.permits.issuer(run)
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if i.usedAt.IsZero() {
+			i.usedAt = now
+		}
+		i.noteRival(now, turn.GetName(), self) // which may have issued permits
 		return &fleet.Handover{Stays: true}
 	}
 	known := slices.ContainsFunc(e.issuerCandidates(now), func(m membership.Member) bool { return m.Name == turn.GetName() })
@@ -251,6 +294,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.active && !known && e.mayIssue(now) {
+		i.noteRival(now, turn.GetName(), self)
 		// Those that do not know the other one either would ask this one again.
 		return &fleet.Handover{Stays: true}
 	}
@@ -259,6 +303,10 @@
 		if i.usedAt.IsZero() {
 			i.usedAt = now
 		}
+		if i.isUnclaimed {
+			i.isUnclaimed = false
+			return i.handover(now)
+		}
 		return &fleet.Handover{}
 	}
 	i.active = false
@@ -278,7 +326,7 @@
 		if !i.startConfirming(now) {
 			continue
 		}
-		answers, silent := e.askToYield(ctx, run)
+		answers, silent := e.askToYield(ctx, run, i)
 		e.endConfirming(e.now(), run, i, answers, silent)
 	}
 }
@@ -302,7 +350,7 @@
 	defer i.mu.Unlock()
 	for _, h := range answers {
 		if h.GetStays() && i.active {
-			i.active = false
+			i.active, i.isUnclaimed = false, true
 			e.logIssuing("permits issued elsewhere", run, "an instance before this one answers")
 		}
 		if h.GetIssued() {
--- a/chervilyard/edge/limit_region_test.go
+++ b/chervilyard/edge/limit_region_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"chervilyard.example/chervilyard/decisionlog"
@@ -237,14 +238,16 @@
 	one       bool          // all requests arrive at one instance
 	calmSteps int           // steps between two in which something may happen; negative for a calm region
 	patience  time.Duration // longest wait of a request for its slot; 0 for the usual one
+	unheard   uint64        // percentage of pairs that do not hear each other in each few seconds
 }
 
 func (c limitedCase) String() string {
-	return fmt.Sprintf("size=%d,limit=%v,one=%v,calm=%d,patience=%v", c.size, c.limit, c.one, c.calmSteps, c.patience)
+	return fmt.Sprintf("size=%d,limit=%v,one=%v,calm=%d,patience=%v,unheard=%d", c.size, c.limit, c.one, c.calmSteps, c.patience, c.unheard)
 }
 
 const (
 	limitedTime = 20 * time.Second
+	unheardTime = 6 * time.Second // long enough for a member to be dropped
 	// Of the steps in which something may happen, one in six brings a change.
 	sixChangesPerSecond = 0
 	twoChangesPerSecond = 2
@@ -264,6 +267,12 @@
 		if c.patience > 0 {
 			l.patience = c.patience
 		}
+		if c.unheard > 0 {
+			l.losesHeartbeat = func(to, from *simulatedInstance) bool {
+				pair := fmt.Sprint(seed, to.name, from.name, l.now.Truncate(unheardTime).Unix())
+				return xxhash.Sum64String(pair)%100 < c.unheard
+			}
+		}
 		for range 3 * time.Second / simulatedStep { // until the first issuer is active
 			l.step(true)
 		}
@@ -338,6 +347,24 @@
 	}
 }
 
+// Guards against two instances that issue permits at once because their lists of members
+// differ: some do not hear others whose messages arrive otherwise.
+func TestNamedLimitWhileListsDiffer(t *testing.T) {
+	for _, size := range []int{9, 27} {
+		for _, limit := range []float64{3.1, 40} {
+			for _, calmSteps := range []int{calmRegion, twoChangesPerSecond} {
+				for _, unheard := range []uint64{10, 30, 60} {
+					c := limitedCase{size: size, limit: limit, calmSteps: calmSteps, unheard: unheard}
+					t.Run(c.String(), func(t *testing.T) {
+						t.Parallel()
+						c.simulate(t, 6)
+					})
+				}
+			}
+		}
+	}
+}
+
 // Guards against requests that get no permit because the issuer has not heard of the limit yet.
 func TestPermitOfIssuerWithoutWord(t *testing.T) {
 	l := newLimitedRegion(9, 3.1, 0, 1)
--- a/chervilyard/edge/permits.go
+++ b/chervilyard/edge/permits.go
@@ -39,6 +39,9 @@
 	confirmAhead = 250 * time.Millisecond
 	// maxTerms bounds the terms of former issuers that an issuer keeps.
 	maxTerms = 8
+	// issuerMemory is how long an instance remembers who issued its last permit, and an issuer
+	// whom others named as an issuer.
+	issuerMemory = 2 * time.Second
 	// confirmInterval is the time after which an issuer asks the first others again.
 	confirmInterval = 500 * time.Millisecond
 	// directSilence and hubSilence are the times without a heartbeat after which a member
@@ -63,6 +66,7 @@
 	mu         sync.Mutex
 	issuers    map[uint64]*issuer    // by run of the target
 	retryAt    map[uint64]time.Time  // when to ask for a permit again, by run
+	lastIssuer map[uint64]issuedBy   // of the last permit of this instance, by run
 	passedOver map[string]passedOver // instances that did not answer, by name
 }
 
@@ -71,6 +75,33 @@
 	until time.Time
 }
 
+// issuedBy tells which instance issued a permit, and when.
+type issuedBy struct {
+	name string
+	at   time.Time
+}
+
+// noteIssuer records that an instance issued a permit for the run of a target.
+func (p *permits) noteIssuer(now time.Time, run uint64, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastIssuer == nil {
+		p.lastIssuer = make(map[uint64]issuedBy)
+	}
+	p.lastIssuer[run] = issuedBy{name, now}
+}
+
+// recentIssuer returns the name of the instance that issued the last permit for the run of a
+// target, or "" if that is longer ago than issuerMemory.
+func (p *permits) recentIssuer(now time.Time, run uint64) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last, ok := p.lastIssuer[run]; ok && now.Sub(last.at) <= issuerMemory {
+		return last.name
+	}
+	return ""
+}
+
 // issuer returns the issuer of a run of a target, and creates it if there is none.
 func (p *permits) issuer(run uint64) *issuer {
 	p.mu.Lock()
@@ -139,6 +170,11 @@
 			delete(p.retryAt, run)
 		}
 	}
+	for run, last := range p.lastIssuer {
+		if now.Sub(last.at) > issuerMemory {
+			delete(p.lastIssuer, run)
+		}
+	}
 	for name, o := range p.passedOver {
 		if !now.Before(o.until) {
 			delete(p.passedOver, name)
@@ -223,7 +259,7 @@
 	p := gateway.Permit{PerSecond: word.PerSecond, Age: asked.Sub(word.At)}
 	turn := &fleet.Turn{
 		Name: e.Settings().Name, Limit: encodeWord(asked, word), Patience: patience.Milliseconds(),
-		Term: held.term, Begins: max(held.begins.Sub(asked).Milliseconds(), 0),
+		Term: held.term, Begins: max(held.begins.Sub(asked).Milliseconds(), 0), Issuer: e.permits.recentIssuer(asked, run),
 	}
 	slot, name := e.askIssuers(ctx, asked, t, turn)
 	now := e.now()
@@ -245,6 +281,7 @@
 		return p, reservation{}, false
 	}
 	p.Issuer = name
+	e.permits.noteIssuer(now, run, name)
 	if held.term != 0 && slot.GetTerm() == held.term {
 		e.meter.CountPermit("confirmed")
 		p.Until = held.begins.Add(permitValidity)
