Merge what all former issuers assigned, in their order

An issuer that takes over from two that issued at once took the schedule of the one that answered first and lost the other's; the answers' order also made the simulated region differ from run to run (three results in six runs of TestNamedLimitWhileListsDiffer and TestNamedLimitWithLongWaits).

Cause: answers were collected as they came. Change: they are taken in the order of the instances, and all schedules are merged.

--- a/chervilyard/edge/issuing.go
+++ b/chervilyard/edge/issuing.go
@@ -134,7 +134,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	maps.DeleteFunc(i.rivals, func(_ string, at time.Time) bool { return now.Sub(at) > issuerMemory })
-	return slices.Collect(maps.Keys(i.rivals))
+	return slices.Sorted(maps.Keys(i.rivals))
 }
 
 // takeOver takes over the slots of another issuer. The caller must hold i.mu.
@@ -201,13 +201,20 @@
 	}
 	i.active, i.isUnclaimed = true, false
 	i.terms, i.perSecond = nil, 0
+	isKnown := false
 	for _, h := range answers {
-		if h.GetIssued() {
+		if !h.GetIssued() {
+			continue
+		}
+		if !isKnown {
 			i.schedule = permit.Schedule{}
-			i.takeOver(now, h)
-			e.logIssuing("permits issued here", run, "taken over from the last issuer")
-			return true
 		}
+		i.takeOver(now, h)
+		isKnown = true
+	}
+	if isKnown {
+		e.logIssuing("permits issued here", run, "taken over from the last issuer")
+		return true
 	}
 	// The slots that the last issuer assigned are not known.
 	i.schedule.Start(now)
@@ -234,22 +241,21 @@
 			others = append(others, m)
 		}
 	}
-	var mu sync.Mutex
+	handovers := make([]*fleet.Handover, len(others))
+	errs := make([]error, len(others))
 	var asked sync.WaitGroup
-	for _, m := range others {
-		asked.Go(func() {
-			h, err := e.permits.yield(ctx, m, turn)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err == nil:
-				answers = append(answers, h)
-			case !hasEnded(err):
-				silent = append(silent, m)
-			}
-		})
+	for n, m := range others {
+		asked.Go(func() { handovers[n], errs[n] = e.permits.yield(ctx, m, turn) })
 	}
 	asked.Wait()
+	for n, m := range others {
+		switch {
+		case errs[n] == nil:
+			answers = append(answers, handovers[n])
+		case !hasEnded(errs[n]):
+			silent = append(silent, m)
+		}
+	}
 	return answers, silent
 }
 
