Offer a schedule only shortly after its issuer stopped

Cause: the offer had no end; the issuer was not looked at again once its lock was held. The comment of gateway.obtainPermit says what it returns. No test for either fault.

--- a/chervilyard/edge/issuing.go
+++ b/chervilyard/edge/issuing.go
@@ -27,7 +27,7 @@
 	takingOver   chan struct{} // closed when the take-over in progress ends; nil if there is none
 	superseded   bool          // an instance of a lower rank took over during the take-over
 	schedule     permit.Schedule
-	isUnclaimed  bool                 // not active, but no other instance has taken over the schedule
+	unclaimed    time.Time            // until when another issuer may still claim the schedule of this one, which has stopped
 	terms        []uint64             // within which the slots to come were assigned, the present term last
 	perSecond    float64              // slots that are assigned; fewer of them begin a new term
 	confirmedAt  time.Time            // when the others were last asked to leave the issuing to this one
@@ -82,6 +82,9 @@
 	word, _ := e.rates.Get(run)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if !i.active { // another one has taken over meanwhile
+		return &fleet.Slot{Elsewhere: true}
+	}
 	i.usedAt = now
 	i.noteRival(now, turn.GetIssuer(), e.Settings().Name)
 	if now.Before(i.reducedUntil) {
@@ -199,7 +202,7 @@
 	if slices.ContainsFunc(answers, func(h *fleet.Handover) bool { return h.GetStays() }) {
 		return false
 	}
-	i.active, i.isUnclaimed = true, false
+	i.active, i.unclaimed = true, time.Time{}
 	i.terms, i.perSecond = nil, 0
 	isKnown := false
 	for _, h := range answers {
@@ -309,8 +312,8 @@
 		if i.usedAt.IsZero() {
 			i.usedAt = now
 		}
-		if i.isUnclaimed {
-			i.isUnclaimed = false
+		if now.Before(i.unclaimed) {
+			i.unclaimed = time.Time{}
 			return i.handover(now)
 		}
 		return &fleet.Handover{}
@@ -356,7 +359,7 @@
 	defer i.mu.Unlock()
 	for _, h := range answers {
 		if h.GetStays() && i.active {
-			i.active, i.isUnclaimed = false, true
+			i.active, i.unclaimed = false, now.Add(issuerMemory)
 			e.logIssuing("permits issued elsewhere", run, "an instance before this one answers")
 		}
 		if h.GetIssued() {
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -127,9 +127,9 @@
 	return true
 }
 
-// obtainPermit obtains a permit for the ticket's target if it has a rate limit, and otherwise
-// ends the ticket and returns false. The request waits for a permit for as long as it would
-// elsewhere at most, and not for so long that its response would be late.
+// obtainPermit obtains a permit if the ticket's target has a rate limit, and reports whether the
+// request may be sent. If not, the ticket has ended. The request waits for the permit no longer
+// than it would at another target, and not for so long that its response would be late.
 func (g *Gateway) obtainPermit(ctx context.Context, now time.Time, x *exchange, ticket *placement.Ticket) bool {
 	if !ticket.NeedsPermit() || g.ObtainPermit == nil {
 		return true
