Log how old the knowledge is by which a request is sent, in times that do not step

Change: believed= is logged, with known=AGE, where the target list is older than two seconds. sent_at= and the new at= of cold times follow the monotonic clock (package steadyclock).

--- a/chervilctl/coldrate/coldrate.go
+++ b/chervilctl/coldrate/coldrate.go
@@ -94,15 +94,21 @@
 }
 
 // addColdTime adds the remaining cold time that the target list or a health check told, such
-// as "NAME at revision 7, run 3, cold for 2s".
+// as "NAME at revision 7, run 3, cold for 2s at=1787771335532": the time, which does not step
+// with the time of day, is in Unix milliseconds.
 func (c *Counter) addColdTime(e trace.Entry) {
 	described, left, ok := strings.Cut(e.Reason, ", cold for ")
 	if !ok {
 		return
 	}
 	name, _, _ := strings.Cut(described, " ")
+	told := e.Time // of logs of older versions
+	left, at, ok := strings.Cut(left, " at=")
+	if n, err := strconv.ParseInt(at, 10, 64); ok && err == nil {
+		told = time.UnixMilli(n)
+	}
 	if d, err := time.ParseDuration(left); err == nil && d > 0 {
-		c.ends[name] = append(c.ends[name], e.Time.Add(d))
+		c.ends[name] = append(c.ends[name], told.Add(d))
 	}
 }
 
--- a/chervilctl/coldrate/coldrate_test.go
+++ b/chervilctl/coldrate/coldrate_test.go
@@ -10,7 +10,7 @@
 )
 
 // Requests of two instances, one of which takes the target for warm, count together within
-// one second of its cold time, and no others do.
+// one second of its cold time, and no others do. The time of day of one instance has stepped.
 func TestPeaks(t *testing.T) {
 	f, err := os.Open("testdata/two-instances.txt")
 	if err != nil {
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -31,6 +31,7 @@
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/steadyclock"
 	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/targetrate"
@@ -57,7 +58,8 @@
 	decisions *decisionlog.Log
 	meter     *meter.Meter
 	now       func() time.Time
-	runID     int64 // identifies this run of the instance
+	clock     steadyclock.Clock // for times in the log that are compared with those of other instances
+	runID     int64             // identifies this run of the instance
 	started   time.Time
 
 	gateway     gateway.Gateway
@@ -149,6 +151,7 @@
 	e.pool.OnDial = func(string) { e.meter.CountConnection() }
 	g := &e.gateway
 	g.Protocol, g.Now, g.Region = protocol, e.now, s.Region
+	g.Stamp = e.clock.Stamp
 	g.Catalog = e.catalog.Load
 	g.AwaitReady = e.awaitContentLoaded
 	g.Targets = e.usable
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -104,5 +104,5 @@
 		return
 	}
 	e.picker.HealthCheckPassed(sentAt, now, name, cold)
-	e.logDecision("target", "proved", name+", cold for "+cold.String())
+	e.logDecision("target", "proved", name+e.describeCold(now, cold))
 }
--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -189,7 +189,7 @@
 		before, ok := old[t.Name()]
 		becameCold := before.ColdRemaining() == 0 && t.ColdRemaining() > 0
 		if !ok || before.Draining() != t.Draining() || before.RunID() != t.RunID() || becameCold {
-			e.logDecision("target", listingState(t), describeListed(t, s.Revision))
+			e.logDecision("target", listingState(t), e.describeListed(now, t, s.Revision))
 		}
 	}
 }
@@ -213,14 +213,20 @@
 }
 
 // describeListed describes a listed target for the log.
-func describeListed(t target.Target, revision int64) string {
+func (e *Edge) describeListed(now time.Time, t target.Target, revision int64) string {
 	text := t.Name() + " at revision " + itoa(revision) + ", run " + itoa(t.RunID())
 	if cold := t.ColdRemaining(); cold > 0 {
-		text += ", cold for " + cold.String()
+		text += e.describeCold(now, cold)
 	}
 	return text
 }
 
+// describeCold describes for the log how long a target stays cold from now on, with the time
+// in Unix milliseconds.
+func (e *Edge) describeCold(now time.Time, cold time.Duration) string {
+	return ", cold for " + cold.String() + " at=" + itoa(e.clock.Stamp(now).UnixMilli())
+}
+
 // refreshTargets applies the target list if it has changed, the grace period for missing
 // targets has ended or the store was unavailable. Otherwise it records that the list is
 // still valid. It holds the part's lock, since a list that is being applied must not be
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -210,7 +210,7 @@
 				return false
 			}
 			a.sentAt = now
-			x.recordSent(t.Name(), now)
+			g.recordSent(x, t.Name(), now)
 			return true
 		},
 		OnWritten: func() { a.dest.ticket.Sent(g.Now()) },
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -141,6 +141,9 @@
 	// target. Only regions for which reachable returns true are considered. Both
 	// results are "" if there is none. PreferredTarget may be nil.
 	PreferredTarget func(service string, parts []placement.Part, reachable func(region string) bool) (target, region string)
+	// Stamp converts a reading of Now to a time for the log that does not step with the time
+	// of day. It may be nil.
+	Stamp func(at time.Time) time.Time
 	// StateAges returns the ages of the known configuration and of the target states.
 	// It may be nil.
 	StateAges func(now time.Time) (configuration, targets time.Duration)
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -122,8 +122,11 @@
 	g.Metrics.ResponseEnd(resp.Framing(), end)
 }
 
-// recordSent keeps when a request was sent to a target, in Unix milliseconds.
-func (x *exchange) recordSent(name string, at time.Time) {
+// recordSent keeps when a request was sent to a target, in Unix milliseconds of Stamp.
+func (g *Gateway) recordSent(x *exchange, name string, at time.Time) {
+	if g.Stamp != nil {
+		at = g.Stamp(at)
+	}
 	x.sentAt = append(x.sentAt, name+"@"+strconv.FormatInt(at.UnixMilli(), 10))
 }
 
--- a/yard/placement/belief.go
+++ b/yard/placement/belief.go
@@ -11,29 +11,35 @@
 // whose run is new stays of interest to Ticket.ColdBelief.
 const recentlyCold = 5 * time.Second
 
+// oldKnowledge is the age of the target list above which requests to its targets stay of
+// interest to Ticket.ColdBelief.
+const oldKnowledge = 2 * time.Second
+
 // coldBelief is what an instance believes about the cold time of a target.
 type coldBelief struct {
 	cold      bool
 	coldUntil time.Time // zero if the run was never listed as cold
 	suspected time.Time // last sign of a possible restart, dismissed or not
 	runListed time.Time // when the run was first listed
+	knownAsOf time.Time // when the list that has the target was requested; zero if it was never listed
 	limit     int       // requests that this instance may send in a coldlimit.Window
 	share     ColdShare
 }
 
 // coldBelief returns the belief about the target, or nil if it has been warm for
-// recentlyCold or cold targets of the service have no rate limit. The caller must hold
+// recentlyCold by a list that is not older than oldKnowledge, or cold targets of the service have no rate limit. The caller must hold
 // p.mu.
 func (p *Picker) coldBelief(now time.Time, s *targetState, r Request, coldShare ColdShare) *coldBelief {
 	since := now.Add(-recentlyCold)
 	if r.Service.ColdRequestsPerSecond() <= 0 {
 		return nil
 	}
-	if !p.isCold(now, s) && !s.coldUntil.After(since) && !s.lastSuspected.After(since) && !s.runListed.After(since) {
+	old := !s.lastListed.IsZero() && now.Sub(s.lastListed) > oldKnowledge
+	if !old && !p.isCold(now, s) && !s.coldUntil.After(since) && !s.lastSuspected.After(since) && !s.runListed.After(since) {
 		return nil
 	}
 	return &coldBelief{
-		cold: p.isCold(now, s), coldUntil: s.coldUntil, suspected: s.lastSuspected, runListed: s.runListed,
+		cold: p.isCold(now, s), coldUntil: s.coldUntil, suspected: s.lastSuspected, runListed: s.runListed, knownAsOf: s.lastListed,
 		limit: p.coldLimit(r, coldShare), share: coldShare,
 	}
 }
@@ -47,6 +53,7 @@
 //	left=1.2s        remaining cold time; negative if it is over
 //	suspected=300ms  time since the last sign of a possible restart
 //	run=400ms        time since its run was first listed
+//	known=4.9s       age of the target list, if it is older than usual
 //	limit=1          requests that this instance may send to it
 //	rank=3/27        rank of this instance in its region
 //	sent=650ms       time from the choice until the connection was made
@@ -82,6 +89,9 @@
 	if !b.runListed.IsZero() {
 		parts = append(parts, "run="+formatMillis(now.Sub(b.runListed)))
 	}
+	if !b.knownAsOf.IsZero() && now.Sub(b.knownAsOf) > oldKnowledge {
+		parts = append(parts, "known="+formatMillis(now.Sub(b.knownAsOf)))
+	}
 	return append(parts, "limit="+strconv.Itoa(b.limit), fmt.Sprintf("rank=%d/%d", b.share.Rank, b.share.Instances))
 }
 
