--- a/chervilyard/edge/cold_share_test.go
+++ b/chervilyard/edge/cold_share_test.go
@@ -215,11 +215,11 @@
 	}
 }
 
-// mostInSecond returns the largest number of requests sent within a second.
-func (r *simulatedRegion) mostInSecond() int {
+// mostInSecond returns the largest number of the times, which ascend, within a second.
+func mostInSecond(times []time.Time) int {
 	most, first := 0, 0
-	for n, at := range r.sent {
-		for at.Sub(r.sent[first]) >= time.Second {
+	for n, at := range times {
+		for at.Sub(times[first]) >= time.Second {
 			first++
 		}
 		most = max(most, n-first+1)
@@ -245,7 +245,7 @@
 					r.step()
 				}
 				sent += len(r.sent)
-				if most := r.mostInSecond(); float64(most) > limit {
+				if most := mostInSecond(r.sent); float64(most) > limit {
 					t.Errorf("seed %d: %d requests within a second, at most %v", seed, most, limit)
 				}
 			}
--- a/chervilyard/edge/views_test.go
+++ b/chervilyard/edge/views_test.go
@@ -128,7 +128,7 @@
 // send returns the ticket of a request, or nil if the target counts as cold.
 func (r *restartingTarget) send() *placement.Ticket {
 	request := placement.Request{Service: service.New("s").WithColdLimit(1)}
-	return r.edge.picker.Choose(r.now, r.edge.targets.usable("s"), request, placement.ColdShare{})
+	return r.edge.picker.Choose(r.now, r.edge.targets.usable("s"), request, r.edge.coldTargetShare(r.now))
 }
 
 // A target that could not be reached is listed as restarted and cold. Guards against
--- a/yard/placement/cold_test.go
+++ b/yard/placement/cold_test.go
@@ -119,3 +119,19 @@
 		}
 	}
 }
+
+// A list from an older copy of the store has an earlier run of a target. Guards against taking
+// the target for warm because of it.
+func TestOlderRunKeepsColdTime(t *testing.T) {
+	var p placement.Picker
+	now := time.Unix(1_700_000_000, 0)
+	noShare := placement.ColdShare{Position: placement.Position{Instances: 24, Rank: 9}, RateFactor: 1.5, ExtraRequests: 3}
+	listed := target.New("a", "c", "", []string{"m"}, 64, 1, false)
+	p.UpdateTargets(now, now, time.Second, []target.Target{listed.WithRunID(2).WithColdRemaining(3 * time.Second)})
+	now = now.Add(100 * time.Millisecond)
+	older := []target.Target{listed.WithRunID(1)}
+	p.UpdateTargets(now, now, time.Second, older)
+	if p.Choose(now, older, placement.Request{Service: engineService, PromptTokens: 10}, noShare) != nil {
+		t.Error("an instance without a share sends a request to a target that is cold")
+	}
+}
