--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -28,6 +28,7 @@
 	local     map[string]target.Target   // of this region, by name
 	remote    map[string][]target.Target // of other regions, by region
 	byHash    map[uint32]string          // names of the region's targets, by targetHash
+	missing   map[string]bool            // names of targets in local that are not in the last list
 	evacuated map[string]bool            // data centres that get no requests
 	digest    uint64                     // of the content that the targets were decoded from
 	readAt    time.Time                  // when the last list was read from the store
@@ -73,14 +74,16 @@
 	return list
 }
 
-// withoutColdTime returns the region's targets with their cold time set to zero. The
-// picker already got the cold times when the list last changed.
-func (t *targetList) withoutColdTime() []target.Target {
+// listed returns the region's targets that are in the last list, without those that are kept
+// although they are missing.
+func (t *targetList) listed() []target.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []target.Target
-	for _, candidate := range t.local {
-		list = append(list, candidate.WithColdRemaining(0))
+	list := make([]target.Target, 0, len(t.local))
+	for name, candidate := range t.local {
+		if !t.missing[name] {
+			list = append(list, candidate)
+		}
 	}
 	return list
 }
@@ -166,14 +169,14 @@
 	}
 	keepMissing := now.Before(e.targets.keepUntil)
 	old := e.targets.local
+	missing := make(map[string]bool)
 	var removed []string
 	for name, t := range old {
 		if _, ok := localByName[name]; ok {
 			continue
 		}
 		if keepMissing && !t.Draining() {
-			localByName[name] = t
-			localList = append(localList, t)
+			localByName[name], missing[name] = t, true
 			continue
 		}
 		removed = append(removed, name)
@@ -181,7 +184,7 @@
 	e.targets.mu.Unlock()
 	// The picker must know the cold times before a request can find the targets.
 	e.picker.UpdateTargets(s.AsOf, s.ReceivedAt, e.Settings().TargetReportInterval, localList)
-	e.targets.publish(localByName, remote)
+	e.targets.publish(localByName, missing, remote)
 	for _, name := range removed {
 		e.logDecision("target", "gone", name+" at revision "+itoa(s.Revision))
 	}
@@ -195,10 +198,10 @@
 }
 
 // publish replaces the targets that requests can find.
-func (t *targetList) publish(local map[string]target.Target, remote map[string][]target.Target) {
+func (t *targetList) publish(local map[string]target.Target, missing map[string]bool, remote map[string][]target.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.local, t.remote = local, remote
+	t.local, t.missing, t.remote = local, missing, remote
 	t.byHash = make(map[uint32]string, len(local))
 	for name := range local {
 		t.byHash[targetHash(name)] = name
@@ -250,24 +253,19 @@
 		e.apply[PartTargets](now, s)
 		return
 	}
-	e.picker.UpdateTargets(s.AsOf, s.ReceivedAt, e.Settings().TargetReportInterval, e.targets.withoutColdTime())
+	e.picker.ConfirmTargets(s.AsOf, now, e.Settings().TargetReportInterval, e.targets.listed())
 }
 
 // setEvacuated replaces the set of data centres that get no requests. Targets of data
-// centres that get requests again are treated as cold.
+// centres that get requests again count as cold until something newer is known of them.
 func (e *Edge) setEvacuated(now time.Time, evacuated map[string]bool) {
 	e.targets.mu.Lock()
 	before := e.targets.evacuated
-	var readmitted []string
-	for _, t := range e.targets.local {
-		if before[t.Centre()] && !evacuated[t.Centre()] {
-			readmitted = append(readmitted, t.Name())
+	for centre := range before {
+		if before[centre] && !evacuated[centre] {
+			e.picker.Readmit(now, centre) // before a request can find its targets
 		}
 	}
-	// The target list may be older than the end of the evacuation, so the targets stay
-	// cold until a newer list can have arrived. The picker must know before a request can
-	// find them.
-	e.picker.MarkCold(now, readmitted, e.Settings().TargetReportInterval+targetListAge)
 	e.targets.evacuated = evacuated
 	e.targets.mu.Unlock()
 	for centre := range evacuated {
--- a/chervilyard/gateway/cold_test.go
+++ b/chervilyard/gateway/cold_test.go
@@ -27,7 +27,7 @@
 func TestRequestWithheldFromColdTarget(t *testing.T) {
 	f := newFakeTarget(t, "e", "ok hello")
 	n := newColdTestInstance(t, f, placement.ColdShare{})
-	n.gateway.Pool.OnDial = func(string) { n.gateway.Picker.MarkCold(time.Now(), []string{"e"}, time.Minute) }
+	n.gateway.Pool.OnDial = func(string) { n.gateway.Picker.HealthCheckPassed(time.Now(), time.Now(), "e", time.Minute) }
 	status, body, _ := roundTrip(t, n, getRequest("/read/x"))
 	if got := len(f.requests()); got != 0 || status != http.StatusServiceUnavailable {
 		t.Errorf("the cold target received %d requests, the response is %d %s", got, status, body)
@@ -54,7 +54,7 @@
 			arrivals := make(chan time.Time, 64)
 			f.beforeResponse = func() { arrivals <- time.Now() }
 			n := newColdTestInstance(t, f, placement.ColdShare{Position: placement.Position{Instances: 1}, RateFactor: 1})
-			n.gateway.Picker.MarkCold(time.Now(), []string{"e"}, time.Minute)
+			n.gateway.Picker.HealthCheckPassed(time.Now(), time.Now(), "e", time.Minute)
 			var connected, stalled atomic.Bool
 			stallEnd := make(chan time.Time, 1)
 			n.gateway.Pool.OnDial = func(string) { connected.Store(true) }
--- a/yard/placement/belief.go
+++ b/yard/placement/belief.go
@@ -35,11 +35,11 @@
 		return nil
 	}
 	old := !s.lastListed.IsZero() && now.Sub(s.lastListed) > oldKnowledge
-	if !old && !p.isCold(now, s) && !s.coldUntil.After(since) && !s.lastSuspected.After(since) && !s.runListed.After(since) {
+	if !old && !p.isCold(now, s) && !s.lastColdUntil.After(since) && !s.lastSuspected.After(since) && !s.runListed.After(since) {
 		return nil
 	}
 	return &coldBelief{
-		cold: p.isCold(now, s), coldUntil: s.coldUntil, suspected: s.lastSuspected, runListed: s.runListed, knownAsOf: s.lastListed,
+		cold: p.isCold(now, s), coldUntil: s.lastColdUntil, suspected: s.lastSuspected, runListed: s.runListed, knownAsOf: s.lastListed,
 		limit: p.coldLimit(r, coldShare), share: coldShare,
 	}
 }
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -16,6 +16,7 @@
 	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/warmup"
 )
 
 const (
@@ -143,6 +144,7 @@
 	prefillFits     map[string]*linearFit    // milliseconds to the first byte over prompt tokens, by service
 	serviceAnswerMS map[string]float64       // average duration of an answer, by service
 	minGaps         map[string]time.Duration // smallest Request.MaxEventGap seen, by service
+	readmitted      map[string]time.Time     // when a data centre last got requests again
 
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
 	// math/rand are used. It must not be changed after first use.
@@ -158,44 +160,79 @@
 	OnDismissed func(now time.Time, name string)
 }
 
-// UpdateTargets updates the state from a list of targets that was requested at
-// readAt and received at receivedAt. Each target refreshes its entry every
-// reportInterval. The remaining cold times count from receivedAt, since an entry may
-// be written after readAt. The entry of a silent target stays for entryIntervals, so a
-// possible restart is dismissed once a list was requested that long after it. A target
-// with a new run ID keeps only its load and the requests that count against its cold limit.
+// UpdateTargets updates the state from a new list of targets that was requested at readAt and
+// received at receivedAt. Each target refreshes its entry every reportInterval, so what the
+// list says held at some time from reportInterval before readAt until receivedAt. A target with
+// a later run keeps only its load and the requests that count against its cold limit.
 func (p *Picker) UpdateTargets(readAt, receivedAt time.Time, reportInterval time.Duration, targets []target.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
-		listed[t.Name()] = true
 		s := p.state(t.Name())
-		s.lastListed = readAt
+		s.lastListed, s.centre = readAt, t.Centre()
+		report := warmup.Report{Earliest: readAt.Add(-reportInterval), Latest: receivedAt}
+		if t.ColdRemaining() > 0 {
+			report.ColdUntil = receivedAt.Add(t.ColdRemaining())
+		}
+		if t.RunID() < s.run {
+			s.warmup.ListOlder(report)
+			continue
+		}
 		if s.run != t.RunID() {
 			*s = targetState{
-				run: t.RunID(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
+				run: t.RunID(), centre: t.Centre(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
 				open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
 			}
 		}
-		if t.ColdRemaining() > 0 {
-			s.coldUntil = receivedAt.Add(t.ColdRemaining())
-		}
-		if !s.suspectSince.IsZero() && readAt.Sub(s.suspectSince) > entryIntervals*reportInterval {
-			s.suspectSince = time.Time{}
-			if p.OnDismissed != nil {
-				p.OnDismissed(receivedAt, t.Name())
-			}
-		}
+		s.warmup.List(report)
+		s.recordCold(report)
+		p.dismiss(readAt, receivedAt, reportInterval, t.Name(), s)
 	}
 	for name, s := range p.targets {
 		// A target that is briefly missing from the list may still be cold when it returns.
-		if !listed[name] && s.open == 0 && readAt.Sub(s.lastListed) > stateTTL {
+		if s.open == 0 && readAt.Sub(s.lastListed) > stateTTL {
 			delete(p.targets, name)
 		}
 	}
 }
 
+// ConfirmTargets records that the list of targets last passed to UpdateTargets is still the
+// newest, as of readAt.
+func (p *Picker) ConfirmTargets(readAt, now time.Time, reportInterval time.Duration, targets []target.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range targets {
+		s := p.state(t.Name())
+		if s.run != t.RunID() {
+			continue
+		}
+		s.lastListed = readAt
+		s.warmup.ConfirmListed(readAt.Add(-reportInterval))
+		p.dismiss(readAt, now, reportInterval, t.Name(), s)
+	}
+}
+
+// dismiss ends the suspicion that a listed target has restarted if the list was requested so
+// late that it can have no entry from before: that of a silent target stays for
+// entryIntervals. The caller must hold p.mu.
+func (p *Picker) dismiss(readAt, now time.Time, reportInterval time.Duration, name string, s *targetState) {
+	if s.warmup.Dismiss(readAt.Add(-entryIntervals*reportInterval)) && p.OnDismissed != nil {
+		p.OnDismissed(now, name)
+	}
+}
+
+// Readmit records that a data centre gets requests again from now on. Its targets may have
+// become cold while they got none, so they count as cold until something newer is known of
+// them.
+func (p *Picker) Readmit(now time.Time, centre string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.readmitted == nil {
+		p.readmitted = make(map[string]time.Time)
+	}
+	p.readmitted[centre] = now
+}
+
 // UpdatePeerLoads replaces the loads that a peer reports for the region's targets.
 func (p *Picker) UpdatePeerLoads(now time.Time, peer string, loads []Load) {
 	p.mu.Lock()
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chervilyard.example/yard/coldlimit"
+	"chervilyard.example/yard/warmup"
 )
 
 type peerLoads struct {
@@ -27,9 +28,10 @@
 	failureRate   float64   // moving average of the fraction of failed requests, as of failureRateAt
 	failureRateAt time.Time // when failureRate was last updated
 	answerMS      float64   // moving average; 0 if unknown
-	coldUntil     time.Time
-	suspectSince  time.Time            // last sign of a possible restart; zero if there is none
-	lastSuspected time.Time            // as suspectSince, but kept when the restart is dismissed
+	centre        string
+	warmup        warmup.State
+	lastColdUntil time.Time            // end of the last cold time that was reported, for the log
+	lastSuspected time.Time            // last sign of a possible restart, dismissed or not
 	window        coldlimit.Window     // requests sent while the target was cold
 	partsUsed     map[string]time.Time // last use of each prompt part, by ID
 	slowdown      float64              // time to the first byte relative to the fit of the service; 0 if unknown
@@ -37,6 +39,13 @@
 	maxPauseAt    time.Time
 }
 
+// recordCold keeps the end of a reported cold time for the log.
+func (s *targetState) recordCold(r warmup.Report) {
+	if !r.ColdUntil.IsZero() {
+		s.lastColdUntil = r.ColdUntil
+	}
+}
+
 // load returns the load that this instance's open requests put on the target.
 func (s *targetState) load(name string) Load {
 	return Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens}
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -233,10 +233,10 @@
 
 // suspect records a sign that the target may have restarted.
 func (t *Ticket) suspect(now time.Time, s *targetState, o Outcome) {
-	if s.suspectSince.IsZero() && t.picker.OnSuspected != nil {
+	s.lastSuspected = now
+	if s.warmup.Suspect(now) && t.picker.OnSuspected != nil {
 		t.picker.OnSuspected(now, t.target.Name(), o)
 	}
-	s.suspectSince, s.lastSuspected = now, now
 }
 
 // eject excludes the target for a time that doubles with each consecutive ejection,
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -9,6 +9,7 @@
 
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/warmup"
 )
 
 // StartHealthCheck returns a health check of the named target, or nil if it may not be sent,
@@ -64,31 +65,19 @@
 }
 
 // HealthCheckPassed records that the named target answered at now a health check
-// sent at sentAt, and that it stays cold for the given time. It has no effect if a
-// connection to the target failed or broke after the check was sent.
+// sent at sentAt, and that it stays cold for the given time. A possible restart is ruled out
+// unless a connection to the target failed or broke after the check was sent.
 func (p *Picker) HealthCheckPassed(sentAt, now time.Time, name string, cold time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(name)
-	if s.suspectSince.After(sentAt) {
-		return
-	}
-	s.suspectSince = time.Time{}
+	report := warmup.Report{Earliest: sentAt, Latest: now}
 	if cold > 0 {
-		s.coldUntil = now.Add(cold)
-	}
-}
-
-// MarkCold treats the named targets as cold for at least d, unless a later target
-// list or health check gives another remaining cold time.
-func (p *Picker) MarkCold(now time.Time, names []string, d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, name := range names {
-		if s := p.state(name); s.coldUntil.Before(now.Add(d)) {
-			s.coldUntil = now.Add(d)
-		}
+		report.ColdUntil = now.Add(cold)
 	}
+	s := p.state(name)
+	s.warmup.Check(report)
+	s.recordCold(report)
+	s.warmup.Dismiss(sentAt)
 }
 
 // DeferralLeft returns the time until the first of the candidates wants requests again, or
@@ -157,9 +146,17 @@
 	return s.window.Allows(now, p.coldLimit(r, coldShare))
 }
 
-// isCold reports whether the target is cold or may have restarted.
+// isCold reports whether the target is cold, or may have become cold since it was known to be
+// warm: because it may have restarted or got no requests for some time.
 func (p *Picker) isCold(now time.Time, s *targetState) bool {
-	return !s.suspectSince.IsZero() || now.Before(s.coldUntil)
+	if now.Before(s.warmup.ColdUntil()) {
+		return true
+	}
+	if _, suspected := s.warmup.SuspectedFrom(); suspected {
+		return true
+	}
+	readmitted, ok := p.readmitted[s.centre]
+	return ok && !s.warmup.IsKnownSince(readmitted)
 }
 
 // coldLimit returns how many requests this instance may send to a cold target in
