--- a/chervilyard/edge/cold_region_test.go
+++ b/chervilyard/edge/cold_region_test.go
@@ -176,6 +176,9 @@
 
 // send sends as many requests as the instance may, a few at most.
 func (r *coldRegion) send(i *simulatedInstance) {
+	if !i.edge.views[PartConfiguration].Loaded() {
+		return // it is not ready
+	}
 	for range simulatedPerStep {
 		ticket := i.picker.Choose(r.now, i.edge.targets.usable("s"), r.request, i.edge.coldTargetShare(r.now))
 		if ticket == nil || !ticket.Admit(r.now, i.edge.coldTargetShare) {
--- a/chervilyard/edge/cold_share.go
+++ b/chervilyard/edge/cold_share.go
@@ -17,6 +17,11 @@
 	// takeOverDelay is how long an instance waits before it uses a larger share, since the
 	// requests of the member that had it before still count.
 	takeOverDelay = coldlimit.WindowLength
+	// maxTargetListAge and maxEvacuationsAge are the ages above which the list of targets and
+	// that of evacuations do not show that a target is warm. They leave time for a reader to
+	// be replaced and for its list to reach the region.
+	maxTargetListAge  = targetListAge + 900*time.Millisecond
+	maxEvacuationsAge = watchLateAge + 800*time.Millisecond
 )
 
 // coldTargetShare returns how the region's instances divide the request rate to cold
@@ -27,9 +32,27 @@
 	return placement.ColdShare{
 		Position: p, Earlier: e.positions.record(now, p),
 		RateFactor: s.ColdRateFactor, ExtraRequests: s.ColdExtraRequests,
+		Unproved: e.knowledgeIsOld(now),
 	}
 }
 
+// knowledgeIsOld reports whether the list of targets or that of evacuations is so old that
+// warm targets may have become cold since.
+func (e *Edge) knowledgeIsOld(now time.Time) bool {
+	return e.isOlder(now, PartTargets, maxTargetListAge) || e.isOlder(now, PartConfiguration, maxEvacuationsAge)
+}
+
+// isOlder reports whether the instance has content of a part of the store that was last known
+// to be current more than maxAge ago.
+func (e *Edge) isOlder(now time.Time, part string, maxAge time.Duration) bool {
+	v := e.views[part]
+	if v == nil {
+		return false // the instance has not started yet
+	}
+	age, ok := v.Age(now)
+	return ok && age > maxAge
+}
+
 // coldTargetPosition returns the instance's position among those that divide the request
 // rate to cold targets. Silent instances count for shareRetention, since they may still send
 // requests. A started instance has no position until it can have heard the others.
--- a/yard/coldlimit/coldlimit.go
+++ b/yard/coldlimit/coldlimit.go
@@ -10,18 +10,19 @@
 const WindowLength = 1200 * time.Millisecond
 
 // Window counts the requests that are about to be sent, and those sent within
-// WindowLength. A request counts from Reserve until WindowLength after Sent: connecting can
-// take most of a second, and a process may stall at any point. The zero value is empty. It
-// is not safe for concurrent use.
+// WindowLength. A reserved request counts from Reserve until WindowLength after Sent:
+// connecting can take most of a second, and a process may stall at any point. The zero value
+// is empty. It is not safe for concurrent use.
 type Window struct {
 	reserved int
 	sent     []time.Time // ascending
 }
 
 // Reserve counts a request that is about to be sent and returns true, unless the window
-// already has limit requests. Sent or Release must follow.
-func (w *Window) Reserve(now time.Time, limit int) bool {
-	if !w.Allows(now, limit) {
+// already has limit requests. Those that were sent before since do not count. Sent or Release
+// must follow.
+func (w *Window) Reserve(now, since time.Time, limit int) bool {
+	if !w.Allows(now, since, limit) {
 		return false
 	}
 	w.reserved++
@@ -31,6 +32,12 @@
 // Sent records that a reserved request has been sent, at now at the latest.
 func (w *Window) Sent(now time.Time) {
 	w.Release()
+	w.Record(now)
+}
+
+// Record records that a request without a reservation has been sent, at now at the latest.
+func (w *Window) Record(now time.Time) {
+	w.expire(now)
 	w.sent = append(w.sent, now)
 }
 
@@ -38,13 +45,21 @@
 func (w *Window) Release() { w.reserved = max(w.reserved-1, 0) }
 
 // Allows reports whether Reserve would return true. It drops expired requests.
-func (w *Window) Allows(now time.Time, limit int) bool {
+func (w *Window) Allows(now, since time.Time, limit int) bool {
+	w.expire(now)
+	n := w.reserved
+	for i := len(w.sent) - 1; i >= 0 && !w.sent[i].Before(since); i-- {
+		n++
+	}
+	return n < limit
+}
+
+func (w *Window) expire(now time.Time) {
 	expired := 0
 	for expired < len(w.sent) && now.Sub(w.sent[expired]) >= WindowLength {
 		expired++
 	}
 	w.sent = w.sent[expired:]
-	return w.reserved+len(w.sent) < limit
 }
 
 // InstanceLimit returns the share of a limit of perSecond requests per second for
--- a/yard/coldlimit/coldlimit_test.go
+++ b/yard/coldlimit/coldlimit_test.go
@@ -16,7 +16,7 @@
 		var w coldlimit.Window
 		for _, s := range steps {
 			limit := int(s.Number(t, 0))
-			got, want := w.Reserve(s.At, limit), s.Words[1] == "yes"
+			got, want := w.Reserve(s.At, time.Time{}, limit), s.Words[1] == "yes"
 			if got != want {
 				t.Errorf("line %d: Reserve is %v, want %v", s.Line, got, want)
 			}
@@ -62,7 +62,7 @@
 				}
 				return true
 			})
-			if w.Reserve(now, limit) {
+			if w.Reserve(now, time.Time{}, limit) {
 				due := now.Add(time.Duration(rapid.IntRange(0, maxDialMS).Draw(t, "late")) * time.Millisecond)
 				told := due
 				if rapid.IntRange(0, 4).Draw(t, "stalls") == 0 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -121,6 +121,9 @@
 	Earlier       []Position // recent ones, whose shares bound that of the present one
 	RateFactor    float64
 	ExtraRequests float64 // requests per second
+	// Unproved is set while the target list, or that of evacuations, is so old that warm
+	// targets may have become cold since.
+	Unproved bool
 }
 
 // Load is the load that the open requests of one instance put on a target.
@@ -144,6 +147,7 @@
 	prefillFits     map[string]*linearFit    // milliseconds to the first byte over prompt tokens, by service
 	serviceAnswerMS map[string]float64       // average duration of an answer, by service
 	minGaps         map[string]time.Duration // smallest Request.MaxEventGap seen, by service
+	listedAt        time.Time                // when the last list of targets was requested
 	readmitted      map[string]time.Time     // when a data centre last got requests again
 
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
@@ -167,6 +171,7 @@
 func (p *Picker) UpdateTargets(readAt, receivedAt time.Time, reportInterval time.Duration, targets []target.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listedAt = readAt
 	for _, t := range targets {
 		s := p.state(t.Name())
 		s.lastListed, s.centre = readAt, t.Centre()
@@ -201,6 +206,7 @@
 func (p *Picker) ConfirmTargets(readAt, now time.Time, reportInterval time.Duration, targets []target.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listedAt = readAt
 	for _, t := range targets {
 		s := p.state(t.Name())
 		if s.run != t.RunID() {
@@ -463,8 +469,8 @@
 // caller must hold p.mu.
 func (p *Picker) newTicket(now time.Time, t target.Target, r Request, wait time.Duration, coldShare ColdShare) *Ticket {
 	s := p.state(t.Name())
-	cold := p.isCold(now, s)
-	reserved := cold && s.window.Reserve(now, p.coldLimit(r, coldShare))
+	since, limited := p.countsSince(now, s, coldShare)
+	reserved := limited && s.window.Reserve(now, since, p.coldLimit(r, coldShare))
 	ticket := &Ticket{
 		request: r, reserved: reserved, belief: p.coldBelief(now, s, r, coldShare),
 		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -38,6 +38,7 @@
 	sentAt          time.Time     // zero until Admit allowed the request
 	becameCold      bool          // the target was warm when it was chosen and cold at sentAt
 	reserved        bool          // counts against the rate limit of a cold target and is not known to be sent
+	counted         bool          // counts as sent
 	limited         bool          // the target had a rate limit when it was chosen
 	alternative     bool          // another target without one could have been chosen
 	alternativeWait time.Duration // expected time to the first byte there
@@ -72,8 +73,7 @@
 // Admit reports whether the request may be sent now that its connection is established. It
 // returns false if the target has become cold since it was chosen and its rate limit is used
 // up, or has no share for this instance, and if the target has named a limit and there is no
-// permit that is still valid. The function coldShare is called only if the target has become
-// cold, and must not call methods of the Picker.
+// permit that is still valid. The function coldShare must not call methods of the Picker.
 func (t *Ticket) Admit(now time.Time, coldShare func(now time.Time) ColdShare) bool {
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
@@ -81,12 +81,15 @@
 		return false
 	}
 	s := t.picker.state(t.target.Name())
-	if !t.reserved && t.picker.isCold(now, s) {
-		t.becameCold = true
-		if !s.window.Reserve(now, t.picker.coldLimit(t.request, coldShare(now))) {
-			return false
+	if !t.reserved {
+		share := coldShare(now)
+		if since, limited := t.picker.countsSince(now, s, share); limited {
+			t.becameCold = true
+			if !s.window.Reserve(now, since, t.picker.coldLimit(t.request, share)) {
+				return false
+			}
+			t.reserved = true
 		}
-		t.reserved = true
 	}
 	t.sentAt = now
 	return true
@@ -99,13 +102,17 @@
 	t.countSent(now, t.picker.state(t.target.Name()))
 }
 
-// countSent counts the request against the rate limit of a cold target as sent now. The caller
-// must hold the picker's lock.
+// countSent counts the request as sent now, also to a target that is taken for warm: it may
+// turn out to have been cold. The caller must hold the picker's lock.
 func (t *Ticket) countSent(now time.Time, s *targetState) {
-	if t.reserved {
-		t.reserved = false
+	switch {
+	case t.counted:
+	case t.reserved:
 		s.window.Sent(now)
+	default:
+		s.window.Record(now)
 	}
+	t.reserved, t.counted = false, true
 }
 
 // RecordFirstByte records that the first byte of the answer arrived at now. Later
@@ -178,7 +185,7 @@
 	case t.reserved && t.sentAt.IsZero():
 		t.reserved = false
 		s.window.Release()
-	case t.reserved: // part of it may have been sent
+	case !t.sentAt.IsZero(): // part of it may have been sent
 		t.countSent(now, s)
 	}
 	s.open--
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -22,8 +22,9 @@
 	if now.Before(ts.deferredUntil) {
 		return nil
 	}
-	c := &HealthCheck{picker: p, name: name, reserved: p.isCold(now, ts)}
-	if c.reserved && !ts.window.Reserve(now, p.coldLimit(Request{Service: s}, coldShare)) {
+	since, limited := p.countsSince(now, ts, coldShare)
+	c := &HealthCheck{picker: p, name: name, reserved: limited}
+	if limited && !ts.window.Reserve(now, since, p.coldLimit(Request{Service: s}, coldShare)) {
 		return nil
 	}
 	return c
@@ -140,21 +141,40 @@
 	if memory := r.Service.MemoryTokens(); memory > 0 && r.PromptTokens+r.MaxOutputTokens > memory {
 		return false
 	}
-	if !p.isCold(now, s) {
-		return true
+	since, limited := p.countsSince(now, s, coldShare)
+	return !limited || s.window.Allows(now, since, p.coldLimit(r, coldShare))
+}
+
+// countsSince reports whether the target may be cold, so that its rate limit holds, and since
+// when requests to it count. What was sent before a sign of a restart went to the run before,
+// and what was sent before the target was last known to be warm went to a warm target.
+func (p *Picker) countsSince(now time.Time, s *targetState, coldShare ColdShare) (time.Time, bool) {
+	if p.isColdOrReadmitted(now, s) {
+		return time.Time{}, true
+	}
+	suspectedFrom, suspected := s.warmup.SuspectedFrom()
+	unproved := coldShare.Unproved || s.lastListed.Before(p.listedAt)
+	switch {
+	case unproved && (!suspected || s.warmup.KnownAsOf().Before(suspectedFrom)):
+		return s.warmup.KnownAsOf(), true
+	default:
+		return suspectedFrom, suspected
 	}
-	return s.window.Allows(now, p.coldLimit(r, coldShare))
 }
 
 // isCold reports whether the target is cold, or may have become cold since it was known to be
 // warm: because it may have restarted or got no requests for some time.
 func (p *Picker) isCold(now time.Time, s *targetState) bool {
+	_, suspected := s.warmup.SuspectedFrom()
+	return suspected || p.isColdOrReadmitted(now, s)
+}
+
+// isColdOrReadmitted reports whether the target is cold by the last report, or its data centre
+// got requests again later.
+func (p *Picker) isColdOrReadmitted(now time.Time, s *targetState) bool {
 	if now.Before(s.warmup.ColdUntil()) {
 		return true
 	}
-	if _, suspected := s.warmup.SuspectedFrom(); suspected {
-		return true
-	}
 	readmitted, ok := p.readmitted[s.centre]
 	return ok && !s.warmup.IsKnownSince(readmitted)
 }
