Check targets that the store tells nothing new of, and tell the region

Cause: without the store every target's warmth is in doubt, and only the target itself can tell. Change: while the lists are old, or a target is missing from the last one, instances send health checks: in the order of rendezvous hashing for each target every 0.1 s, and at once when no more requests may be sent. What the target answers is told to the region in heartbeats. One request of a share is left for a check, so that requests never use up what could prove that more may be sent; a check of a cold target counts like a request.

--- a/chervilyard/edge/cold_region_test.go
+++ b/chervilyard/edge/cold_region_test.go
@@ -10,10 +10,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"chervilyard.example/chervilyard/decisionlog"
+	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/view"
+	"chervilyard.example/yard/warmup"
 )
 
 const (
@@ -26,20 +28,23 @@
 )
 
 // coldRegion is a simulated region whose target turns cold without a restart, again and
-// again, shortly before its data centre is taken back from an evacuation. Instances that are
-// cut off do not hear of it, but reach the target.
+// again, shortly before its data centre is taken back from an evacuation. Instances that do not
+// reach the store do not hear of it, but reach the target.
 type coldRegion struct {
 	*simulatedRegion
-	links     map[*simulatedInstance]*storeLink
-	evacuated bool
-	changesAt time.Time   // when the evacuation ends or the next one begins
-	coldFrom  time.Time   // beginning of the last cold time, or of the next one
-	writtenAt time.Time   // when the target last reported
-	entry     coldReport  // its last report
-	sends     []time.Time // in the last cold time
-	most      int         // requests within a second of a cold time
-	warm      int         // requests of instances that are cut off to the warm target
-	cutTime   time.Duration
+	links map[*simulatedInstance]*storeLink
+	// checkAtLimit checks the targets to which an instance has sent as many requests as it may.
+	checkAtLimit map[*simulatedInstance]func()
+	evacuated    bool
+	changesAt    time.Time   // when the evacuation ends or the next one begins
+	coldFrom     time.Time   // beginning of the last cold time, or of the next one
+	writtenAt    time.Time   // when the target last reported
+	entry        coldReport  // its last report
+	sends        []time.Time // in the last cold time
+	most         int         // requests within a second of a cold time
+	storeGone    time.Time   // until when no instance reaches the store, although the operator does
+	warm         int         // requests to the warm target by instances whose knowledge is old
+	oldTime      time.Duration
 }
 
 // coldReport is an entry of the target.
@@ -56,10 +61,10 @@
 }
 
 func newColdRegion(size int, seed uint64) *coldRegion {
-	r := &coldRegion{links: make(map[*simulatedInstance]*storeLink)}
+	r := &coldRegion{links: make(map[*simulatedInstance]*storeLink), checkAtLimit: make(map[*simulatedInstance]func())}
 	r.simulatedRegion = &simulatedRegion{
 		random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_700_000_000, 0), size: size,
-		request: placement.Request{Service: service.New("s").WithColdLimit(4.4)}, onStart: r.prepare, calmSteps: 4,
+		request: placement.Request{Service: service.New("s").WithColdLimit(4.4).WithHealthPath("/health")}, onStart: r.prepare, calmSteps: 4,
 	}
 	r.changesAt, r.writtenAt = r.now.Add(4*time.Second), r.now
 	for range size {
@@ -86,10 +91,20 @@
 		}
 		return list, nil
 	}
+	e.catalog.Store(catalog.New(catalog.Config{Services: []service.Service{r.request.Service}}))
+	e.sendCheck = func(t target.Target, check *placement.HealthCheck) { r.check(e, t, check) }
 	e.buildViews()
+	var atLimit []string // the picker must not be called while it reports them
+	e.picker.OnLimitReached = func(name string) { atLimit = append(atLimit, name) }
+	r.checkAtLimit[i] = func() {
+		for _, name := range atLimit {
+			e.checkNow(r.now, name)
+		}
+		atLimit = nil
+	}
 	i.picker = &e.picker
 	r.links[i] = &storeLink{}
-	if !r.isCutOff(i) {
+	if r.reachesStore(i) {
 		r.hearEvacuation(i) // it serves no requests before
 	}
 }
@@ -97,13 +112,14 @@
 func (r *coldRegion) step() {
 	r.advance()
 	r.changeTarget()
-	if r.now.Before(r.cutUntil) {
-		r.cutTime += simulatedStep
+	if r.now.After(r.storeGone) && r.random.IntN(int(10*time.Second/simulatedStep)) == 0 {
+		r.storeGone = r.now.Add(time.Duration(2000+r.random.IntN(7000)) * time.Millisecond)
 	}
 	for _, i := range r.instances {
 		if i.running && !r.now.Before(i.stalled) {
 			r.readStore(i)
 			r.send(i)
+			r.checkAtLimit[i]()
 		}
 	}
 	r.most = max(r.most, mostInSecond(r.sends))
@@ -132,17 +148,17 @@
 	return !r.now.Before(r.coldFrom) && r.now.Before(r.coldFrom.Add(coldTargetPeriod))
 }
 
-// isCutOff reports whether the instance reaches neither the store nor the larger part of the
-// region.
-func (r *coldRegion) isCutOff(i *simulatedInstance) bool {
-	return i.apart && !r.now.After(r.cutUntil)
+// reachesStore reports whether the instance can read the store. None on the smaller side of a
+// cut does.
+func (r *coldRegion) reachesStore(i *simulatedInstance) bool {
+	return r.now.After(r.storeGone) && !(i.apart && !r.now.After(r.cutUntil))
 }
 
 // readStore lets an instance that reaches the store hear of evacuations and read the list of
 // targets, and refreshes what it has.
 func (r *coldRegion) readStore(i *simulatedInstance) {
 	l, e := r.links[i], i.edge
-	if !r.isCutOff(i) {
+	if r.reachesStore(i) {
 		if l.evacuated == r.evacuated || r.random.IntN(int(storeDelay/simulatedStep)) == 0 {
 			r.hearEvacuation(i)
 		}
@@ -158,6 +174,10 @@
 			e.applyNewest(r.now, PartTargets)
 		}
 	}
+	e.checkTargets(r.now)
+	if r.steps%simulatedBeats == 0 {
+		r.tellChecks(i)
+	}
 	if r.now.After(l.refresh) && e.views[PartTargets].Loaded() {
 		l.refresh = r.now.Add(maintenanceInterval)
 		e.refreshTargets(r.now)
@@ -174,11 +194,36 @@
 	}
 }
 
+// check lets the target answer a health check, which counts like a request.
+func (r *coldRegion) check(e *Edge, t target.Target, check *placement.HealthCheck) {
+	check.Sent(r.now)
+	report := warmup.Report{Earliest: r.now, Latest: r.now}
+	if r.isCold() {
+		r.sends = append(r.sends, r.now)
+		report.ColdUntil = r.coldFrom.Add(coldTargetPeriod)
+	}
+	e.recordCheck(r.now, t, targetCheck{Report: report, own: true})
+}
+
+// tellChecks lets the instances that the instance reaches hear what it was answered.
+func (r *coldRegion) tellChecks(from *simulatedInstance) {
+	list := from.edge.checks.tell(r.now, false)
+	for _, to := range r.instances {
+		if to != from && to.running && r.connected(to, from) && len(list) > 0 {
+			to.edge.hearChecks(r.now, r.now, list)
+		}
+	}
+}
+
 // send sends as many requests as the instance may, a few at most.
 func (r *coldRegion) send(i *simulatedInstance) {
 	if !i.edge.views[PartConfiguration].Loaded() {
 		return // it is not ready
 	}
+	old := i.edge.knowledgeIsOld(r.now) && !r.isCold()
+	if old {
+		r.oldTime += simulatedStep
+	}
 	for range simulatedPerStep {
 		ticket := i.picker.Choose(r.now, i.edge.targets.usable("s"), r.request, i.edge.coldTargetShare(r.now))
 		if ticket == nil || !ticket.Admit(r.now, i.edge.coldTargetShare) {
@@ -189,7 +234,7 @@
 		switch {
 		case r.isCold():
 			r.sends = append(r.sends, r.now)
-		case r.isCutOff(i):
+		case old:
 			r.warm++
 		}
 	}
@@ -207,18 +252,18 @@
 	}{{3, 20, 40 * time.Second}, {9, 10, 40 * time.Second}, {27, 6, 40 * time.Second}, {72, 2, 30 * time.Second}, {295, 1, 20 * time.Second}} {
 		t.Run(fmt.Sprint(c.size), func(t *testing.T) {
 			t.Parallel()
-			warm, cut := 0, time.Duration(0)
+			warm, old := 0, time.Duration(0)
 			for seed := range c.seeds {
 				r := newColdRegion(c.size, seed)
 				for range c.time / simulatedStep {
 					r.step()
 				}
-				warm, cut = warm+r.warm, cut+r.cutTime
+				warm, old = warm+r.warm, old+r.oldTime
 				if float64(r.most) > limit {
 					t.Errorf("seed %d: %d requests within a second of a cold time, at most %v", seed, r.most, limit)
 				}
 			}
-			t.Logf("%.1f requests a second of instances that are cut off", float64(warm)/max(cut.Seconds(), 1))
+			t.Logf("%.2f requests a second of an instance whose knowledge is old, %.1f of all in its region", float64(warm)/old.Seconds(), float64(warm*c.size)/old.Seconds())
 		})
 	}
 }
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -78,22 +78,25 @@
 	memberTable membership.Table
 	gossiper    *gossip.Gossiper
 
-	views       map[string]*view.View                           // by part
-	fetching    map[string]*atomic.Bool                         // by part; true while content is fetched from a peer
-	applyLocks  map[string]*sync.Mutex                          // by part; held while the newest content of the part is applied
-	apply       map[string]func(now time.Time, s view.Snapshot) // by part; puts a snapshot into effect
-	parts       map[string]*partState                           // by part
-	era         atomic.Int64                                    // latest known era of the store
-	eraChanged  chan struct{}                                   // receives after a change of era
-	catalog     atomic.Pointer[catalog.Catalog]
-	catalogEra  int64 // of the catalog; used with the apply lock of the configuration held
-	targets     targetList
-	traffic     traffic
-	remoteWaits remoteWaits
-	collector   tokenCollector
-	probes      probes
-	suspects    suspect.Ledger
-	liveness    liveness.Checker
+	views        map[string]*view.View                           // by part
+	fetching     map[string]*atomic.Bool                         // by part; true while content is fetched from a peer
+	applyLocks   map[string]*sync.Mutex                          // by part; held while the newest content of the part is applied
+	apply        map[string]func(now time.Time, s view.Snapshot) // by part; puts a snapshot into effect
+	parts        map[string]*partState                           // by part
+	era          atomic.Int64                                    // latest known era of the store
+	eraChanged   chan struct{}                                   // receives after a change of era
+	catalog      atomic.Pointer[catalog.Catalog]
+	catalogEra   int64 // of the catalog; used with the apply lock of the configuration held
+	targets      targetList
+	traffic      traffic
+	remoteWaits  remoteWaits
+	collector    tokenCollector
+	probes       probes
+	checks       targetChecks
+	limitReached chan string                                         // names of targets to check now
+	sendCheck    func(t target.Target, check *placement.HealthCheck) // in place of probe, if it is not nil
+	suspects     suspect.Ledger
+	liveness     liveness.Checker
 
 	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
 	ctx                         context.Context
@@ -109,7 +112,7 @@
 // Stop is called. If ctx ends first, the background tasks end, but not the servers. If an
 // address cannot be opened, Start closes the others and returns the error.
 func Start(ctx context.Context, c Config) (*Edge, error) {
-	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: membership.NewRun(c.Now(), rand.Int64()), eraChanged: make(chan struct{}, 1)}
+	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: membership.NewRun(c.Now(), rand.Int64()), eraChanged: make(chan struct{}, 1), limitReached: make(chan string, 64)}
 	e.settings.Store(&c.Settings)
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	listen := c.Listen
@@ -188,6 +191,12 @@
 		}
 		e.logDecision("target", "suspected", name+": "+cause)
 	}
+	e.picker.OnLimitReached = func(name string) {
+		select {
+		case e.limitReached <- name:
+		default: // the check at the next interval has to do
+		}
+	}
 	e.picker.OnDismissed = func(_ time.Time, name string) {
 		e.logDecision("target", "dismissed", name+": the list still has the run")
 	}
@@ -249,6 +258,7 @@
 		e.gossiper.Run(e.ctx),
 		e.announce(e.ctx),
 		e.confirmIssuers(e.ctx),
+		e.keepChecking(e.ctx),
 		e.maintain(e.ctx))
 	for _, r := range e.readers() {
 		e.taskDone = append(e.taskDone, r.Run(e.ctx))
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -56,6 +56,7 @@
 		h.Loads = encodeLoads(e.picker.Loads())
 	}
 	h.Leaving = e.targets.leaving.list(now, isHub)
+	h.Checks = e.checks.tell(now, isHub)
 	h.Limits = e.tellRates(now, true)
 	return h
 }
@@ -103,6 +104,7 @@
 			e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
 		}
 		e.targets.leaving.tell(now, h.GetLeaving())
+		e.hearChecks(now, written, h.GetChecks())
 	} else {
 		e.remoteWaits.hear(now, from.Region, h)
 	}
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -9,7 +9,9 @@
 
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/warmup"
 )
 
 const (
@@ -25,41 +27,51 @@
 	lastProbe map[string]time.Time // when each was last probed, by target name
 }
 
-// tryStart reports whether a health check of the target may start now, and records its
-// start if so. Checks of a target are at least probeInterval apart.
-func (p *probes) tryStart(now time.Time, name string) bool {
+// tryStart reports whether a health check of the target may start now, at least interval after
+// the last one, and records its start if so.
+func (p *probes) tryStart(now time.Time, name string, interval time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lastProbe == nil {
 		p.lastProbe = make(map[string]time.Time)
 	}
 	maps.DeleteFunc(p.lastProbe, func(_ string, sent time.Time) bool { return now.Sub(sent) >= probeInterval })
-	if _, ok := p.lastProbe[name]; ok {
+	if last, ok := p.lastProbe[name]; ok && now.Sub(last) < interval {
 		return false
 	}
 	p.lastProbe[name] = now
 	return true
 }
 
-// probeSuspect starts a health check of a target that failed, without waiting for it. It
-// does nothing if a check is not due, not configured or not allowed by the picker.
+// probeSuspect starts a health check of a target that failed, without waiting for it. It does
+// nothing if a check is not due, not configured or not allowed by the picker.
 func (e *Edge) probeSuspect(t target.Target) {
 	c := e.catalog.Load()
-	services := t.Routes()
-	if c == nil || len(services) == 0 || !e.probes.tryStart(e.now(), t.Name()) {
+	now := e.now()
+	if services := t.Routes(); c != nil && len(services) > 0 && e.probes.tryStart(now, t.Name(), probeInterval) {
+		e.startCheck(now, t, c.Service(services[0]))
+	}
+}
+
+// startCheck starts a health check of a target of the service, without waiting for it, unless
+// it is not configured or not allowed by the picker.
+func (e *Edge) startCheck(now time.Time, t target.Target, s service.Service) {
+	if s.HealthPath() == "" {
 		return
 	}
-	service := c.Service(services[0])
-	path := service.HealthPath()
-	now := e.now()
-	if path == "" {
+	check := e.picker.StartHealthCheck(now, t.Name(), s, e.coldTargetShare(now))
+	if check == nil {
 		return
 	}
-	if check := e.picker.StartHealthCheck(now, t.Name(), service, e.coldTargetShare(now)); check != nil {
-		go e.probe(t, path, check)
+	if e.sendCheck != nil {
+		e.sendCheck(t, check)
+		return
 	}
+	go e.probe(t, s.HealthPath(), check)
 }
 
+// probe sends a health check on a new connection, on which no late answer to an earlier one can
+// arrive, and records the answer.
 func (e *Edge) probe(t target.Target, path string, check *placement.HealthCheck) {
 	defer func() { check.End(e.now()) }()
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
@@ -103,6 +115,9 @@
 		e.logDecision("target", "not proved", t.Name()+": status "+itoa(int64(resp.Status))+" from "+name)
 		return
 	}
-	e.picker.HealthCheckPassed(sentAt, now, name, cold)
-	e.logDecision("target", "proved", name+e.describeCold(now, cold))
+	report := warmup.Report{Earliest: sentAt, Latest: now}
+	if cold > 0 {
+		report.ColdUntil = now.Add(cold)
+	}
+	e.recordCheck(now, t, targetCheck{Report: report, own: true})
 }
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -171,6 +171,7 @@
 	Rate    float64 // of customer c, in tokens per second; the burst is the same number of tokens
 	Keys    []string
 	Cold    float64 // requests per second that a cold target of service s bears; 0 for no limit
+	Health  string  // path of the health check of service s; "" for none
 }
 
 type targetEntry struct {
@@ -308,7 +309,7 @@
 		}
 		return catalog.New(catalog.Config{
 			Version: d.Version, CustomerByKey: keys, DefaultTokens: map[string]float64{"c": 1},
-			Services:  []service.Service{service.New("s").WithColdLimit(d.Cold)},
+			Services:  []service.Service{service.New("s").WithColdLimit(d.Cold).WithHealthPath(d.Health)},
 			Customers: []customer.Customer{customer.New("c", d.Rate, d.Rate, 1, "")},
 			Routes: []route.Route{
 				route.New("r", route.KindService, route.Timeout(2*time.Second), route.Repeatable(true), route.Forward(route.Forwarding{
@@ -364,6 +365,10 @@
 	ClassifyResponse: func(_ int, h http.Header) gateway.ResponseClass {
 		return gateway.ResponseClass{FromTarget: true, Leaving: h.Get("Leaving") != "", NotRun: h.Get("Not-Run") != "", RateLimit: h["Limit"]}
 	},
+	ParseHealth: func(status int, h http.Header) (string, time.Duration, bool) {
+		ms, _ := strconv.Atoi(h.Get("Cold-Ms")) // 0 if there is none
+		return h.Get("Name"), time.Duration(ms) * time.Millisecond, status == http.StatusOK
+	},
 	ResponseRequestID: func(http.Header) string { return "" },
 	WriteRefusal:      func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteResponse(w) },
 }
--- /dev/null
+++ b/chervilyard/edge/target_checks.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"chervilyard.example/chervilyard/gossip"
+	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/hub"
+	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/warmup"
+)
+
+const (
+	// checkInterval is the time between two health checks of a target in its region while the
+	// list of targets, or that of evacuations, is old. Each further instance in the order of
+	// the target takes over as much later.
+	checkInterval = 100 * time.Millisecond
+	// minCheckInterval is the shortest time between two checks of a target by an instance.
+	minCheckInterval = 20 * time.Millisecond
+	// checkLead is how long before the lists are too old the checks begin.
+	checkLead = 500 * time.Millisecond
+	// checkRetention is how long the answer to a health check is told in the region.
+	checkRetention = time.Second
+	// checkingTimeout is the time without a heartbeat after which others do not wait for a
+	// member to check a target.
+	checkingTimeout = time.Second
+	// checkers is the number of instances that use their only request to a target for checks.
+	checkers = 2
+)
+
+// targetChecks holds the last answers to health checks of the region's targets, by
+// targetRunHash. The zero value is empty. It is safe for concurrent use.
+type targetChecks struct {
+	mu   sync.Mutex
+	last map[uint64]targetCheck
+}
+
+type targetCheck struct {
+	warmup.Report
+	own bool // of this instance
+}
+
+func (c *targetChecks) record(run uint64, t targetCheck) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == nil {
+		c.last = make(map[uint64]targetCheck)
+	}
+	c.last[run] = t
+}
+
+// tell returns the recent answers that this instance got, and those that others told it if
+// relay is set.
+func (c *targetChecks) tell(now time.Time, relay bool) []*fleet.Check {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.last, func(_ uint64, t targetCheck) bool { return now.Sub(t.Latest) > checkRetention })
+	var list []*fleet.Check
+	for run, t := range c.last {
+		if t.own || relay {
+			list = append(list, encodeCheck(now, run, t.Report))
+		}
+	}
+	return list
+}
+
+func encodeCheck(now time.Time, run uint64, r warmup.Report) *fleet.Check {
+	c := &fleet.Check{Run: run, Asked: gossip.AgeMillis(now, r.Earliest), Told: max(now.Sub(r.Latest).Milliseconds(), 0)}
+	if cold := r.ColdUntil.Sub(r.Latest); !r.ColdUntil.IsZero() && cold > 0 {
+		c.Cold = (cold + time.Millisecond - 1).Milliseconds()
+	}
+	return c
+}
+
+// decodeCheck decodes an answer in a message that was written no earlier than written and
+// arrived at now.
+func decodeCheck(written, now time.Time, c *fleet.Check) warmup.Report {
+	r := warmup.Report{
+		Earliest: written.Add(-time.Duration(max(c.GetAsked(), 0)) * time.Millisecond),
+		Latest:   now.Add(-time.Duration(max(c.GetTold(), 0)) * time.Millisecond),
+	}
+	if c.GetCold() > 0 {
+		r.ColdUntil = r.Latest.Add(time.Duration(c.GetCold()) * time.Millisecond)
+	}
+	return r
+}
+
+// hearChecks takes the answers to health checks in a message of another instance of the
+// region.
+func (e *Edge) hearChecks(now, written time.Time, list []*fleet.Check) {
+	if len(list) == 0 {
+		return
+	}
+	listed := e.targets.runs()
+	for _, c := range list {
+		if t, ok := listed[c.GetRun()]; ok {
+			e.recordCheck(now, t, targetCheck{Report: decodeCheck(written, now, c)})
+		}
+	}
+}
+
+// recordCheck takes the answer of a target to a health check. It is logged if the target is
+// cold or was suspected to have restarted.
+func (e *Edge) recordCheck(now time.Time, t target.Target, c targetCheck) {
+	suspected := e.picker.IsSuspected(t.Name())
+	if !e.picker.RecordCheck(t.Name(), c.Report) && !c.own {
+		return // another instance told it before
+	}
+	e.checks.record(targetRunHash(t), c)
+	if cold := max(c.ColdUntil.Sub(now), 0); suspected || cold > 0 {
+		e.logDecision("target", "proved", t.Name()+e.describeCold(now, cold))
+	}
+}
+
+// keepChecking checks the targets at intervals, and those to which no more requests may be sent
+// at once, until the context ends. The channel that it returns is closed then.
+func (e *Edge) keepChecking(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(checkInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				e.checkTargets(e.now())
+			case name := <-e.limitReached:
+				e.checkNow(e.now(), name)
+			}
+		}
+	}()
+	return done
+}
+
+// checkTargets sends health checks to the targets of which the store does not tell whether they
+// are still warm, so that more requests can be sent to them than a cold target bears: to all if
+// its lists are old, and else to those that are missing from the last one.
+func (e *Edge) checkTargets(now time.Time) {
+	old := e.isOlder(now, PartTargets, maxTargetListAge-checkLead) || e.isOlder(now, PartConfiguration, maxEvacuationsAge-checkLead)
+	targets := e.targets.toCheck(old)
+	reserved := make(map[string]bool)
+	if len(targets) > 0 {
+		members := e.checkingMembers(now)
+		for _, t := range targets {
+			rank := checkRank(e.Settings().Name, t, members)
+			if rank < checkers && len(members) > 1 {
+				reserved[t.Name()] = true
+			}
+			if now.Sub(e.picker.KnownAsOf(t.Name())) >= checkInterval*time.Duration(1+rank) {
+				e.checkTarget(now, t, checkInterval)
+			}
+		}
+	}
+	e.picker.ReserveForChecks(reserved)
+}
+
+// checkNow checks the named target without waiting for the interval.
+func (e *Edge) checkNow(now time.Time, name string) {
+	if t, ok := e.targets.get(name); ok {
+		e.checkTarget(now, t, minCheckInterval)
+	}
+}
+
+// checkTarget starts a health check of a target that may be cold, unless its service has no
+// limit for those.
+func (e *Edge) checkTarget(now time.Time, t target.Target, interval time.Duration) {
+	c, services := e.catalog.Load(), t.Routes()
+	if c == nil || len(services) == 0 {
+		return
+	}
+	if s := c.Service(services[0]); s.ColdRequestsPerSecond() > 0 && e.probes.tryStart(now, t.Name(), interval) {
+		e.startCheck(now, t, s)
+	}
+}
+
+// get returns the named target of the region.
+func (t *targetList) get(name string) (target.Target, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, ok := t.local[name]
+	return found, ok
+}
+
+// toCheck returns the region's targets that may get requests, or, unless all is set, those of
+// them that are missing from the last list.
+func (t *targetList) toCheck(all bool) []target.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !all && len(t.missing) == 0 {
+		return nil
+	}
+	var list []target.Target
+	for name, candidate := range t.local {
+		services := candidate.Routes()
+		if (all || t.missing[name]) && len(services) > 0 && t.isUsable(candidate, services[0]) {
+			list = append(list, candidate)
+		}
+	}
+	return list
+}
+
+// checkingMembers returns this instance and the members of its region that were heard
+// recently.
+func (e *Edge) checkingMembers(now time.Time) []membership.Member {
+	region := e.Settings().Region
+	list := slices.DeleteFunc(e.memberTable.Live(now, checkingTimeout), func(m membership.Member) bool { return m.Region != region })
+	return append(list, e.self(now))
+}
+
+// checkRank returns the rank of the named member in the order in which the members check the
+// target.
+func checkRank(name string, t target.Target, members []membership.Member) int {
+	return slices.IndexFunc(hub.Nearest(t.Name(), members, len(members)), func(m membership.Member) bool { return m.Name == name })
+}
--- a/chervilyard/gateway/cold_test.go
+++ b/chervilyard/gateway/cold_test.go
@@ -9,6 +9,7 @@
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/service"
+	"chervilyard.example/yard/warmup"
 )
 
 // newColdTestInstance returns an instance with the given target, cold targets of whose
@@ -22,12 +23,18 @@
 	return n
 }
 
+// coldForMinute returns the report of a target that is cold for a minute from now on.
+func coldForMinute() warmup.Report {
+	now := time.Now()
+	return warmup.Report{Earliest: now, Latest: now, ColdUntil: now.Add(time.Minute)}
+}
+
 // Guards against sending a request that was chosen for a warm target once the target has
 // become cold and the instance has no share of its limit.
 func TestRequestWithheldFromColdTarget(t *testing.T) {
 	f := newFakeTarget(t, "e", "ok hello")
 	n := newColdTestInstance(t, f, placement.ColdShare{})
-	n.gateway.Pool.OnDial = func(string) { n.gateway.Picker.HealthCheckPassed(time.Now(), time.Now(), "e", time.Minute) }
+	n.gateway.Pool.OnDial = func(string) { n.gateway.Picker.RecordCheck("e", coldForMinute()) }
 	status, body, _ := roundTrip(t, n, getRequest("/read/x"))
 	if got := len(f.requests()); got != 0 || status != http.StatusServiceUnavailable {
 		t.Errorf("the cold target received %d requests, the response is %d %s", got, status, body)
@@ -54,7 +61,7 @@
 			arrivals := make(chan time.Time, 64)
 			f.beforeResponse = func() { arrivals <- time.Now() }
 			n := newColdTestInstance(t, f, placement.ColdShare{Position: placement.Position{Instances: 1}, RateFactor: 1})
-			n.gateway.Picker.HealthCheckPassed(time.Now(), time.Now(), "e", time.Minute)
+			n.gateway.Picker.RecordCheck("e", coldForMinute())
 			var connected, stalled atomic.Bool
 			stallEnd := make(chan time.Time, 1)
 			n.gateway.Pool.OnDial = func(string) { connected.Store(true) }
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -442,7 +442,7 @@
 	n.gateway.ColdShare = func(time.Time) placement.ColdShare {
 		return placement.ColdShare{Position: placement.Position{Instances: 3, Rank: 2}, RateFactor: 1}
 	}
-	n.gateway.Picker.HealthCheckPassed(time.Now(), time.Now(), "e", time.Minute)
+	n.gateway.Picker.RecordCheck("e", coldForMinute())
 	ctx, cancel := context.WithCancel(context.Background())
 	logged := n.gateway.Decisions.Run(ctx)
 	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -148,6 +148,7 @@
 	serviceAnswerMS map[string]float64       // average duration of an answer, by service
 	minGaps         map[string]time.Duration // smallest Request.MaxEventGap seen, by service
 	listedAt        time.Time                // when the last list of targets was requested
+	reserved        map[string]bool          // see ReserveForChecks
 	readmitted      map[string]time.Time     // when a data centre last got requests again
 
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
@@ -157,6 +158,10 @@
 	// worth asking for a permit to send it a request. If it is nil, no target has a limit. It
 	// must not be changed after first use and must not call methods of the Picker.
 	RateLimit func(now time.Time, t target.Target) (wait time.Duration, limited bool)
+	// OnLimitReached is called when no more requests may be sent to the named target until a
+	// report proves that it is warm. It may be nil, must not be changed after first use and
+	// must not call methods of the Picker.
+	OnLimitReached func(name string)
 	// OnSuspected is called when a suspicion begins that a target has restarted, with the
 	// outcome that raised it, and OnDismissed when a target list ends one. They may be nil,
 	// must not be changed after first use and must not call methods of the Picker.
@@ -470,7 +475,11 @@
 func (p *Picker) newTicket(now time.Time, t target.Target, r Request, wait time.Duration, coldShare ColdShare) *Ticket {
 	s := p.state(t.Name())
 	since, limited := p.countsSince(now, s, coldShare)
-	reserved := limited && s.window.Reserve(now, since, p.coldLimit(r, coldShare))
+	limit := p.requestLimit(now, t.Name(), s, r, coldShare)
+	reserved := limited && s.window.Reserve(now, since, limit)
+	if limited && p.OnLimitReached != nil && p.isUnproved(s, coldShare) && !s.window.Allows(now, since, limit) {
+		p.OnLimitReached(t.Name())
+	}
 	ticket := &Ticket{
 		request: r, reserved: reserved, belief: p.coldBelief(now, s, r, coldShare),
 		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -13,16 +13,16 @@
 	"chervilyard.example/yard/scripttest"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
+	"chervilyard.example/yard/warmup"
 )
 
 var (
-	engineService = service.New("m").WithColdLimit(4).WithEngine(8, 100_000)
-	plainService  = service.New("p")
-	coldShare     = placement.ColdShare{Position: placement.Position{Instances: 1}, RateFactor: 1.5, ExtraRequests: 3}
+	engineService  = service.New("m").WithColdLimit(4).WithEngine(8, 100_000)
+	checkedService = engineService.WithHealthPath("/health")
+	plainService   = service.New("p")
+	coldShare      = placement.ColdShare{Position: placement.Position{Instances: 1}, RateFactor: 1.5, ExtraRequests: 3}
 )
 
-func fixedShare(time.Time) placement.ColdShare { return coldShare }
-
 var outcomes = map[string]placement.Outcome{
 	"answered": placement.Answered, "failed": placement.Failed, "unreachable": placement.Unreachable,
 	"broken": placement.ConnectionBroken, "full": placement.Overloaded, "silent": placement.TimedOut, "left": placement.Canceled,
@@ -42,6 +42,7 @@
 //	proved A 0s          a health check after a failure reports how long A stays cold
 //	defer K 2s           the target of K wants no requests for 2 s
 //	deferral A B -> 2s   when the first of the targets wants requests again; - if one of them does now
+//	old                  from now on it is not known whether listed targets are still warm
 //	ask A yes            whether a health check may be sent now
 //	peer P A 3 900       peer P reports 3 open requests and 900 waiting tokens at A
 type player struct {
@@ -49,6 +50,14 @@
 	picker  placement.Picker
 	targets []target.Target
 	tickets map[string]*placement.Ticket
+	old     bool
+}
+
+// share returns the share of the cold limit, and whether the lists are old.
+func (p *player) share(time.Time) placement.ColdShare {
+	share := coldShare
+	share.Unproved = p.old
+	return share
 }
 
 func TestScripts(t *testing.T) {
@@ -83,7 +92,7 @@
 	case "sent":
 		p.sent(s, s.Words[1])
 	case "withheld":
-		if p.tickets[s.Words[1]].Admit(s.At, fixedShare) {
+		if p.tickets[s.Words[1]].Admit(s.At, p.share) {
 			p.t.Errorf("line %d: the request may be sent", s.Line)
 		}
 		p.tickets[s.Words[1]].End(s.At, placement.Withheld)
@@ -108,8 +117,10 @@
 		if want := s.Words[n-1]; got != want {
 			p.t.Errorf("line %d: the deferral is %s, want %s", s.Line, got, want)
 		}
+	case "old":
+		p.old = true
 	case "ask":
-		check := p.picker.StartHealthCheck(s.At, s.Words[1], engineService, coldShare)
+		check := p.picker.StartHealthCheck(s.At, s.Words[1], checkedService, p.share(s.At))
 		if got, want := check != nil, s.Words[2] == "yes"; got != want {
 			p.t.Errorf("line %d: a health check may be sent: %v, want %v", s.Line, got, want)
 		}
@@ -117,7 +128,11 @@
 			check.Sent(s.At)
 		}
 	case "proved":
-		p.picker.HealthCheckPassed(s.At, s.At, s.Words[1], s.Duration(p.t, 2))
+		report := warmup.Report{Earliest: s.At, Latest: s.At}
+		if cold := s.Duration(p.t, 2); cold > 0 {
+			report.ColdUntil = s.At.Add(cold)
+		}
+		p.picker.RecordCheck(s.Words[1], report)
 	case "peer":
 		p.picker.UpdatePeerLoads(s.At, s.Words[1], []placement.Load{{Target: s.Words[2], Open: int(s.Number(p.t, 3)), WaitingTokens: int(s.Number(p.t, 4))}})
 	default:
@@ -126,7 +141,7 @@
 }
 
 func (p *player) sent(s scripttest.Step, label string) {
-	if !p.tickets[label].Admit(s.At, fixedShare) {
+	if !p.tickets[label].Admit(s.At, p.share) {
 		p.t.Errorf("line %d: the request may not be sent", s.Line)
 	}
 	p.tickets[label].Sent(s.At)
@@ -157,7 +172,7 @@
 }
 
 func (p *player) send(s scripttest.Step, label string, words []string) string {
-	r := placement.Request{Service: engineService, MaxOutputTokens: 10, MaxEventGap: 300 * time.Millisecond}
+	r := placement.Request{Service: checkedService, MaxOutputTokens: 10, MaxEventGap: 300 * time.Millisecond}
 	if _, err := fmt.Sscan(words[0], &r.PromptTokens); err != nil {
 		p.t.Fatalf("line %d: %v", s.Line, err)
 	}
@@ -169,7 +184,7 @@
 	if preferred, ok := placement.PreferredTarget(p.targets, r.Parts); ok {
 		r.PreferredTarget = preferred.Name()
 	}
-	ticket := p.picker.Choose(s.At, p.targets, r, coldShare)
+	ticket := p.picker.Choose(s.At, p.targets, r, p.share(s.At))
 	if ticket == nil {
 		return "none"
 	}
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -85,7 +85,7 @@
 		share := coldShare(now)
 		if since, limited := t.picker.countsSince(now, s, share); limited {
 			t.becameCold = true
-			if !s.window.Reserve(now, since, t.picker.coldLimit(t.request, share)) {
+			if !s.window.Reserve(now, since, t.picker.requestLimit(now, t.target.Name(), s, t.request, share)) {
 				return false
 			}
 			t.reserved = true
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -65,20 +65,43 @@
 	}
 }
 
-// HealthCheckPassed records that the named target answered at now a health check
-// sent at sentAt, and that it stays cold for the given time. A possible restart is ruled out
-// unless a connection to the target failed or broke after the check was sent.
-func (p *Picker) HealthCheckPassed(sentAt, now time.Time, name string, cold time.Duration) {
+// RecordCheck records what the named target answered to a health check of this instance or
+// another one. A possible restart is ruled out unless a connection to the target failed or
+// broke after the check was sent. It returns false if the report is not news.
+func (p *Picker) RecordCheck(name string, r warmup.Report) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := warmup.Report{Earliest: sentAt, Latest: now}
-	if cold > 0 {
-		report.ColdUntil = now.Add(cold)
-	}
 	s := p.state(name)
-	s.warmup.Check(report)
-	s.recordCold(report)
-	s.warmup.Dismiss(sentAt)
+	if !s.warmup.Check(r) {
+		return false
+	}
+	s.recordCold(r)
+	s.warmup.Dismiss(r.Earliest)
+	return true
+}
+
+// IsSuspected reports whether the named target may have restarted.
+func (p *Picker) IsSuspected(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, suspected := p.state(name).warmup.SuspectedFrom()
+	return suspected
+}
+
+// KnownAsOf returns the latest time at which the named target is known to have been as
+// reported, zero if there is no report.
+func (p *Picker) KnownAsOf(name string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state(name).warmup.KnownAsOf()
+}
+
+// ReserveForChecks names the targets that this instance checks for others while their warmth
+// is not proved. If it may send one request alone to such a target, that is a health check.
+func (p *Picker) ReserveForChecks(names map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved = names
 }
 
 // DeferralLeft returns the time until the first of the candidates wants requests again, or
@@ -142,7 +165,7 @@
 		return false
 	}
 	since, limited := p.countsSince(now, s, coldShare)
-	return !limited || s.window.Allows(now, since, p.coldLimit(r, coldShare))
+	return !limited || s.window.Allows(now, since, p.requestLimit(now, t.Name(), s, r, coldShare))
 }
 
 // countsSince reports whether the target may be cold, so that its rate limit holds, and since
@@ -153,9 +176,8 @@
 		return time.Time{}, true
 	}
 	suspectedFrom, suspected := s.warmup.SuspectedFrom()
-	unproved := coldShare.Unproved || s.lastListed.Before(p.listedAt)
 	switch {
-	case unproved && (!suspected || s.warmup.KnownAsOf().Before(suspectedFrom)):
+	case p.isUnproved(s, coldShare) && (!suspected || s.warmup.KnownAsOf().Before(suspectedFrom)):
 		return s.warmup.KnownAsOf(), true
 	default:
 		return suspectedFrom, suspected
@@ -179,6 +201,23 @@
 	return ok && !s.warmup.IsKnownSince(readmitted)
 }
 
+// requestLimit returns how many requests this instance may send to a target that may be cold
+// in each coldlimit.Window. While the target's warmth is not proved, one of several is left for
+// a health check, which may prove it.
+func (p *Picker) requestLimit(now time.Time, name string, s *targetState, r Request, coldShare ColdShare) int {
+	limit := p.coldLimit(r, coldShare)
+	if p.isUnproved(s, coldShare) && !p.isCold(now, s) && r.Service.HealthPath() != "" && (limit > 1 || limit == 1 && p.reserved[name]) {
+		return limit - 1
+	}
+	return limit
+}
+
+// isUnproved reports whether the last list that has the target is too old to show that it is
+// warm.
+func (p *Picker) isUnproved(s *targetState, coldShare ColdShare) bool {
+	return coldShare.Unproved || s.lastListed.Before(p.listedAt)
+}
+
 // coldLimit returns how many requests this instance may send to a cold target in
 // each coldlimit.Window.
 func (p *Picker) coldLimit(r Request, coldShare ColdShare) int {
