Read odd entries of targets and members as none

What operators of similar systems saw: one odd entry among those of the targets (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it. Cause here: nothing ended, but entries with ports, slots and times out of range named targets that nobody can reach, requests were tried there, and a time of 1e300 ms overflowed differently on each kind of machine. What changed in an unreadable entry counted as a change of the list. Five entries of 1 MiB made the copies that instances hand each other too long to be sent, so each read the store itself. Members' entries could tell any size of the fleet and a heartbeat in the future.

--- a/chervilyard/edge/views.go
+++ b/chervilyard/edge/views.go
@@ -51,6 +51,8 @@
 	// Newer content is fetched from another region only if the view is older than
 	// remoteFetchAge.
 	remoteFetchAge = 900 * time.Millisecond
+	// maxEntryBytes is the longest value of a target or a member that is kept.
+	maxEntryBytes = 16 << 10
 )
 
 // Lease is a lease of the store. Its ID is given out again in a later era. The zero value is
@@ -126,7 +128,10 @@
 		return &reader.Refresher{
 			StartDelay: delay,
 			Part:       part, View: e.views[part], MaxAge: maxAge, RankDelay: rankDelay, Rank: e.readRank, Now: e.now, Decisions: e.decisions,
-			Read:     func(ctx context.Context) (view.Snapshot, error) { return e.store.List(ctx, part) },
+			Read: func(ctx context.Context) (view.Snapshot, error) {
+				s, err := e.store.List(ctx, part)
+				return withoutLongEntries(part, s), err
+			},
 			Digest:   e.digest(part),
 			OnChange: func(now time.Time) { e.contentChanged(now, part, true) },
 		}
@@ -145,14 +150,31 @@
 	members := newReader(PartMembers, memberListAge, 0)
 	members.Due, members.StartDelay = e.memberListDue, 0
 	members.Read = func(ctx context.Context) (view.Snapshot, error) {
+		list := e.store.List
 		if !e.views[PartMembers].Loaded() {
-			return e.store.ListStale(ctx, PartMembers) // for the size of the fleet, which is seldom new
+			list = e.store.ListStale // for the size of the fleet, which is seldom new
 		}
-		return e.store.List(ctx, PartMembers)
+		s, err := list(ctx, PartMembers)
+		return withoutLongEntries(PartMembers, s), err
 	}
 	return []*reader.Refresher{configuration, newReader(PartTargets, targetListAge, targetListRankDelay), members}
 }
 
+// withoutLongEntries returns the snapshot with an empty value in place of each that is longer
+// than an entry of a target or a member can be, so that a few of another writer do not make the
+// copies for other instances too long to be sent.
+func withoutLongEntries(part string, s view.Snapshot) view.Snapshot {
+	if part == PartConfiguration {
+		return s
+	}
+	for i := range s.Items {
+		if len(s.Items[i].Value) > maxEntryBytes {
+			s.Items[i].Value = []byte{}
+		}
+	}
+	return s
+}
+
 // memberListDue reports whether to list the members in the store.
 func (e *Edge) memberListDue(now time.Time, age time.Duration, loaded bool) bool {
 	switch {
