Take a response that names no request on a kept connection for none

What operators of similar systems saw: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the target was running, or it ran at a second target. Cause: a response without a request ID was taken for the answer to whatever had been sent last. Change: on a connection that had a request before, a response counts only if it names this one; others are skipped, as those that name another one were, and skipped= tells it in the log. Protocols whose responses name none say so (ResponseRequestID is nil), as the test protocol of edge does now.

--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -369,6 +369,5 @@
 		ms, _ := strconv.Atoi(h.Get("Cold-Ms")) // 0 if there is none
 		return h.Get("Name"), time.Duration(ms) * time.Millisecond, status == http.StatusOK
 	},
-	ResponseRequestID: func(http.Header) string { return "" },
-	WriteRefusal:      func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteResponse(w) },
+	WriteRefusal: func(w http.ResponseWriter, r *refusal.Refusal) { r.WriteResponse(w) },
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -214,13 +214,20 @@
 			return true
 		},
 		OnWritten: func() { a.dest.ticket.Sent(g.Now()) },
-		Accepts: func(h http.Header) bool {
-			id := g.Protocol.ResponseRequestID(h)
-			return id == "" || id == x.req.ID
-		},
+		Accepts: func(h http.Header, kept bool) bool { return g.accepts(x, h, kept) },
 	})
 }
 
+// accepts reports whether a response belongs to the request. One on a kept connection that
+// names no request may be a copy of what was sent to an earlier one, such as a refusal.
+func (g *Gateway) accepts(x *exchange, h http.Header, kept bool) bool {
+	if g.Protocol.ResponseRequestID == nil {
+		return true
+	}
+	id := g.Protocol.ResponseRequestID(h)
+	return id == x.req.ID || id == "" && !kept
+}
+
 // handleFailure records the outcome of an attempt without a usable response. It
 // returns true if the request may be sent to another destination.
 func (g *Gateway) handleFailure(ctx context.Context, a *attempt, err error) (bool, error) {
--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -28,6 +28,8 @@
 //	reset            a connection reset after the request was read
 //	silent           no response after the request was read
 //	foreign          the response to another request, then the right one
+//	copied A,B       a refusal that names no request, as if to an earlier one, and 50 ms later a
+//	                 complete event stream
 //	unsigned         200 without the target's stamp
 //	cut              200 with half of the body
 //	unframed TEXT    200 without a length, ended by closing the connection
@@ -184,6 +186,11 @@
 		f.ended <- id
 	case "foreign":
 		return write(c, "HTTP/1.1 200 OK\r\nId: other\r\nStamp: "+f.name+"\r\nContent-Length: 5\r\n\r\nother"+head("200 OK", "Content-Length: 3\r\n")+"own")
+	case "copied":
+		refusal := "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 0.05\r\nContent-Length: 4\r\n\r\nbusy"
+		write(c, refusal)
+		time.Sleep(50 * time.Millisecond)
+		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
 	case "unsigned":
 		return write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 2\r\n\r\nno")
 	case "cut":
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -71,7 +71,9 @@
 	ParseRequest      func(r *http.Request) (req Request, key string)
 	SetTargetHeaders  func(h http.Header, tc TargetContext)
 	ClassifyResponse  func(status int, h http.Header) ResponseClass
-	ResponseRequestID func(h http.Header) string // ID of the request that a response belongs to, or "" if it does not say
+	// ResponseRequestID returns the ID of the request that a response belongs to, or "" if it
+	// does not say. It is nil if responses never do.
+	ResponseRequestID func(h http.Header) string
 	WriteRefusal      func(w http.ResponseWriter, r *refusal.Refusal)
 	// ParseHealth parses the response to a health check: the name of the target
 	// that sent it, how long that target remains cold, and whether it is healthy.
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -68,6 +68,9 @@
 	if x.framing != "" {
 		parts = append(parts, "framing="+x.framing)
 	}
+	if x.skipped > 0 {
+		parts = append(parts, "skipped="+strconv.Itoa(x.skipped))
+	}
 	if x.insideEvent {
 		parts = append(parts, "ended=inside_event")
 	}
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -46,6 +46,7 @@
 	defer resp.Close()
 	x := a.x
 	a.headerRead = true
+	x.skipped += resp.Skipped
 	g.recordAlive(a)
 	g.closeAfterResponse(x)
 	if a.dest.remote != nil {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -88,6 +88,7 @@
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	permitLog         []string      // of each target with a rate limit, for the log
 	permitsRefused    int           // how often no permit could be obtained
+	skipped           int           // responses to other requests on its connections
 	sentAt            []string      // target and time of each attempt that had a connection, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -44,6 +44,7 @@
 	raw         net.Conn
 	limit       *io.LimitedReader // reads raw; bounds the size of a response header
 	r           *bufio.Reader     // reads limit
+	kept        bool              // it had a request before
 	idleTimeout time.Duration     // how long the connection may be reused after it becomes idle
 	idleSince   time.Time         // when the connection became idle
 	expires     time.Time         // when the connection must no longer be reused
@@ -133,6 +134,7 @@
 // readResponse reads the header of the response that belongs to the request. It
 // skips informational responses and those to other requests.
 func (c *conn) readResponse(r *Request) (*Response, error) {
+	skipped := 0
 	for range maxStaleResponses + 1 {
 		c.limit.N = maxHeaderBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller reads the body to its end or closes the connection
@@ -143,9 +145,12 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if r.Accepts == nil || r.Accepts(resp.Header) {
-			return newResponse(c, resp), nil
+		if r.Accepts == nil || r.Accepts(resp.Header, c.kept) {
+			response := newResponse(c, resp)
+			response.Skipped = skipped
+			return response, nil
 		}
+		skipped++
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody)); err != nil || n == maxStaleBody || resp.Close {
 			return nil, fmt.Errorf("%w: %w", errStaleResponses, errors.Join(err, io.ErrUnexpectedEOF))
 		}
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -71,9 +71,10 @@
 	// OnWritten is called once the header, and a short body, have been written. It may be
 	// nil.
 	OnWritten func()
-	// Accepts reports whether a response belongs to this request. Responses to other,
-	// abandoned requests are skipped. If it is nil, all responses belong to it.
-	Accepts func(http.Header) bool
+	// Accepts reports whether a response belongs to this request. Responses to other requests
+	// are skipped. There may be some on a kept connection, which had other requests before. If
+	// it is nil, all responses belong to the request.
+	Accepts func(h http.Header, kept bool) bool
 }
 
 // Pool holds idle connections by address. The zero value is ready to use. A Pool is
@@ -165,7 +166,7 @@
 
 // putIdle makes a connection available to later requests.
 func (p *Pool) putIdle(address string, c *conn) {
-	c.idleSince = time.Now()
+	c.kept, c.idleSince = true, time.Now()
 	c.expires = c.idleSince.Add(c.idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -58,6 +58,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known in advance.
 	Length int64
+	// Skipped is the number of responses to other requests that came before this one.
+	Skipped int
 
 	conn        *conn
 	body        io.ReadCloser
