Let only an event stream of status 200 follow a stream that broke off

What operators of similar systems saw: the text of the next target's error in the middle of a stream, or a stream that ended as if it were complete. Cause: a response of the target that was asked to go on counted as the rest of the stream if its status was any of 2xx, whatever its content type. Change: it must be an event stream of status 200; anything else fails the attempt, so the stream goes on at a third target or is cut off.

--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -75,8 +75,8 @@
 		return g.retryNotRun(a, "the target has no room")
 	case success && !class.FromTarget:
 		return g.handleFailure(ctx, a, &pool.Error{Op: "judge", Address: a.dest.name(), MaybeSent: true, Err: errNotFromTarget})
-	case x.started && !success:
-		return g.handleFailedResume(a, resp.Status)
+	case x.started && (resp.Status != http.StatusOK || !resp.IsEventStream()):
+		return g.handleFailedResume(a, resp)
 	case success && x.route.Stream():
 		return g.relayStream(ctx, a, resp)
 	}
@@ -104,12 +104,15 @@
 	a.dest.ticket.Defer(g.Now(), wait)
 }
 
-// handleFailedResume handles an error response of a target that was asked to
-// resume a stream. That response must not follow the events already sent.
-func (g *Gateway) handleFailedResume(a *attempt, status int) (bool, error) {
+// handleFailedResume handles a response of a target that was asked to resume a stream and
+// does not. That response must not follow the events already sent.
+func (g *Gateway) handleFailedResume(a *attempt, resp *pool.Response) (bool, error) {
 	now := g.Now()
 	g.endAttempt(a, now, placement.Failed)
-	err := &pool.Error{Op: "continue", Address: a.dest.name(), MaybeSent: true, Err: fmt.Errorf("status %d", status)}
+	err := &pool.Error{
+		Op: "continue", Address: a.dest.name(), MaybeSent: true,
+		Err: fmt.Errorf("status %d with content type %.64q", resp.Status, resp.Header.Get("Content-Type")),
+	}
 	a.x.detail = err.Error()
 	return g.retryOrFail(now, a.x, err)
 }
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -108,6 +108,9 @@
 // or FramedByClose.
 func (r *Response) Framing() string { return r.framing }
 
+// IsEventStream reports whether the body is an event stream.
+func (r *Response) IsEventStream() bool { return isEventStream(r.Header) }
+
 // Read reads the body. It returns io.EOF only if the body is complete, an *IncompleteError
 // if an event stream ended without an error of the connection but is not complete, and a
 // *TooLongError if a body of unknown length does not end.
