Order the instances for each target where a region has more than a target bears

Cause: the nine oldest instances had a request each at every target. Change: in such regions the instances are ordered for each target by rendezvous hashing (package rendezvous), and the first have a request each. One that joins takes places of others, so one request of the limit is left for an instance that does not know it yet, and it has no places while two or more may not. Health checks go by the same order among those with a place.

--- a/chervilyard/edge/cold_share.go
+++ b/chervilyard/edge/cold_share.go
@@ -8,6 +8,7 @@
 	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/placement"
+	"chervilyard.example/yard/rendezvous"
 )
 
 const (
@@ -64,9 +65,16 @@
 	region := e.Settings().Region
 	others := slices.DeleteFunc(e.sharingMembers(now), func(m membership.Member) bool { return m.Region != region })
 	p := placement.Position{Instances: len(others) + 1, Rank: membership.Rank(e.self(now), others)}
-	p.New = now.Sub(e.started) < shareRetention && slices.ContainsFunc(others, func(m membership.Member) bool { return m.Heard.Before(introduced) })
+	names := make([]string, 0, len(others))
+	for _, m := range others {
+		names = append(names, m.Name)
+		if m.Heard.Before(introduced) && now.Sub(e.started) < shareRetention {
+			p.Unaware++
+		}
+	}
+	p.Members = rendezvous.New(e.Settings().Name, names)
 	if _, regionSize := e.sizes.get(now, e.started); regionSize > p.Instances {
-		p.Instances, p.Rank = regionSize, regionSize-1 // its rank among all is not known yet
+		p.Instances, p.Rank, p.Members = regionSize, regionSize-1, nil // its rank among all is not known yet
 	}
 	return p
 }
@@ -88,6 +96,9 @@
 func (h *positionHistory) record(now time.Time, p placement.Position) []placement.Position {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if p.Members.Equal(h.current.Members) {
+		p.Members = h.current.Members // so that positions can be compared
+	}
 	if p != h.current {
 		h.earlier = append(h.earlier, earlierPosition{h.current, now})
 		h.current = p
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"chervilyard.example/chervilyard/gossip"
 	"chervilyard.example/yard/fleet"
-	"chervilyard.example/yard/hub"
-	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/warmup"
 )
@@ -144,23 +141,41 @@
 // its lists are old, and else to those that are missing from the last one.
 func (e *Edge) checkTargets(now time.Time) {
 	old := e.isOlder(now, PartTargets, maxTargetListAge-checkLead) || e.isOlder(now, PartConfiguration, maxEvacuationsAge-checkLead)
-	targets := e.targets.toCheck(old)
 	reserved := make(map[string]bool)
-	if len(targets) > 0 {
-		members := e.checkingMembers(now)
-		for _, t := range targets {
-			rank := checkRank(e.Settings().Name, t, members)
-			if rank < checkers && len(members) > 1 {
-				reserved[t.Name()] = true
-			}
-			if now.Sub(e.picker.KnownAsOf(t.Name())) >= checkInterval*time.Duration(1+rank) {
-				e.checkTarget(now, t, checkInterval)
-			}
+	for _, t := range e.targets.toCheck(old) {
+		rank, others := e.checkRank(now, t)
+		if rank < 0 {
+			continue
+		}
+		if rank < checkers && others {
+			reserved[t.Name()] = true
+		}
+		if now.Sub(e.picker.KnownAsOf(t.Name())) >= checkInterval*time.Duration(1+rank) {
+			e.checkTarget(now, t, checkInterval)
 		}
 	}
 	e.picker.ReserveForChecks(reserved)
 }
 
+// checkRank returns the number of live instances that check the target before this one, and
+// whether there are any others. It is negative if this instance has no share of the target's
+// limit.
+func (e *Edge) checkRank(now time.Time, t target.Target) (rank int, others bool) {
+	c, services := e.catalog.Load(), t.Routes()
+	if c == nil || len(services) == 0 {
+		return -1, false
+	}
+	rank, live := -1, 0
+	for _, name := range e.coldTargetShare(now).Holders(t.Name(), c.Service(services[0])) {
+		if name == e.Settings().Name {
+			rank = live
+		} else if m, ok := e.memberTable.Get(name); ok && now.Sub(m.Heard) < checkingTimeout {
+			live++
+		}
+	}
+	return rank, live > 0
+}
+
 // checkNow checks the named target without waiting for the interval.
 func (e *Edge) checkNow(now time.Time, name string) {
 	if t, ok := e.targets.get(name); ok {
@@ -205,17 +220,3 @@
 	}
 	return list
 }
-
-// checkingMembers returns this instance and the members of its region that were heard
-// recently.
-func (e *Edge) checkingMembers(now time.Time) []membership.Member {
-	region := e.Settings().Region
-	list := slices.DeleteFunc(e.memberTable.Live(now, checkingTimeout), func(m membership.Member) bool { return m.Region != region })
-	return append(list, e.self(now))
-}
-
-// checkRank returns the rank of the named member in the order in which the members check the
-// target.
-func checkRank(name string, t target.Target, members []membership.Member) int {
-	return slices.IndexFunc(hub.Nearest(t.Name(), members, len(members)), func(m membership.Member) bool { return m.Name == name })
-}
--- a/yard/placement/belief.go
+++ b/yard/placement/belief.go
@@ -29,7 +29,7 @@
 // coldBelief returns the belief about the target, or nil if it has been warm for
 // recentlyCold by a list that is not older than oldKnowledge, or cold targets of the service have no rate limit. The caller must hold
 // p.mu.
-func (p *Picker) coldBelief(now time.Time, s *targetState, r Request, coldShare ColdShare) *coldBelief {
+func (p *Picker) coldBelief(now time.Time, name string, s *targetState, r Request, coldShare ColdShare) *coldBelief {
 	since := now.Add(-recentlyCold)
 	if r.Service.ColdRequestsPerSecond() <= 0 {
 		return nil
@@ -40,7 +40,7 @@
 	}
 	return &coldBelief{
 		cold: p.isCold(now, s), coldUntil: s.lastColdUntil, suspected: s.lastSuspected, runListed: s.runListed, knownAsOf: s.lastListed,
-		limit: p.coldLimit(r, coldShare), share: coldShare,
+		limit: p.coldLimit(name, r, coldShare), share: coldShare,
 	}
 }
 
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chervilyard.example/yard/coldlimit"
+	"chervilyard.example/yard/rendezvous"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/warmup"
@@ -100,20 +101,40 @@
 
 // Position is the position of an instance among those of its region.
 type Position struct {
-	Instances int  // number of instances in the region; 0 allows no requests to cold targets
-	Rank      int  // index of this instance among them, from 0
-	New       bool // some of them may not know this instance yet
+	Instances int // number of instances in the region; 0 allows no requests to cold targets
+	Rank      int // index of this instance among them, from 0
+	// Unaware is the number of other instances that may not know this one yet, and may
+	// divide the limit by fewer than they would otherwise.
+	Unaware int
+	// Members orders the instances for each target. If it is nil, they have the same order for
+	// all targets, by Rank.
+	Members *rendezvous.Set
 }
 
-// limit returns the share of a limit of perSecond requests per second. A new instance has none
-// if those that do not know it divide the limit by fewer than they would otherwise.
-func (p Position) limit(perSecond float64) int {
-	if p.New && p.Instances <= int(perSecond) {
+// sparePlaces is the number of requests that are left of a limit where an instance that joins
+// takes the place of another one, which may not know it.
+const sparePlaces = 1
+
+// limit returns the share of a limit of perSecond requests per second at the named target. If
+// there are more instances than requests, the first of them for the target have one each.
+func (p Position) limit(perSecond float64, targetName string) int {
+	switch places, ok := p.places(perSecond); {
+	case ok && (p.Unaware > sparePlaces || p.Members.Rank(targetName) >= places):
+		return 0
+	case ok:
+		return 1
+	case p.Unaware > 0 && p.Instances <= int(perSecond):
 		return 0
 	}
 	return coldlimit.InstanceLimit(perSecond, p.Instances, p.Rank)
 }
 
+// places returns the number of instances that have a share of one request at each target, and
+// false if all have one or the same have one at all targets.
+func (p Position) places(perSecond float64) (int, bool) {
+	return int(perSecond) - sparePlaces, p.Members != nil && p.Instances > int(perSecond)
+}
+
 // ColdShare describes how the instances of a region share the rate limit of a cold
 // target, which is the rate of its service times RateFactor, plus ExtraRequests.
 type ColdShare struct {
@@ -126,6 +147,24 @@
 	Unproved bool
 }
 
+// PerSecond returns the rate limit of a cold target of the service.
+func (c ColdShare) PerSecond(s service.Service) float64 {
+	return s.ColdRequestsPerSecond()*c.RateFactor + c.ExtraRequests
+}
+
+// Holders returns the names of the instances that have a share of the rate limit of the named
+// target, in the order for that target, or nil if they are not known.
+func (c ColdShare) Holders(targetName string, s service.Service) []string {
+	if c.Members == nil {
+		return nil
+	}
+	n := c.Instances
+	if places, ok := c.places(c.PerSecond(s)); ok {
+		n = places
+	}
+	return c.Members.First(targetName, n)
+}
+
 // Load is the load that the open requests of one instance put on a target.
 type Load struct {
 	Target        string
@@ -481,7 +520,7 @@
 		p.OnLimitReached(t.Name())
 	}
 	ticket := &Ticket{
-		request: r, reserved: reserved, belief: p.coldBelief(now, s, r, coldShare),
+		request: r, reserved: reserved, belief: p.coldBelief(now, t.Name(), s, r, coldShare),
 		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
 		uncachedTokens: max(r.PromptTokens-p.cachedPrefix(now, s, r.Parts, false), 0), memoryTokens: r.PromptTokens + r.MaxOutputTokens, isEngine: r.Service.Slots() > 0,
 	}
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -24,7 +24,7 @@
 	}
 	since, limited := p.countsSince(now, ts, coldShare)
 	c := &HealthCheck{picker: p, name: name, reserved: limited}
-	if limited && !ts.window.Reserve(now, since, p.coldLimit(Request{Service: s}, coldShare)) {
+	if limited && !ts.window.Reserve(now, since, p.coldLimit(name, Request{Service: s}, coldShare)) {
 		return nil
 	}
 	return c
@@ -152,20 +152,26 @@
 // usable reports whether the target can get the request now.
 func (p *Picker) usable(now time.Time, t *target.Target, r Request, coldShare ColdShare) bool {
 	s := p.state(t.Name())
-	if now.Before(s.ejectedUntil) || now.Before(s.deferredUntil) {
+	if p.isBarred(now, t, s, r) {
 		return false
 	}
+	since, limited := p.countsSince(now, s, coldShare)
+	return !limited || s.window.Allows(now, since, p.requestLimit(now, t.Name(), s, r, coldShare))
+}
+
+// isBarred reports whether the target cannot get the request even if it is warm.
+func (p *Picker) isBarred(now time.Time, t *target.Target, s *targetState, r Request) bool {
+	if now.Before(s.ejectedUntil) || now.Before(s.deferredUntil) {
+		return true
+	}
 	if wait, _ := p.rateLimit(now, t); wait > 0 {
-		return false
+		return true
 	}
 	if s.failures > 0 && s.probing > 0 {
-		return false // a single probe decides whether the target has recovered
+		return true // a single probe decides whether the target has recovered
 	}
-	if memory := r.Service.MemoryTokens(); memory > 0 && r.PromptTokens+r.MaxOutputTokens > memory {
-		return false
-	}
-	since, limited := p.countsSince(now, s, coldShare)
-	return !limited || s.window.Allows(now, since, p.requestLimit(now, t.Name(), s, r, coldShare))
+	memory := r.Service.MemoryTokens()
+	return memory > 0 && r.PromptTokens+r.MaxOutputTokens > memory
 }
 
 // countsSince reports whether the target may be cold, so that its rate limit holds, and since
@@ -201,11 +207,23 @@
 	return ok && !s.warmup.IsKnownSince(readmitted)
 }
 
+// AwaitsProof reports whether one of the candidates could get the request if it were proved to
+// be warm.
+func (p *Picker) AwaitsProof(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(candidates, func(t target.Target) bool {
+		s := p.state(t.Name())
+		return !slices.Contains(r.Exclude, t.Name()) && p.isUnproved(s, coldShare) && !p.isCold(now, s) &&
+			!p.isBarred(now, &t, s, r) && p.requestLimit(now, t.Name(), s, r, coldShare) > 0
+	})
+}
+
 // requestLimit returns how many requests this instance may send to a target that may be cold
 // in each coldlimit.Window. While the target's warmth is not proved, one of several is left for
 // a health check, which may prove it.
 func (p *Picker) requestLimit(now time.Time, name string, s *targetState, r Request, coldShare ColdShare) int {
-	limit := p.coldLimit(r, coldShare)
+	limit := p.coldLimit(name, r, coldShare)
 	if p.isUnproved(s, coldShare) && !p.isCold(now, s) && r.Service.HealthPath() != "" && (limit > 1 || limit == 1 && p.reserved[name]) {
 		return limit - 1
 	}
@@ -218,16 +236,16 @@
 	return coldShare.Unproved || s.lastListed.Before(p.listedAt)
 }
 
-// coldLimit returns how many requests this instance may send to a cold target in
-// each coldlimit.Window.
-func (p *Picker) coldLimit(r Request, coldShare ColdShare) int {
+// coldLimit returns how many requests this instance may send to the named target in each
+// coldlimit.Window while the target is cold.
+func (p *Picker) coldLimit(name string, r Request, coldShare ColdShare) int {
 	if r.Service.ColdRequestsPerSecond() <= 0 {
 		return math.MaxInt32
 	}
-	perSecond := r.Service.ColdRequestsPerSecond()*coldShare.RateFactor + coldShare.ExtraRequests
-	limit := coldShare.limit(perSecond)
+	perSecond := coldShare.PerSecond(r.Service)
+	limit := coldShare.limit(perSecond, name)
 	for _, p := range coldShare.Earlier {
-		limit = min(limit, p.limit(perSecond))
+		limit = min(limit, p.limit(perSecond, name))
 	}
 	return limit
 }
