Let requests wait shortly until a target is proved to be warm

What callers saw: refusals while lists are old and the share of a target is used up, although a health check proves some tenths of a second later that it takes requests. Cause: such a request was refused or forwarded at once. Change: it looks for a target every 25 ms, for up to 0.3 s and half of the time that its first byte may take. What waits for nothing is refused at once. Result: TestRequestAwaitsProof, which refuses the second request without the change.

--- a/chervilyard/gateway/cold_test.go
+++ b/chervilyard/gateway/cold_test.go
@@ -101,3 +101,33 @@
 		})
 	}
 }
+
+// The target's list is old and the share of its limit is used up. Guards against refusing
+// requests that can be sent as soon as a health check proves that the target is warm, and
+// against holding those back for long that cannot.
+func TestRequestAwaitsProof(t *testing.T) {
+	const answerIn = 100 * time.Millisecond // of the health check
+	f := newFakeTarget(t, "e", "ok hello")
+	n := newTestInstance(t, "near", []*fakeTarget{f})
+	c := testCatalogOf(service.New("s").WithColdLimit(2).WithHealthPath("/health"))
+	n.gateway.Catalog = func() *catalog.Catalog { return c }
+	n.gateway.ColdShare = func(time.Time) placement.ColdShare {
+		return placement.ColdShare{Position: placement.Position{Instances: 1}, RateFactor: 1, Unproved: true}
+	}
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK {
+		t.Fatalf("the first request gets %d %s", status, body)
+	}
+	proof := time.AfterFunc(answerIn, func() {
+		now := time.Now()
+		n.gateway.Picker.RecordCheck("e", warmup.Report{Earliest: now, Latest: now})
+	})
+	defer proof.Stop()
+	if status, body, _ := roundTrip(t, n, getRequest("/read/x")); status != http.StatusOK {
+		t.Errorf("a request gets %d %s, though the target is proved to be warm after %v", status, body, answerIn)
+	}
+	began := time.Now()
+	status, body, _ := roundTrip(t, n, getRequest("/read/x"))
+	if took := time.Since(began); status != http.StatusServiceUnavailable || took > 400*time.Millisecond {
+		t.Errorf("without a proof a request gets %d %s after %v", status, body, took)
+	}
+}
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -25,6 +25,10 @@
 	// maxPermitsRefused is how many targets with a rate limit have no permit for a request
 	// before each counts as a destination.
 	maxPermitsRefused = 8
+	// A request waits for up to maxProofWait until health checks prove that a target is warm,
+	// and looks for one every proofPause.
+	maxProofWait = 300 * time.Millisecond
+	proofPause   = 25 * time.Millisecond
 	// An idempotent request is retried elsewhere, where it can be, if the first byte
 	// takes longer than firstByteObjectiveFraction of the route's latency objective
 	// and longer than firstByteWaitFactor times the expected wait.
@@ -55,6 +59,10 @@
 			return g.refusePart(now, x, verdict)
 		}
 		dest, err := g.chooseDestination(now, x)
+		if err != nil && x.awaitsProof && g.awaitProof(ctx, now, x) {
+			n-- // the request has not been sent anywhere
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -80,6 +88,22 @@
 	return g.noTarget(x)
 }
 
+// awaitProof waits for a short time in which a target may be proved to be warm, and reports
+// whether the request has time left for that.
+func (g *Gateway) awaitProof(ctx context.Context, now time.Time, x *exchange) bool {
+	if x.proofWaited >= min(maxProofWait, g.waitLimit(now, x)/2) {
+		return false
+	}
+	x.proofWaited += proofPause
+	timer := time.NewTimer(proofPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return true
+}
+
 // tryDestination sends the request to one destination. It returns true if the
 // request may be sent to another.
 func (g *Gateway) tryDestination(ctx context.Context, x *exchange, dest destination) (bool, error) {
@@ -214,7 +238,7 @@
 			return true
 		},
 		OnWritten: func() { a.dest.ticket.Sent(g.Now()) },
-		Accepts: func(h http.Header, kept bool) bool { return g.accepts(x, h, kept) },
+		Accepts:   func(h http.Header, kept bool) bool { return g.accepts(x, h, kept) },
 	})
 }
 
