--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -68,9 +68,9 @@
 
 // Protocol translates between the gateway and the protocols of callers and targets.
 type Protocol struct {
-	ParseRequest      func(r *http.Request) (req Request, key string)
-	SetTargetHeaders  func(h http.Header, tc TargetContext)
-	ClassifyResponse  func(status int, h http.Header) ResponseClass
+	ParseRequest     func(r *http.Request) (req Request, key string)
+	SetTargetHeaders func(h http.Header, tc TargetContext)
+	ClassifyResponse func(status int, h http.Header) ResponseClass
 	// ResponseRequestID returns the ID of the request that a response belongs to, or "" if it
 	// does not say. It is nil if responses never do.
 	ResponseRequestID func(h http.Header) string
