--- a/chervilyard/edge/cold_share.go
+++ b/chervilyard/edge/cold_share.go
@@ -37,10 +37,10 @@
 	}
 }
 
-// knowledgeIsOld reports whether the list of targets or that of evacuations is so old that
-// warm targets may have become cold since.
+// knowledgeIsOld reports whether the list of targets or that of evacuations is so old, or may be
+// from so old a copy of the store, that warm targets may have become cold since.
 func (e *Edge) knowledgeIsOld(now time.Time) bool {
-	return e.isOlder(now, PartTargets, maxTargetListAge) || e.isOlder(now, PartConfiguration, maxEvacuationsAge)
+	return e.inRollback(now) || e.isOlder(now, PartTargets, maxTargetListAge) || e.isOlder(now, PartConfiguration, maxEvacuationsAge)
 }
 
 // isOlder reports whether the instance has content of a part of the store that was last known
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -84,6 +84,7 @@
 	apply        map[string]func(now time.Time, s view.Snapshot) // by part; puts a snapshot into effect
 	parts        map[string]*partState                           // by part
 	era          atomic.Int64                                    // latest known era of the store
+	rollbackEnd  atomic.Pointer[time.Time]                       // of the last return of the store from an older copy; nil if there was none
 	eraChanged   chan struct{}                                   // receives after a change of era
 	catalog      atomic.Pointer[catalog.Catalog]
 	catalogEra   int64 // of the catalog; used with the apply lock of the configuration held
--- a/chervilyard/edge/era.go
+++ b/chervilyard/edge/era.go
@@ -24,6 +24,8 @@
 	p := e.parts[part]
 	if p.loaded && s.Era > p.era {
 		p.rollback.Begin(now, p.items, s.Revision)
+		end := now.Add(rollback.Window)
+		e.rollbackEnd.Store(&end)
 		e.logDecision("store", "came back", part+": era "+itoa(s.Era)+" at revision "+itoa(s.Revision)+" after era "+itoa(p.era)+
 			"; "+itoa(int64(len(p.items)))+" items kept for "+rollback.Window.String()+" unless written again, "+itoa(int64(len(s.Items)))+" in the copy")
 	}
@@ -45,6 +47,13 @@
 	}
 }
 
+// inRollback reports whether the store came back from an older copy so recently that entries
+// of targets may be from long before they were read.
+func (e *Edge) inRollback(now time.Time) bool {
+	end := e.rollbackEnd.Load()
+	return end != nil && now.Before(*end)
+}
+
 // noteEra records an era of the store. If it is a later one, the instance's lease and entry
 // are obtained and written anew at once.
 func (e *Edge) noteEra(era int64) {
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -140,7 +140,7 @@
 // are still warm, so that more requests can be sent to them than a cold target bears: to all if
 // its lists are old, and else to those that are missing from the last one.
 func (e *Edge) checkTargets(now time.Time) {
-	old := e.isOlder(now, PartTargets, maxTargetListAge-checkLead) || e.isOlder(now, PartConfiguration, maxEvacuationsAge-checkLead)
+	old := e.inRollback(now) || e.isOlder(now, PartTargets, maxTargetListAge-checkLead) || e.isOlder(now, PartConfiguration, maxEvacuationsAge-checkLead)
 	reserved := make(map[string]bool)
 	for _, t := range e.targets.toCheck(old) {
 		rank, others := e.checkRank(now, t)
