Check a target for those that have used up their share of it

What callers saw: in regions with hubs a proof that a target is warm reached the others some tenths of a second later, and requests waited or were refused. Cause: proofs were told in heartbeats alone, and the check that a used-up share starts began before the request had been sent, so it proved nothing of it. Two of the instances with a request each kept it for checks. Change: an instance that has used up its share asks the first live one of the target's order to check it now (rpc Prove); the check begins once the request has been sent; only the first keeps its request for checks.

--- a/chervilyard/edge/cold_region_test.go
+++ b/chervilyard/edge/cold_region_test.go
@@ -101,7 +101,9 @@
 	e.picker.OnLimitReached = func(name string) { atLimit = append(atLimit, name) }
 	r.checkAtLimit[i] = func() {
 		for _, name := range atLimit {
-			e.checkNow(r.now, name)
+			if t, ok := e.targets.get(name); ok && !e.checkTarget(r.now, t, minCheckInterval) {
+				r.prove(i, t)
+			}
 		}
 		atLimit = nil
 	}
@@ -208,6 +210,24 @@
 	e.recordCheck(r.now, t, targetCheck{Report: report, own: true})
 }
 
+// prove lets the first instance that the instance reaches check the target.
+func (r *coldRegion) prove(i *simulatedInstance, t target.Target) {
+	order := i.edge.checkOrder(r.now, t)
+	if len(order) == 0 {
+		return
+	}
+	for _, other := range r.instances {
+		if other == i || other.name != order[0].Name || !other.running || !r.connected(i, other) {
+			continue
+		}
+		before, _ := other.edge.checks.own(targetRunHash(t))
+		other.edge.checkTarget(r.now, t, minCheckInterval)
+		if report, ok := other.edge.checks.own(targetRunHash(t)); ok && report != before {
+			i.edge.recordCheck(r.now, t, targetCheck{Report: report})
+		}
+	}
+}
+
 // tellChecks lets the instances that the instance reaches hear what it was answered.
 func (r *coldRegion) tellChecks(from *simulatedInstance) {
 	list := from.edge.checks.tell(r.now, false)
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -21,7 +21,7 @@
 		Self: e.self, Members: &e.memberTable, Now: e.now, Decisions: e.decisions,
 		Seeds:   func() []string { return e.Settings().Seeds },
 		Payload: e.heartbeatPayload, Wants: e.wantedTokens, HandlePayload: e.handleHeartbeat, TakeSpare: e.quota.TakeSpare, TakeWhole: e.takeWhole,
-		IssuePermit: e.issuePermit, YieldPermits: e.yieldPermits,
+		IssuePermit: e.issuePermit, YieldPermits: e.yieldPermits, ProveTarget: e.proveTarget,
 		OnMessage: e.countPeerMessage,
 	}
 	e.permits.ask, e.permits.yield = e.gossiper.RequestPermit, e.gossiper.RequestYield
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -53,21 +53,22 @@
 	}
 }
 
-// startCheck starts a health check of a target of the service, without waiting for it, unless
-// it is not configured or not allowed by the picker.
-func (e *Edge) startCheck(now time.Time, t target.Target, s service.Service) {
+// startCheck starts a health check of a target of the service, without waiting for it, and
+// returns false if it is not configured or not allowed by the picker.
+func (e *Edge) startCheck(now time.Time, t target.Target, s service.Service) bool {
 	if s.HealthPath() == "" {
-		return
+		return false
 	}
 	check := e.picker.StartHealthCheck(now, t.Name(), s, e.coldTargetShare(now))
 	if check == nil {
-		return
+		return false
 	}
 	if e.sendCheck != nil {
 		e.sendCheck(t, check)
-		return
+		return true
 	}
 	go e.probe(t, s.HealthPath(), check)
+	return true
 }
 
 // probe sends a health check on a new connection, on which no late answer to an earlier one can
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"chervilyard.example/chervilyard/gossip"
 	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/target"
 	"chervilyard.example/yard/warmup"
 )
@@ -26,8 +28,8 @@
 	// checkingTimeout is the time without a heartbeat after which others do not wait for a
 	// member to check a target.
 	checkingTimeout = time.Second
-	// checkers is the number of instances that use their only request to a target for checks.
-	checkers = 2
+	// proofPause is the time between two attempts to check a target for another instance.
+	proofPause = 5 * time.Millisecond
 )
 
 // targetChecks holds the last answers to health checks of the region's targets, by
@@ -66,6 +68,14 @@
 	return list
 }
 
+// own returns the last answer to a check of this instance.
+func (c *targetChecks) own(run uint64) (warmup.Report, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.last[run]
+	return last.Report, last.own
+}
+
 func encodeCheck(now time.Time, run uint64, r warmup.Report) *fleet.Check {
 	c := &fleet.Check{Run: run, Asked: gossip.AgeMillis(now, r.Earliest), Told: max(now.Sub(r.Latest).Milliseconds(), 0)}
 	if cold := r.ColdUntil.Sub(r.Latest); !r.ColdUntil.IsZero() && cold > 0 {
@@ -143,11 +153,12 @@
 	old := e.inRollback(now) || e.isOlder(now, PartTargets, maxTargetListAge-checkLead) || e.isOlder(now, PartConfiguration, maxEvacuationsAge-checkLead)
 	reserved := make(map[string]bool)
 	for _, t := range e.targets.toCheck(old) {
-		rank, others := e.checkRank(now, t)
+		order := e.checkOrder(now, t)
+		rank := slices.IndexFunc(order, func(m membership.Member) bool { return m.Name == e.Settings().Name })
 		if rank < 0 {
 			continue
 		}
-		if rank < checkers && others {
+		if rank == 0 && len(order) > 1 {
 			reserved[t.Name()] = true
 		}
 		if now.Sub(e.picker.KnownAsOf(t.Name())) >= checkInterval*time.Duration(1+rank) {
@@ -157,42 +168,85 @@
 	e.picker.ReserveForChecks(reserved)
 }
 
-// checkRank returns the number of live instances that check the target before this one, and
-// whether there are any others. It is negative if this instance has no share of the target's
-// limit.
-func (e *Edge) checkRank(now time.Time, t target.Target) (rank int, others bool) {
+// checkOrder returns the live instances that have a share of the target's limit, in the order
+// in which they check it. The first one uses a share of one request for that alone.
+func (e *Edge) checkOrder(now time.Time, t target.Target) []membership.Member {
 	c, services := e.catalog.Load(), t.Routes()
 	if c == nil || len(services) == 0 {
-		return -1, false
+		return nil
 	}
-	rank, live := -1, 0
+	var order []membership.Member
 	for _, name := range e.coldTargetShare(now).Holders(t.Name(), c.Service(services[0])) {
 		if name == e.Settings().Name {
-			rank = live
+			order = append(order, e.self(now))
 		} else if m, ok := e.memberTable.Get(name); ok && now.Sub(m.Heard) < checkingTimeout {
-			live++
+			order = append(order, m)
 		}
 	}
-	return rank, live > 0
+	return order
 }
 
-// checkNow checks the named target without waiting for the interval.
+// checkNow checks the named target without waiting for the interval, or asks the instance that
+// does if this one has no request left for it.
 func (e *Edge) checkNow(now time.Time, name string) {
-	if t, ok := e.targets.get(name); ok {
-		e.checkTarget(now, t, minCheckInterval)
+	t, ok := e.targets.get(name)
+	if !ok || e.checkTarget(now, t, minCheckInterval) {
+		return
+	}
+	order := e.checkOrder(now, t)
+	if len(order) > 0 && order[0].Name != e.Settings().Name && e.asking.start(name) {
+		go func() {
+			defer e.asking.end(name)
+			e.requestProof(order[0], t)
+		}()
 	}
 }
 
+// requestProof asks another instance to check the target and takes the answer.
+func (e *Edge) requestProof(m membership.Member, t target.Target) {
+	asked := e.now()
+	answer, err := e.gossiper.RequestProof(e.ctx, m, &fleet.Check{Run: targetRunHash(t)})
+	now := e.now()
+	if err != nil || answer.GetRun() != targetRunHash(t) {
+		return // the checks at intervals have to do
+	}
+	report := decodeCheck(asked, now, answer)
+	report.Earliest = asked // the check began later
+	e.recordCheck(now, t, targetCheck{Report: report})
+}
+
+// proveTarget checks a target for another instance.
+func (e *Edge) proveTarget(ctx context.Context, c *fleet.Check) *fleet.Check {
+	t, ok := e.targets.runs()[c.GetRun()]
+	if !ok {
+		return &fleet.Check{}
+	}
+	for arrived := e.now(); ctx.Err() == nil; {
+		if r, ok := e.checks.own(c.GetRun()); ok && !r.Earliest.Before(arrived) {
+			return encodeCheck(e.now(), c.GetRun(), r)
+		}
+		e.checkTarget(e.now(), t, minCheckInterval)
+		select {
+		case <-ctx.Done():
+		case <-time.After(proofPause):
+		}
+	}
+	return &fleet.Check{}
+}
+
 // checkTarget starts a health check of a target that may be cold, unless its service has no
-// limit for those.
-func (e *Edge) checkTarget(now time.Time, t target.Target, interval time.Duration) {
+// limit for those or this instance has no request left for it. It returns true if a check has
+// started within the interval.
+func (e *Edge) checkTarget(now time.Time, t target.Target, interval time.Duration) bool {
 	c, services := e.catalog.Load(), t.Routes()
 	if c == nil || len(services) == 0 {
-		return
+		return false
 	}
-	if s := c.Service(services[0]); s.ColdRequestsPerSecond() > 0 && e.probes.tryStart(now, t.Name(), interval) {
-		e.startCheck(now, t, s)
+	s := c.Service(services[0])
+	if s.ColdRequestsPerSecond() <= 0 {
+		return true // it needs none
 	}
+	return !e.probes.tryStart(now, t.Name(), interval) || e.startCheck(now, t, s)
 }
 
 // get returns the named target of the region.
@@ -220,3 +274,31 @@
 	}
 	return list
 }
+
+// nameSet is a set of names of what is under way. The zero value is empty. It is safe for
+// concurrent use.
+type nameSet struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// start adds a name and returns true, unless it is in the set.
+func (s *nameSet) start(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.names[name] {
+		return false
+	}
+	if s.names == nil {
+		s.names = make(map[string]bool)
+	}
+	s.names[name] = true
+	return true
+}
+
+// end removes a name.
+func (s *nameSet) end(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.names, name)
+}
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -30,7 +30,7 @@
 	// another region, and a request for tokens to any member.
 	localTimeout  = 400 * time.Millisecond
 	remoteTimeout = 900 * time.Millisecond
-	// permitTimeout bounds a request for a permit, and yieldTimeout one to leave the issuing of
+	// permitTimeout bounds a request for a permit or a proof, and yieldTimeout one to leave the issuing of
 	// permits to this instance, which is sent while others wait for permits.
 	permitTimeout = 300 * time.Millisecond
 	yieldTimeout  = 120 * time.Millisecond
@@ -88,6 +88,8 @@
 	// instance.
 	IssuePermit  func(ctx context.Context, t *fleet.Turn) *fleet.Slot
 	YieldPermits func(now time.Time, t *fleet.Turn) *fleet.Handover
+	// ProveTarget answers the request of an instance for a health check of a target.
+	ProveTarget func(ctx context.Context, c *fleet.Check) *fleet.Check
 
 	// OnMessage is called for each message that this instance sends to begin an exchange,
 	// and for the reply, with the kind of exchange, whether the member is of another region,
@@ -324,6 +326,19 @@
 	return slot, err
 }
 
+// RequestProof asks a member of the region to check a target.
+func (g *Gossiper) RequestProof(ctx context.Context, m membership.Member, c *fleet.Check) (*fleet.Check, error) {
+	conn, err := g.conn(m.Peers)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	answer, err := fleet.NewFleetClient(conn).Prove(ctx, c)
+	g.countMessages("proof", m, c, answer)
+	return answer, err
+}
+
 // RequestYield asks a member of the region to leave the issuing of a target's permits to this
 // instance.
 func (g *Gossiper) RequestYield(ctx context.Context, m membership.Member, t *fleet.Turn) (*fleet.Handover, error) {
--- a/chervilyard/gossip/server.go
+++ b/chervilyard/gossip/server.go
@@ -72,6 +72,11 @@
 	return s.Gossiper.YieldPermits(s.Gossiper.Now(), t), nil
 }
 
+// Prove checks a target.
+func (s *Server) Prove(ctx context.Context, c *fleet.Check) (*fleet.Check, error) {
+	return s.Gossiper.ProveTarget(ctx, c), nil
+}
+
 // Read returns this instance's copy of a part of the store.
 func (s *Server) Read(_ context.Context, p *fleet.Part) (*fleet.Content, error) {
 	return s.Content(s.Gossiper.Now(), p.GetName()), nil
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -197,8 +197,8 @@
 	// worth asking for a permit to send it a request. If it is nil, no target has a limit. It
 	// must not be changed after first use and must not call methods of the Picker.
 	RateLimit func(now time.Time, t target.Target) (wait time.Duration, limited bool)
-	// OnLimitReached is called when no more requests may be sent to the named target until a
-	// report proves that it is warm. It may be nil, must not be changed after first use and
+	// OnLimitReached is called when a request has been sent to the named target and no more may
+	// be until a later report proves that it is warm. It may be nil, must not be changed after first use and
 	// must not call methods of the Picker.
 	OnLimitReached func(name string)
 	// OnSuspected is called when a suspicion begins that a target has restarted, with the
@@ -516,11 +516,9 @@
 	since, limited := p.countsSince(now, s, coldShare)
 	limit := p.requestLimit(now, t.Name(), s, r, coldShare)
 	reserved := limited && s.window.Reserve(now, since, limit)
-	if limited && p.OnLimitReached != nil && p.isUnproved(s, coldShare) && !s.window.Allows(now, since, limit) {
-		p.OnLimitReached(t.Name())
-	}
+	usesUp := limited && p.isUnproved(s, coldShare) && !s.window.Allows(now, since, limit)
 	ticket := &Ticket{
-		request: r, reserved: reserved, belief: p.coldBelief(now, t.Name(), s, r, coldShare),
+		request: r, reserved: reserved, usesUp: usesUp, belief: p.coldBelief(now, t.Name(), s, r, coldShare),
 		picker: p, target: t, service: r.Service.Name(), chosenAt: now, expectedWait: wait,
 		uncachedTokens: max(r.PromptTokens-p.cachedPrefix(now, s, r.Parts, false), 0), memoryTokens: r.PromptTokens + r.MaxOutputTokens, isEngine: r.Service.Slots() > 0,
 	}
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -39,6 +39,7 @@
 	becameCold      bool          // the target was warm when it was chosen and cold at sentAt
 	reserved        bool          // counts against the rate limit of a cold target and is not known to be sent
 	counted         bool          // counts as sent
+	usesUp          bool          // no more requests may be sent until the target is proved to be warm
 	limited         bool          // the target had a rate limit when it was chosen
 	alternative     bool          // another target without one could have been chosen
 	alternativeWait time.Duration // expected time to the first byte there
@@ -113,6 +114,10 @@
 		s.window.Record(now)
 	}
 	t.reserved, t.counted = false, true
+	if t.usesUp && t.picker.OnLimitReached != nil {
+		t.usesUp = false
+		t.picker.OnLimitReached(t.target.Name())
+	}
 }
 
 // RecordFirstByte records that the first byte of the answer arrived at now. Later
