Let instances without a share ask for a check of a target that failed

What callers saw: an instance without a share of a target's limit sent it nothing for 3.6 s after one broken connection, as it may send no health check. Cause: only instances with a share could rule out a restart. Change: it asks the first live one of the target's order.

--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -43,13 +43,16 @@
 	return true
 }
 
-// probeSuspect starts a health check of a target that failed, without waiting for it. It does
-// nothing if a check is not due, not configured or not allowed by the picker.
+// probeSuspect starts a health check of a target that failed, without waiting for it, or asks
+// another instance for one if the picker does not allow it here. It does nothing if a check is
+// not due.
 func (e *Edge) probeSuspect(t target.Target) {
 	c := e.catalog.Load()
 	now := e.now()
-	if services := t.Routes(); c != nil && len(services) > 0 && e.probes.tryStart(now, t.Name(), probeInterval) {
-		e.startCheck(now, t, c.Service(services[0]))
+	if services := t.Routes(); c != nil && len(services) > 0 && c.Service(services[0]).HealthPath() != "" && e.probes.tryStart(now, t.Name(), probeInterval) {
+		if !e.startCheck(now, t, c.Service(services[0])) {
+			e.askForProof(now, t)
+		}
 	}
 }
 
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -189,10 +189,15 @@
 // checkNow checks the named target without waiting for the interval, or asks the instance that
 // does if this one has no request left for it.
 func (e *Edge) checkNow(now time.Time, name string) {
-	t, ok := e.targets.get(name)
-	if !ok || e.checkTarget(now, t, minCheckInterval) {
-		return
+	if t, ok := e.targets.get(name); ok && !e.checkTarget(now, t, minCheckInterval) {
+		e.askForProof(now, t)
 	}
+}
+
+// askForProof asks the first live instance with a share of the target's limit to check it,
+// without waiting for the answer.
+func (e *Edge) askForProof(now time.Time, t target.Target) {
+	name := t.Name()
 	order := e.checkOrder(now, t)
 	if len(order) > 0 && order[0].Name != e.Settings().Name && e.asking.start(name) {
 		go func() {
--- a/yard/warmup/warmup.go
+++ b/yard/warmup/warmup.go
@@ -75,10 +75,10 @@
 	return first
 }
 
-// Dismiss ends the suspicion if the run was seen at a time after the last sign of its end, and
-// reports whether it did.
+// Dismiss ends the suspicion if the run was seen at a time that is not before the last sign of
+// its end, and reports whether it did.
 func (s *State) Dismiss(seenAt time.Time) bool {
-	if s.suspectedFrom.IsZero() || !seenAt.After(s.lastSign) {
+	if s.suspectedFrom.IsZero() || seenAt.Before(s.lastSign) {
 		return false
 	}
 	s.suspectedFrom, s.lastSign = time.Time{}, time.Time{}
