--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -215,6 +215,12 @@
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
 	e.meter.Gauge("chervil_blocked_parts", func() float64 { return float64(e.suspects.Blocked()) })
 	e.meter.Gauge("chervil_target_limits", func() float64 { return float64(e.rates.InEffect()) })
+	e.meter.Gauge("chervil_lists_old", func() float64 {
+		if e.knowledgeIsOld(e.now()) {
+			return 1
+		}
+		return 0
+	})
 	e.meter.Gauge("chervil_members", func() float64 { return float64(len(e.memberTable.Live(e.now(), liveTimeout))) })
 	for name, v := range e.views {
 		e.meter.Gauge(fmt.Sprintf("chervil_view_age_seconds{part=%q}", name), func() float64 {
