Rely on checks of members that are heard through hubs

What callers saw: refusals in regions with hubs while lists are old, although others could have proved that targets are warm. Cause: in such regions members are heard of once a second, and one that had not been heard for a second counted as silent, so each instance took itself for the one that checks, and nobody was asked. And a request that found only the busiest targets without a used-up share was refused as overloaded. A request also waits for a proof where the targets that may get it now would answer late.

--- a/chervilyard/edge/cold_region_test.go
+++ b/chervilyard/edge/cold_region_test.go
@@ -156,7 +156,7 @@
 // reachesStore reports whether the instance can read the store. None on the smaller side of a
 // cut does.
 func (r *coldRegion) reachesStore(i *simulatedInstance) bool {
-	return r.now.After(r.storeGone) && !(i.apart && !r.now.After(r.cutUntil))
+	return r.now.After(r.storeGone) && (!i.apart || r.now.After(r.cutUntil))
 }
 
 // readStore lets an instance that reaches the store hear of evacuations and read the list of
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -94,7 +94,7 @@
 	collector    tokenCollector
 	probes       probes
 	checks       targetChecks
-	asking       nameSet                                             // targets that another instance is asked to check
+	asking       proofRequests
 	limitReached chan string                                         // names of targets to check now
 	sendCheck    func(t target.Target, check *placement.HealthCheck) // in place of probe, if it is not nil
 	suspects     suspect.Ledger
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -25,9 +25,9 @@
 	checkLead = 500 * time.Millisecond
 	// checkRetention is how long the answer to a health check is told in the region.
 	checkRetention = time.Second
-	// checkingTimeout is the time without a heartbeat after which others do not wait for a
-	// member to check a target.
-	checkingTimeout = time.Second
+	// silentTime is how long others do not rely on the checks of a member that did not answer
+	// a request for one.
+	silentTime = time.Second
 	// proofPause is the time between two attempts to check a target for another instance.
 	proofPause = 5 * time.Millisecond
 )
@@ -179,7 +179,7 @@
 	for _, name := range e.coldTargetShare(now).Holders(t.Name(), c.Service(services[0])) {
 		if name == e.Settings().Name {
 			order = append(order, e.self(now))
-		} else if m, ok := e.memberTable.Get(name); ok && now.Sub(m.Heard) < checkingTimeout {
+		} else if m, ok := e.memberTable.Get(name); ok && now.Sub(m.Heard) < liveTimeout && !e.asking.isSilent(now, name) {
 			order = append(order, m)
 		}
 	}
@@ -202,22 +202,26 @@
 	if len(order) > 0 && order[0].Name != e.Settings().Name && e.asking.start(name) {
 		go func() {
 			defer e.asking.end(name)
-			e.requestProof(order[0], t)
+			if !e.requestProof(order[0], t) {
+				e.asking.keepSilent(e.now(), order[0].Name)
+			}
 		}()
 	}
 }
 
-// requestProof asks another instance to check the target and takes the answer.
-func (e *Edge) requestProof(m membership.Member, t target.Target) {
+// requestProof asks another instance to check the target and takes the answer. It returns false
+// if there is none.
+func (e *Edge) requestProof(m membership.Member, t target.Target) bool {
 	asked := e.now()
 	answer, err := e.gossiper.RequestProof(e.ctx, m, &fleet.Check{Run: targetRunHash(t)})
 	now := e.now()
 	if err != nil || answer.GetRun() != targetRunHash(t) {
-		return // the checks at intervals have to do
+		return false
 	}
 	report := decodeCheck(asked, now, answer)
 	report.Earliest = asked // the check began later
 	e.recordCheck(now, t, targetCheck{Report: report})
+	return true
 }
 
 // proveTarget checks a target for another instance.
@@ -280,30 +284,49 @@
 	return list
 }
 
-// nameSet is a set of names of what is under way. The zero value is empty. It is safe for
-// concurrent use.
-type nameSet struct {
-	mu    sync.Mutex
-	names map[string]bool
+// proofRequests holds the requests for checks that are under way and the instances that did not
+// answer one. The zero value is empty. It is safe for concurrent use.
+type proofRequests struct {
+	mu       sync.Mutex
+	underWay map[string]bool      // by target
+	silent   map[string]time.Time // until when, by instance
 }
 
-// start adds a name and returns true, unless it is in the set.
-func (s *nameSet) start(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.names[name] {
+// start records a request for a check of the target and returns true, unless one is under way.
+func (p *proofRequests) start(targetName string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.underWay[targetName] {
 		return false
 	}
-	if s.names == nil {
-		s.names = make(map[string]bool)
+	if p.underWay == nil {
+		p.underWay = make(map[string]bool)
 	}
-	s.names[name] = true
+	p.underWay[targetName] = true
 	return true
 }
 
-// end removes a name.
-func (s *nameSet) end(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.names, name)
+// end records that the request for a check of the target has ended.
+func (p *proofRequests) end(targetName string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.underWay, targetName)
+}
+
+// keepSilent records that the instance did not answer.
+func (p *proofRequests) keepSilent(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent == nil {
+		p.silent = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(p.silent, func(_ string, until time.Time) bool { return !now.Before(until) })
+	p.silent[name] = now.Add(silentTime)
+}
+
+// isSilent reports whether the instance did not answer within silentTime.
+func (p *proofRequests) isSilent(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.silent[name])
 }
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -48,7 +48,7 @@
 			return destination{remote: &remotes[i], remoteWait: remoteEstimates[i].Estimate.Wait}, nil
 		}
 	}
-	x.awaitsProof = !ok && g.Picker.AwaitsProof(now, candidates, dest.request, dest.coldShare)
+	x.awaitsProof = (!ok || local.Wait > waitLimit) && g.Picker.AwaitsProof(now, candidates, dest.request, dest.coldShare)
 	switch {
 	case !ok:
 		x.detail = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, dest.request, dest.coldShare))
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -215,7 +215,7 @@
 	return slices.ContainsFunc(candidates, func(t target.Target) bool {
 		s := p.state(t.Name())
 		return !slices.Contains(r.Exclude, t.Name()) && p.isUnproved(s, coldShare) && !p.isCold(now, s) &&
-			!p.isBarred(now, &t, s, r) && p.requestLimit(now, t.Name(), s, r, coldShare) > 0
+			!p.isBarred(now, &t, s, r) && !p.usable(now, &t, r, coldShare) && p.requestLimit(now, t.Name(), s, r, coldShare) > 0
 	})
 }
 
--- a/yard/warmup/warmup_test.go
+++ b/yard/warmup/warmup_test.go
@@ -72,12 +72,13 @@
 			if cold {
 				r.ColdUntil = r.Latest.Add(time.Duration(coldUntil-said) * time.Millisecond)
 			}
-			if rapid.Bool().Draw(t, "check") {
+			switch check := rapid.Bool().Draw(t, "check"); {
+			case check:
 				s.Check(r)
-			} else if said >= lastList { // lists are put into effect in their order
+			case said >= lastList: // lists are put into effect in their order
 				lastList = said
 				s.List(r)
-			} else {
+			default:
 				continue
 			}
 			heard = heard || cold
