Do not count a health check that found its target warm

What callers saw: while lists are old, requests wait and are refused in large regions although checks find their targets warm. Change: a check that was answered and found the target warm arrived at a warm target, so it does not count. One that was not answered, or found it cold, does.

--- a/chervilyard/edge/cold_region_test.go
+++ b/chervilyard/edge/cold_region_test.go
@@ -206,6 +206,8 @@
 	if r.isCold() {
 		r.sends = append(r.sends, r.now)
 		report.ColdUntil = r.coldFrom.Add(coldTargetPeriod)
+	} else {
+		check.FoundWarm()
 	}
 	e.recordCheck(r.now, t, targetCheck{Report: report, own: true})
 }
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -122,6 +122,8 @@
 	report := warmup.Report{Earliest: sentAt, Latest: now}
 	if cold > 0 {
 		report.ColdUntil = now.Add(cold)
+	} else {
+		check.FoundWarm()
 	}
 	e.recordCheck(now, t, targetCheck{Report: report, own: true})
 }
--- a/yard/coldlimit/coldlimit.go
+++ b/yard/coldlimit/coldlimit.go
@@ -2,7 +2,10 @@
 // window, over all instances that may send to it.
 package coldlimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // WindowLength is how long a sent request counts. It is longer than the second to
 // which a limit applies, since requests sent more than a second apart may arrive within
@@ -41,6 +44,13 @@
 	w.sent = append(w.sent, now)
 }
 
+// Forget stops counting one request that was recorded as sent at a time.
+func (w *Window) Forget(at time.Time) {
+	if i := slices.IndexFunc(w.sent, at.Equal); i >= 0 {
+		w.sent = slices.Delete(w.sent, i, i+1)
+	}
+}
+
 // Release stops counting a reserved request, which was not sent.
 func (w *Window) Release() { w.reserved = max(w.reserved-1, 0) }
 
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -50,6 +50,7 @@
 	picker  placement.Picker
 	targets []target.Target
 	tickets map[string]*placement.Ticket
+	check   *placement.HealthCheck // the last one that was sent
 	old     bool
 }
 
@@ -126,13 +127,16 @@
 		}
 		if check != nil {
 			check.Sent(s.At)
+			p.check = check
 		}
 	case "proved":
 		report := warmup.Report{Earliest: s.At, Latest: s.At}
 		if cold := s.Duration(p.t, 2); cold > 0 {
 			report.ColdUntil = s.At.Add(cold)
 		}
-		p.picker.RecordCheck(s.Words[1], report)
+		if p.picker.RecordCheck(s.Words[1], report); report.ColdUntil.IsZero() && p.check != nil {
+			p.check.FoundWarm()
+		}
 	case "peer":
 		p.picker.UpdatePeerLoads(s.At, s.Words[1], []placement.Load{{Target: s.Words[2], Open: int(s.Number(p.t, 3)), WaitingTokens: int(s.Number(p.t, 4))}})
 	default:
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -36,6 +36,7 @@
 	name     string
 	reserved bool // counts against the rate limit of a cold target and is not known to be sent
 	admitted bool
+	sentAt   time.Time // when it was counted as sent; zero if it does not count
 }
 
 // Admit records that the connection is established and the health check is about to be sent.
@@ -46,11 +47,22 @@
 	c.picker.mu.Lock()
 	defer c.picker.mu.Unlock()
 	if c.reserved {
-		c.reserved = false
+		c.reserved, c.sentAt = false, now
 		c.picker.state(c.name).window.Sent(now)
 	}
 }
 
+// FoundWarm records that the target answered the health check and was warm, so the check does
+// not count against the rate limit of a cold target.
+func (c *HealthCheck) FoundWarm() {
+	c.picker.mu.Lock()
+	defer c.picker.mu.Unlock()
+	if !c.sentAt.IsZero() {
+		c.picker.state(c.name).window.Forget(c.sentAt)
+		c.sentAt = time.Time{}
+	}
+}
+
 // End ends the health check. One that was admitted counts as sent.
 func (c *HealthCheck) End(now time.Time) {
 	if c.admitted {
