--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -32,6 +32,11 @@
 	proofPause = 5 * time.Millisecond
 )
 
+// While the store tells nothing new, a report of the target itself proves that it is warm. An
+// instance may then send as many requests as its share of the cold limit, after which it needs
+// another proof: it checks the target, or asks the instance that does. What a target answers
+// is told to the region.
+
 // targetChecks holds the last answers to health checks of the region's targets, by
 // targetRunHash. The zero value is empty. It is safe for concurrent use.
 type targetChecks struct {
--- a/yard/placement/belief.go
+++ b/yard/placement/belief.go
@@ -26,9 +26,9 @@
 	share     ColdShare
 }
 
-// coldBelief returns the belief about the target, or nil if it has been warm for
-// recentlyCold by a list that is not older than oldKnowledge, or cold targets of the service have no rate limit. The caller must hold
-// p.mu.
+// coldBelief returns the belief about the target, or nil if it has been warm for recentlyCold
+// by a list that is not older than oldKnowledge, or if cold targets of the service have no rate
+// limit. The caller must hold p.mu.
 func (p *Picker) coldBelief(now time.Time, name string, s *targetState, r Request, coldShare ColdShare) *coldBelief {
 	since := now.Add(-recentlyCold)
 	if r.Service.ColdRequestsPerSecond() <= 0 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -111,8 +111,8 @@
 	Members *rendezvous.Set
 }
 
-// sparePlaces is the number of requests that are left of a limit where an instance that joins
-// takes the place of another one, which may not know it.
+// sparePlaces is the number of requests of a limit that nobody has where an instance that joins
+// takes the place of another one, which may not know it and goes on sending.
 const sparePlaces = 1
 
 // limit returns the share of a limit of perSecond requests per second at the named target. If
@@ -198,8 +198,8 @@
 	// must not be changed after first use and must not call methods of the Picker.
 	RateLimit func(now time.Time, t target.Target) (wait time.Duration, limited bool)
 	// OnLimitReached is called when a request has been sent to the named target and no more may
-	// be until a later report proves that it is warm. It may be nil, must not be changed after first use and
-	// must not call methods of the Picker.
+	// be until a later report proves that it is warm. It may be nil, must not be changed after
+	// first use and must not call methods of the Picker.
 	OnLimitReached func(name string)
 	// OnSuspected is called when a suspicion begins that a target has restarted, with the
 	// outcome that raised it, and OnDismissed when a target list ends one. They may be nil,
