--- a/chervilyard/edge/soak_cold_test.go
+++ b/chervilyard/edge/soak_cold_test.go
@@ -122,3 +122,14 @@
 		}
 	}
 }
+
+// Guards against excusing requests of instances that never had them, and against blaming an
+// instance that was killed and had been tried second.
+func TestTriedAt(t *testing.T) {
+	const history = "west refused 502 target_failed 915 ms: EOF; tried=west-1,east-0,east sends=2 version=1"
+	for name, want := range map[string]bool{"west-1": true, "east-0": true, "east-1": false, "west": false, "east-": false} {
+		if got := triedAt(history, name); got != want {
+			t.Errorf("tried at %s: %v, want %v", name, got, want)
+		}
+	}
+}
