--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 	echo "build first: deploy/system.toml, review/build.sh" >&2
 	exit 2
 fi
-exec target/review-stand moved review/5
+exec target/review-stand partition review/5
--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -1,6 +1,11 @@
 package main
 
-import "net"
+import (
+	"net"
+	"time"
+)
+
+const stable = 5 * time.Second // Bounds.StableMs
 
 // Route is a route of the operator's configuration.
 type Route struct {
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -23,21 +23,17 @@
 	Ran    bool
 }
 
-// Engine is one place of a service: a server at an address, which may end and start again as
-// another incarnation. It behaves as PROTOCOL.md says.
+// Engine is a server of a service. It behaves as PROTOCOL.md says.
 type Engine struct {
 	Store   *Store
 	Service string
 	Zone    string
 	Slots   int
 	Work    time.Duration
-	BackIn  time.Duration // from a crash to the next incarnation
-	Queue   int           // how many requests may wait for a slot
+	Queue   int // how many requests may wait for a slot
 	// Stream makes the server answer with an event stream: an event each Work, Events of them.
 	Stream bool
 	Events int
-	// Crashes reports whether the request ends the server that begins to run it. It may be nil.
-	Crashes func(r *http.Request, body []byte) bool
 	// Refuses reports whether a new or open connection is to be reset. It may be nil.
 	Refuses func(c net.Conn) bool
 	// OnArrival is called for each request. It must be safe for concurrent use.
@@ -53,53 +49,45 @@
 	running  int
 	waiting  int
 	slotFree chan struct{}
-	down     bool
 	silent   time.Time // until when the server is silent
 	ended    bool
 }
 
 var engineNumber atomic.Int64
 
-// Start starts the first incarnation at a free port of the address.
+// Start starts the server at a free port of the address.
 func (e *Engine) Start(ip string) error {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return err
 	}
-	e.address = l.Addr().String()
-	e.run(l)
+	e.address, e.id = l.Addr().String(), fmt.Sprintf("i-%08x", 0x1000+engineNumber.Add(1)*0x35a7)
+	e.born, e.conns = time.Now().UnixMilli(), make(map[net.Conn]bool)
+	e.slotFree = make(chan struct{}, e.Slots)
+	for range e.Slots {
+		e.slotFree <- struct{}{}
+	}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.connState}
 	go func() {
-		for {
-			time.Sleep(beat)
-			e.mu.Lock()
-			if e.ended {
-				e.mu.Unlock()
-				return
-			}
-			if !e.down {
-				e.seq++
-				e.announce()
-			}
-			e.mu.Unlock()
+		_ = e.server.Serve(&engineListener{Listener: l, engine: e, conns: make(chan net.Conn), closed: make(chan struct{})})
+	}()
+	go func() {
+		for ; e.beat(); time.Sleep(beat) {
 		}
 	}()
 	return nil
 }
 
-// run starts an incarnation. Each has an Id of its own.
-func (e *Engine) run(l net.Listener) {
+// beat writes the server's entry, and returns false once the server has ended.
+func (e *Engine) beat() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.id = fmt.Sprintf("i-%08x", 0x1000+engineNumber.Add(1)*0x35a7)
-	e.born, e.seq, e.down, e.running = time.Now().UnixMilli(), 1, false, 0
-	e.waiting, e.slotFree = 0, nil
-	e.conns = make(map[net.Conn]bool)
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.connState}
-	server := e.server
-	go func() {
-		_ = server.Serve(&engineListener{Listener: l, engine: e, conns: make(chan net.Conn), closed: make(chan struct{})})
-	}()
+	if e.ended {
+		return false
+	}
+	e.seq++
 	e.announce()
+	return true
 }
 
 // engineListener resets the connections that Refuses names.
@@ -179,39 +167,6 @@
 	})
 }
 
-// crash ends the incarnation: all connections are reset and the entry stays until it has been
-// silent for three beats. The next one starts BackIn later, with a new Id.
-func (e *Engine) crash() {
-	e.mu.Lock()
-	if e.down || e.ended {
-		e.mu.Unlock()
-		return
-	}
-	e.down = true
-	server, id, conns := e.server, e.id, e.conns
-	e.conns = make(map[net.Conn]bool)
-	e.mu.Unlock()
-	for c := range conns {
-		reset(c)
-	}
-	_ = server.Close()
-	go func() {
-		time.Sleep(3 * beat)
-		e.Store.Remove("servers/" + id)
-	}()
-	go func() {
-		time.Sleep(e.BackIn)
-		for range 100 {
-			l, err := net.Listen("tcp", e.address)
-			if err == nil {
-				e.run(l)
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}()
-}
-
 // Stop ends the server for good.
 func (e *Engine) Stop() {
 	e.mu.Lock()
@@ -221,12 +176,7 @@
 }
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	id, down := e.id, e.down
-	e.mu.Unlock()
-	if down {
-		panic(http.ErrAbortHandler)
-	}
+	id := e.id
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", id)
 		w.WriteHeader(http.StatusOK)
@@ -239,8 +189,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	if !e.enter() {
@@ -252,10 +201,6 @@
 	defer e.leave()
 	a.Ran = true
 	e.OnArrival(a)
-	if e.Crashes != nil && e.Crashes(r, body) {
-		e.crash()
-		panic(http.ErrAbortHandler)
-	}
 	if e.Stream {
 		w.Header().Set("X-Request-Id", a.ID)
 		w.Header().Set("X-Server-Stamp", "stamp."+id)
@@ -286,22 +231,15 @@
 // room.
 func (e *Engine) enter() bool {
 	e.mu.Lock()
-	if e.slotFree == nil {
-		e.slotFree = make(chan struct{}, e.Slots)
-		for range e.Slots {
-			e.slotFree <- struct{}{}
-		}
-	}
-	free := e.slotFree
 	switch {
 	case e.running < e.Slots:
 		e.running++
 		e.mu.Unlock()
-		<-free
+		<-e.slotFree
 	case e.waiting < e.Queue:
 		e.waiting++
 		e.mu.Unlock()
-		<-free
+		<-e.slotFree
 		e.mu.Lock()
 		e.waiting--
 		e.running++
@@ -317,10 +255,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
-	select {
-	case e.slotFree <- struct{}{}:
-	default:
-	}
+	e.slotFree <- struct{}{}
 }
 
 // FallSilent makes the server silent for d: it accepts connections and requests, and answers
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,9 +17,9 @@
 var cases = map[string]func(s *Setup) (broken bool, err error){
 	"recover":   recoverAll,
 	"memory":    memory,
-	"moved":     moved,
 	"partition": partition,
 	"idle":      idle,
+	"stops":     stops,
 }
 
 // Setup is what a case gets.
