--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -64,8 +64,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.Body))
 	}
 	b.WriteString("\r\n")
-	b.Write(c.Body)
-	if _, err := conn.Write(b.Bytes()); err != nil {
+	if _, err := (&net.Buffers{b.Bytes(), c.Body}).WriteTo(conn); err != nil {
 		return response{}, err
 	}
 	return readAnswer(conn, c.Method)
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -50,6 +50,7 @@
 		return nil, err
 	}
 	f := &Fleet{Root: root, Dir: dir, Places: places}
+	// Each machine has a loopback address of its own, unlike those of a script beside this one.
 	third := 20 + os.Getpid()%200
 	n := 0
 	var ips []string
--- a/review/stand/partition.go
+++ b/review/stand/partition.go
@@ -29,16 +29,12 @@
 	local := c.LocalAddr().(*net.TCPAddr)
 	lip := local.IP.To4()
 	peer := fmt.Sprintf("%02X%02X%02X%02X:%04X", lip[3], lip[2], lip[1], lip[0], local.Port)
-	inode := ""
-	for line := range strings.Lines(string(table)) {
-		fields := strings.Fields(line)
-		if len(fields) > 9 && fields[1] == want && fields[2] == peer {
-			inode = fields[9]
-		}
-	}
-	if inode == "" {
+	_, row, found := strings.Cut(string(table), want+" "+peer+" ")
+	fields := strings.Fields(row)
+	if !found || len(fields) < 7 {
 		return false
 	}
+	inode := fields[6]
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	entries, err := os.ReadDir(dir)
 	if err != nil {
@@ -85,8 +81,8 @@
 	store.Put("op/config", Configuration{
 		Version: 7, Limits: limits,
 		Routes: []Route{
-			{Name: "r-upis", Host: "dnevnik.example", PathPrefix: "/upis/", Kind: "non_idempotent", TimeoutMs: 5000, GoalMs: 300, Priority: 2, Service: "dnevnik-app", Attempts: 2},
-			{Name: "r-pregled", Host: "dnevnik.example", PathPrefix: "/pregled/", Kind: "idempotent", TimeoutMs: 5000, GoalMs: 300, Priority: 2, Service: "dnevnik-app", Attempts: 2},
+			{Name: "r-upis", Host: "dnevnik.example", PathPrefix: "/upis/", Kind: "non_idempotent", TimeoutMs: 5000, GoalMs: 1000, Priority: 2, Service: "dnevnik-app", Attempts: 2},
+			{Name: "r-pregled", Host: "dnevnik.example", PathPrefix: "/pregled/", Kind: "idempotent", TimeoutMs: 5000, GoalMs: 1000, Priority: 2, Service: "dnevnik-app", Attempts: 2},
 		},
 		Services: []Service{plainService("dnevnik-app")},
 		Tenants: []Tenant{
