Placement: a wrong expectation of a service no longer shuts it out

Cause: the expected time of an answer was an average that only answers change, counted queueing twice (once in the samples, once for the queue of now), and was one figure for all targets. A request is refused if it is over the latency objective, so nothing was sent, answered or corrected. Class: an action on a belief that only the refused action could correct. The fit of engines' first bytes, the slowdown of a target, the smallest allowed pause and the use of this region's figures for other regions had the same fault.

An answer within the limit replaces what was learned before. - Samples lose weight with time (package latency, linearFit); answers are counted without the queue that was there; a target whose answers differ from its service's by a factor of two counts by its own. - A first-byte timeout is a sample too, as otherwise a target that got slower is given up each time before its answer shows that. - Regions tell each other their own latency while it is recent. - The log line of such a refusal names what is open at the targets, what each is expected to take and the age of the last sample; trials are counted.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -181,7 +181,7 @@
 	g.Picker, g.Limiter, g.RetryBudget, g.Pool, g.Decisions = &e.picker, &e.quota, &e.budget, &e.pool, e.decisions
 	g.Metrics = gateway.Metrics{
 		Forwarded: func(bytes int) { e.countPeerMessage("forward", true, bytes) },
-		Retry:     e.meter.CountRetry, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait,
+		Retry:     e.meter.CountRetry, LatencyTrial: e.meter.CountLatencyTrial, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait,
 		RequestDone: func(route, code string, status int, duration, firstByte time.Duration) {
 			e.traffic.count(e.now(), route)
 			e.meter.ObserveRequest(route, code, status, duration, firstByte)
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -16,6 +16,10 @@
 // requests to where it knows the region's waiting times from a hub.
 const forwardPeersPerRegion = 3
 
+// latencyMaxAge is how old the last sample of a service's latency may be for other regions to
+// be told of it.
+const latencyMaxAge = 2 * time.Second
+
 func (e *Edge) buildHeartbeats() {
 	e.gossiper = &gossip.Gossiper{
 		Self: e.self, Members: &e.memberTable, Now: e.now, Decisions: e.decisions,
@@ -80,7 +84,11 @@
 	var list []*fleet.Room
 	for _, name := range e.targets.services() {
 		if wait, ok := e.picker.QueueWait(now, e.targets.usable(name), c.Service(name), coldShare); ok {
-			list = append(list, &fleet.Room{Service: name, Wait: wait.Seconds() * 1000})
+			room := &fleet.Room{Service: name, Wait: wait.Seconds() * 1000}
+			if l, learnedAt, ok := e.picker.ServiceLatency(c.Service(name)); ok && now.Sub(learnedAt) <= latencyMaxAge {
+				room.Base, room.Token = l.Base.Seconds()*1000, l.PerToken.Seconds()*1000
+			}
+			list = append(list, room)
 		}
 	}
 	return list
@@ -132,8 +140,8 @@
 		if m.Region == e.Settings().Region || m.Leaving || !m.Ready || !permits(m.Region) {
 			continue
 		}
-		if wait, ok := e.remoteWaits.lookup(now, m.Name, service); ok {
-			list = append(list, gateway.RemoteInstance{Member: m, Wait: wait + e.gossiper.RoundTripTime(m.Name)})
+		if w, ok := e.remoteWaits.lookup(now, m.Name, service); ok {
+			list = append(list, gateway.RemoteInstance{Member: m, Wait: w.queue + e.gossiper.RoundTripTime(m.Name), Latency: w.latency})
 		} else {
 			unheard[m.Region] = append(unheard[m.Region], m)
 		}
@@ -142,9 +150,9 @@
 		if slices.ContainsFunc(list, func(r gateway.RemoteInstance) bool { return r.Member.Region == region }) {
 			continue
 		}
-		if wait, ok := e.remoteWaits.lookupRelayed(now, region, service); ok {
+		if w, ok := e.remoteWaits.lookupRelayed(now, region, service); ok {
 			for _, m := range hub.Nearest(e.Settings().Name, members, forwardPeersPerRegion) {
-				list = append(list, gateway.RemoteInstance{Member: m, Wait: wait})
+				list = append(list, gateway.RemoteInstance{Member: m, Wait: w.queue, Latency: w.latency})
 			}
 		}
 	}
--- a/chervilyard/edge/remote_waits.go
+++ b/chervilyard/edge/remote_waits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilyard.example/yard/fleet"
+	"chervilyard.example/yard/placement"
 )
 
 // remoteWaitMaxAge is how long the waiting times reported by a remote member are valid.
@@ -24,7 +25,13 @@
 	at        time.Time // when a member of the region reported them
 	region    string
 	path      time.Duration // round trip to the region, if relayed
-	byService map[string]time.Duration
+	byService map[string]regionWait
+}
+
+// regionWait is how long a request of a service takes in a region.
+type regionWait struct {
+	queue   time.Duration
+	latency placement.ServiceLatency // zero if unknown
 }
 
 // hear records the waiting times in a heartbeat from a member of another region.
@@ -34,7 +41,7 @@
 	if r.byMember == nil {
 		r.byMember = make(map[string]reportedWaits)
 	}
-	w := reportedWaits{at: now, region: region, byService: make(map[string]time.Duration, len(h.GetRooms()))}
+	w := reportedWaits{at: now, region: region, byService: make(map[string]regionWait, len(h.GetRooms()))}
 	for _, room := range h.GetRooms() {
 		w.byService[room.GetService()] = roomWait(room)
 	}
@@ -53,7 +60,7 @@
 		if !ok {
 			w = reportedWaits{
 				at: written.Add(-time.Duration(max(room.GetAge(), 0)) * time.Millisecond), region: room.GetRegion(),
-				path: time.Duration(room.GetPath()) * time.Millisecond, byService: make(map[string]time.Duration),
+				path: time.Duration(room.GetPath()) * time.Millisecond, byService: make(map[string]regionWait),
 			}
 		}
 		w.byService[room.GetService()] = roomWait(room)
@@ -85,7 +92,8 @@
 		w := r.byMember[member]
 		for service, wait := range w.byService {
 			rooms = append(rooms, &fleet.Room{
-				Service: service, Wait: wait.Seconds() * 1000, Region: region,
+				Service: service, Wait: wait.queue.Seconds() * 1000, Region: region,
+				Base: wait.latency.Base.Seconds() * 1000, Token: wait.latency.PerToken.Seconds() * 1000,
 				Age: now.Sub(w.at).Milliseconds() + 1, Path: path(member).Milliseconds(),
 			})
 		}
@@ -95,7 +103,7 @@
 
 // lookup returns the waiting time for a service that the member reported within
 // remoteWaitMaxAge, and false if there is none.
-func (r *remoteWaits) lookup(now time.Time, member, service string) (time.Duration, bool) {
+func (r *remoteWaits) lookup(now time.Time, member, service string) (regionWait, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.byMember[member].wait(now, service)
@@ -103,22 +111,24 @@
 
 // lookupRelayed returns the waiting time for a service in a region, including the round
 // trip, that was relayed, and false if there is none from within remoteWaitMaxAge.
-func (r *remoteWaits) lookupRelayed(now time.Time, region, service string) (time.Duration, bool) {
+func (r *remoteWaits) lookupRelayed(now time.Time, region, service string) (regionWait, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.byRegion[region]
 	wait, ok := w.wait(now, service)
-	return wait + w.path, ok
+	wait.queue += w.path
+	return wait, ok
 }
 
-func (w reportedWaits) wait(now time.Time, service string) (time.Duration, bool) {
+func (w reportedWaits) wait(now time.Time, service string) (regionWait, bool) {
 	if now.Sub(w.at) > remoteWaitMaxAge {
-		return 0, false
+		return regionWait{}, false
 	}
 	wait, ok := w.byService[service]
 	return wait, ok
 }
 
-func roomWait(room *fleet.Room) time.Duration {
-	return time.Duration(room.GetWait() * float64(time.Millisecond))
+func roomWait(room *fleet.Room) regionWait {
+	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+	return regionWait{queue: ms(room.GetWait()), latency: placement.ServiceLatency{Base: ms(room.GetBase()), PerToken: ms(room.GetToken())}}
 }
--- a/chervilyard/edge/remote_waits_test.go
+++ b/chervilyard/edge/remote_waits_test.go
@@ -17,7 +17,7 @@
 	hub.hear(now.Add(100*time.Millisecond), "west", &fleet.Heartbeat{Name: "w2", Rooms: []*fleet.Room{{Service: "s", Wait: 60}}})
 	written := now.Add(500 * time.Millisecond)
 	member.hearRelayed(written, hub.relay(written, path))
-	if wait, ok := member.lookupRelayed(written, "west", "s"); !ok || wait != 170*time.Millisecond {
+	if wait, ok := member.lookupRelayed(written, "west", "s"); !ok || wait.queue != 170*time.Millisecond {
 		t.Errorf("the wait is %v, %v", wait, ok)
 	}
 	if _, ok := member.lookupRelayed(written, "west", "other"); ok {
@@ -26,7 +26,7 @@
 	later := now.Add(100*time.Millisecond + remoteWaitMaxAge)
 	hub.hear(later, "west", &fleet.Heartbeat{Name: "w1"}) // has no target of the service any more
 	member.hearRelayed(written, []*fleet.Room{{Service: "s", Wait: 1, Region: "west", Age: 5000}})
-	if wait, _ := member.lookupRelayed(written, "west", "s"); wait != 170*time.Millisecond {
+	if wait, _ := member.lookupRelayed(written, "west", "s"); wait.queue != 170*time.Millisecond {
 		t.Errorf("an older report replaced the newer one: %v", wait)
 	}
 	if _, ok := member.lookupRelayed(later.Add(time.Millisecond), "west", "s"); ok {
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -15,6 +15,10 @@
 // refused immediately.
 const maxWaitFraction = 0.7
 
+// suitedTimeLeft is how many times the wait limit a request has left at least that goes first
+// as a trial: its caller gets an answer even if it is late.
+const suitedTimeLeft = 2
+
 // destination is where an attempt is sent: a target of this region, or an
 // instance of another one.
 type destination struct {
@@ -42,12 +46,21 @@
 	})
 	preferredRegion := g.setPreferredTarget(x, &dest.request, remotes)
 	local, ok := g.Picker.EstimateBest(now, candidates, dest.request, dest.coldShare)
+	spillTo := -1
+	var remoteEstimates []spill.RemoteEstimate
 	if !x.forwarded { // a forwarded request is never forwarded again
-		remoteEstimates := g.remoteEstimates(dest.request, remotes, preferredRegion)
-		if i := spill.ChooseRegion(local, ok, remoteEstimates, x.tried, waitLimit); i >= 0 {
-			return destination{remote: &remotes[i], remoteWait: remoteEstimates[i].Estimate.Wait}, nil
+		remoteEstimates = g.remoteEstimates(dest.request, remotes, preferredRegion)
+		spillTo = spill.ChooseRegion(local, ok, remoteEstimates, x.tried, waitLimit)
+	}
+	slower := spillTo >= 0 && local.Wait > remoteEstimates[spillTo].Estimate.Wait // and not chosen for its cache
+	if ok && (slower || local.Wait > waitLimit) {
+		if trial, ok := g.chooseTrial(now, x, dest, remotes, spillTo >= 0, waitLimit); ok {
+			return trial, nil
 		}
 	}
+	if spillTo >= 0 {
+		return destination{remote: &remotes[spillTo], remoteWait: remoteEstimates[spillTo].Estimate.Wait}, nil
+	}
 	x.awaitsProof = (!ok || local.Wait > waitLimit) && g.Picker.AwaitsProof(now, candidates, dest.request, dest.coldShare)
 	switch {
 	case !ok:
@@ -55,12 +68,36 @@
 		x.deferral, _ = g.Picker.DeferralLeft(now, candidates)
 		return destination{}, g.noTarget(x)
 	case local.Wait > waitLimit:
-		x.detail = fmt.Sprintf("%d targets here, the best in %v, allowed %v", len(candidates), local.Wait.Round(time.Millisecond), waitLimit.Round(time.Millisecond))
+		x.detail = fmt.Sprintf("%d targets here, the best in %v, allowed %v: %s", len(candidates), local.Wait.Round(time.Millisecond), waitLimit.Round(time.Millisecond),
+			g.Picker.DescribeLoad(now, candidates, dest.request))
 		return destination{}, g.refuse(x, "overloaded", "the targets would not answer in time", max(local.Wait/2, x.remoteRetryAfter))
 	}
 	return dest, nil
 }
 
+// chooseTrial chooses a destination for a request that this region is expected to serve too
+// slowly, or that another one would serve for that reason. What is expected is learned from
+// answers, so without such requests a wrong expectation would last. It returns false if the
+// request is not to be a trial. Only the first attempt of a request may be one.
+func (g *Gateway) chooseTrial(now time.Time, x *exchange, dest destination, remotes []RemoteInstance, forwarding bool, waitLimit time.Duration) (destination, bool) {
+	if len(x.tried) > 0 {
+		return destination{}, false
+	}
+	terms := placement.TrialTerms{Limit: waitLimit, Suited: x.route.Idempotent() && x.deadline.Sub(now) > suitedTimeLeft*waitLimit, Forwarding: forwarding}
+	dest.ticket = g.Picker.ChooseTrial(now, dest.local, dest.request, dest.coldShare, terms)
+	if dest.ticket == nil {
+		if forwarding || len(remotes) == 0 || remotes[0].Wait >= waitLimit || !g.Picker.StartRemoteTrial(now, dest.request, dest.coldShare, terms) {
+			return destination{}, false
+		}
+		dest = destination{remote: &remotes[0], remoteWait: waitLimit}
+	}
+	x.latencyTrial = true
+	if g.Metrics.LatencyTrial != nil {
+		g.Metrics.LatencyTrial(x.service)
+	}
+	return dest, true
+}
+
 // waitLimit returns the longest acceptable expected wait for the first byte. Under
 // overload, a queue as long as the route's latency objective keeps the targets as
 // busy as a longer one would, and the admitted requests still meet the objective.
@@ -93,7 +130,7 @@
 	estimates := make([]spill.RemoteEstimate, len(remotes))
 	for i, remote := range remotes {
 		region := remote.Member.Region
-		estimates[i] = spill.RemoteEstimate{Region: region, Estimate: g.Picker.EstimateRemote(r, remote.Wait, region == preferredRegion)}
+		estimates[i] = spill.RemoteEstimate{Region: region, Estimate: g.Picker.EstimateRemote(r, remote.Wait, remote.Latency, region == preferredRegion)}
 	}
 	return estimates
 }
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -67,10 +67,16 @@
 			return err
 		}
 		if verdict.Blocked() && !g.startTrial(ctx, now, x, verdict) {
+			if dest.ticket != nil {
+				dest.ticket.End(now, placement.Withheld)
+			}
 			return g.refusePart(now, x, verdict)
 		}
 		if dest.remote == nil {
-			if dest.ticket = g.Picker.Choose(now, dest.local, dest.request, dest.coldShare); dest.ticket == nil {
+			if dest.ticket == nil {
+				dest.ticket = g.Picker.Choose(now, dest.local, dest.request, dest.coldShare)
+			}
+			if dest.ticket == nil {
 				return g.noTarget(x)
 			}
 			if !g.obtainPermit(ctx, now, x, dest.ticket) {
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -88,6 +88,9 @@
 	// Forwarded is called for each request that is sent to another region, with the size of
 	// its body in bytes.
 	Forwarded func(bytes int)
+	// LatencyTrial is called for each request that is sent to learn how long a service takes,
+	// although it is expected to take too long.
+	LatencyTrial func(service string)
 	// Retry is called for each retry.
 	Retry func(service, reason string)
 	// ResponseEnd is called for each response that only the end of its connection ends,
@@ -206,6 +209,8 @@
 type RemoteInstance struct {
 	Member membership.Member
 	Wait   time.Duration // expected queueing time there plus the network round trip
+	// Latency is that of the service in the region, zero if nothing recent is known of it.
+	Latency placement.ServiceLatency
 }
 
 // InFlight returns the number of requests in flight.
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -65,6 +65,9 @@
 	if x.expectedFirstByte > 0 {
 		parts = append(parts, "expected="+x.expectedFirstByte.Round(time.Millisecond).String())
 	}
+	if x.latencyTrial {
+		parts = append(parts, "latency_trial")
+	}
 	if x.framing != "" {
 		parts = append(parts, "framing="+x.framing)
 	}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -89,6 +89,7 @@
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	permitLog         []string      // of each target with a rate limit, for the log
 	permitsRefused    int           // how often no permit could be obtained
+	latencyTrial      bool          // sent to learn how long the service takes
 	awaitsProof       bool          // a target can take the request once it is proved to be warm
 	proofWaited       time.Duration // time waited for that
 	skipped           int           // responses to other requests on its connections
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -57,6 +57,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_repeats_total{service=%q,reason=%q}`, service, reason)).Inc()
 }
 
+// CountLatencyTrial counts a request that was sent to learn how long a service takes.
+func (m *Meter) CountLatencyTrial(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_latency_trials_total{service=%q}`, service)).Inc()
+}
+
 // CountResponseEnd counts a response that only the end of its connection ended, or that
 // ended inside an event, by its framing and its end.
 func (m *Meter) CountResponseEnd(framing, end string) {
--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
 )
 
@@ -27,10 +28,38 @@
 	return preferred, found
 }
 
+// ServiceLatency is the expected time from the start of processing to the first byte of an
+// answer, or for a plain service until the whole answer. It depends on the region. The zero
+// value is unknown.
+type ServiceLatency struct {
+	Base     time.Duration // for an empty prompt
+	PerToken time.Duration // for each prompt token in addition
+}
+
+// IsZero reports whether the latency is unknown.
+func (l ServiceLatency) IsZero() bool { return l == ServiceLatency{} }
+
+// ServiceLatency returns what this instance learned of the service, and the time of the last
+// sample. It returns false if there is none.
+func (p *Picker) ServiceLatency(s service.Service) (ServiceLatency, time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.service(s.Name())
+	if state.learnedAt.IsZero() {
+		return ServiceLatency{}, time.Time{}, false
+	}
+	if s.Slots() == 0 {
+		return ServiceLatency{Base: milliseconds(state.answer.Mean(defaultAnswerMS))}, state.learnedAt, true
+	}
+	base, perToken := p.prefillCost(s.Name())
+	return ServiceLatency{Base: milliseconds(base), PerToken: milliseconds(perToken)}, state.learnedAt, true
+}
+
 // EstimateRemote estimates r in another region, where queueWait is the expected
-// queueing time plus the network delay. If preferred is true, that region has the
+// queueing time plus the network delay, and told is the latency there, or zero if that of
+// this region has to stand for it. If preferred is true, that region has the
 // preferred target of the prompt, and its shared parts count as cached.
-func (p *Picker) EstimateRemote(r Request, queueWait time.Duration, preferred bool) Estimate {
+func (p *Picker) EstimateRemote(r Request, queueWait time.Duration, told ServiceLatency, preferred bool) Estimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cachedTokens := 0
@@ -39,7 +68,12 @@
 			cachedTokens += part.Tokens
 		}
 	}
-	wait := queueWait + milliseconds(p.processingMS(r, r.PromptTokens-cachedTokens))
+	uncachedTokens := r.PromptTokens - cachedTokens
+	processing := milliseconds(p.processingMS(r, uncachedTokens))
+	if !told.IsZero() {
+		processing = told.Base + time.Duration(uncachedTokens)*told.PerToken
+	}
+	wait := queueWait + processing
 	return Estimate{Wait: wait, Cost: wait - milliseconds(p.savedMS(r, cachedTokens)*affinityFactor)}
 }
 
@@ -52,7 +86,7 @@
 // pausePenaltyMS returns the penalty in milliseconds for the recent stream pauses
 // of a target.
 func (p *Picker) pausePenaltyMS(now time.Time, s *targetState, service string) float64 {
-	gap := p.minGaps[service]
+	gap := p.service(service).minGap
 	if gap <= 0 {
 		return 0
 	}
@@ -60,8 +94,18 @@
 	return max(excess, 0) / (1 - freePauseFraction) * pauseCostMS
 }
 
+// targetProcessingMS returns the milliseconds from the start of processing at a target to the
+// first byte, or for a plain service until the whole answer. A plain target is estimated by its
+// own answers, so that slow ones do not make the others look slow.
+func (p *Picker) targetProcessingMS(now time.Time, s *targetState, r Request, uncachedTokens int) float64 {
+	if r.Service.Slots() == 0 {
+		return p.answerMS(now, s, r.Service.Name())
+	}
+	return p.processingMS(r, uncachedTokens) * s.slowdownFactor(now)
+}
+
 // processingMS returns the milliseconds from the start of processing to the first
-// byte for a request with uncachedTokens prompt tokens to process.
+// byte for a request with uncachedTokens prompt tokens to process, at any target.
 func (p *Picker) processingMS(r Request, uncachedTokens int) float64 {
 	if r.Service.Slots() == 0 {
 		return p.averageAnswerMS(r.Service.Name())
@@ -76,15 +120,9 @@
 func (p *Picker) queueMS(now time.Time, t *target.Target, r Request) float64 {
 	s := p.state(t.Name())
 	open, waiting, memory := p.totalLoad(now, t.Name(), s)
-	answerMS := p.averageAnswerMS(r.Service.Name())
-	if s.answerMS > 0 {
-		answerMS = s.answerMS
-	}
+	answerMS := p.answerMS(now, s, r.Service.Name())
 	slots := max(t.Capacity(), 1)
-	queued := 0.0
-	if open >= slots {
-		queued = float64(open-slots+1) / float64(slots) * answerMS
-	}
+	queued := queuedRounds(open, slots) * answerMS
 	if limit := r.Service.MemoryTokens(); limit > 0 && memory+r.PromptTokens+r.MaxOutputTokens > limit {
 		queued = max(queued, answerMS*float64(memory+r.PromptTokens+r.MaxOutputTokens-limit)/float64(limit))
 	}
@@ -95,7 +133,16 @@
 	base, perToken := p.prefillCost(r.Service.Name())
 	queued += base * s.decayedFailureRate(now) * failurePenalty
 	queued += p.pausePenaltyMS(now, s, r.Service.Name())
-	return queued + ((float64(waiting)+crowding*float64(r.PromptTokens))*perToken+crowding*base)*s.slowdownFactor()
+	return queued + ((float64(waiting)+crowding*float64(r.PromptTokens))*perToken+crowding*base)*s.slowdownFactor(now)
+}
+
+// queuedRounds returns how many durations of an answer a request waits for a slot behind open
+// requests.
+func queuedRounds(open, slots int) float64 {
+	if open < slots {
+		return 0
+	}
+	return float64(open-slots+1) / float64(slots)
 }
 
 // totalLoad returns the load of the target summed over this instance and all others, as far
@@ -131,28 +178,30 @@
 // prefillCost returns the milliseconds to the first byte for an empty prompt and the
 // additional milliseconds for each prompt token.
 func (p *Picker) prefillCost(service string) (base, perToken float64) {
-	fit := p.prefillFits[service]
-	if fit == nil {
-		return defaultAnswerMS, defaultPerTokenMS
-	}
-	return fit.coefficients(defaultAnswerMS, defaultPerTokenMS)
+	return p.service(service).prefillFit.coefficients(defaultAnswerMS, defaultPerTokenMS)
 }
 
 // averageAnswerMS returns the average duration of a complete answer, or
 // defaultAnswerMS if no request of the service has been answered.
 func (p *Picker) averageAnswerMS(service string) float64 {
-	if v := p.serviceAnswerMS[service]; v > 0 {
-		return v
-	}
-	return defaultAnswerMS
+	return p.service(service).answer.Mean(defaultAnswerMS)
 }
 
-// recordGap keeps the smallest Request.MaxEventGap of the service.
-func (p *Picker) recordGap(service string, gap time.Duration) {
-	if p.minGaps == nil {
-		p.minGaps = make(map[string]time.Duration)
+// answerMS returns the expected duration of a complete answer of a target. It is that of its
+// service unless the target's own samples differ by more than distinctFactor, so that targets of
+// one kind share the requests evenly.
+func (p *Picker) answerMS(now time.Time, s *targetState, service string) float64 {
+	average := p.averageAnswerMS(service)
+	own := s.answer.Blend(now, average)
+	if own < average*distinctFactor && own > average/distinctFactor {
+		return average
 	}
-	if old, ok := p.minGaps[service]; !ok || gap < old {
-		p.minGaps[service] = gap
+	return own
+}
+
+// recordGap keeps the smallest Request.MaxEventGap of recent requests.
+func (s *serviceState) recordGap(now time.Time, gap time.Duration) {
+	if s.minGap == 0 || gap <= s.minGap || now.Sub(s.minGapAt) > minGapTTL {
+		s.minGap, s.minGapAt = gap, now
 	}
 }
--- a/yard/placement/linear_fit.go
+++ b/yard/placement/linear_fit.go
@@ -1,8 +1,17 @@
 package placement
 
-// sampleDecay is the factor applied to the weight of older samples at each new
-// sample.
-const sampleDecay = 0.98
+import (
+	"math"
+	"time"
+)
+
+const (
+	// sampleDecay is the factor applied to the weight of older samples at each new
+	// sample.
+	sampleDecay = 0.98
+	// fitHalfLife is the age at which a sample has lost half of its weight.
+	fitHalfLife = 3 * time.Second
+)
 
 // linearFit is a least-squares fit of a straight line, with exponentially decaying
 // sample weights. It models the time to the first byte as a fixed part plus a part
@@ -10,14 +19,17 @@
 // other fields are weighted sums of x, y and their products.
 type linearFit struct {
 	n, x, y, xx, xy float64
+	lastAt          time.Time // of the last sample
 }
 
-func (l *linearFit) add(x, y float64) {
-	l.n = l.n*sampleDecay + 1
-	l.x = l.x*sampleDecay + x
-	l.y = l.y*sampleDecay + y
-	l.xx = l.xx*sampleDecay + x*x
-	l.xy = l.xy*sampleDecay + x*y
+func (l *linearFit) add(now time.Time, x, y float64) {
+	decay := sampleDecay * math.Exp2(-max(now.Sub(l.lastAt).Seconds(), 0)/fitHalfLife.Seconds())
+	l.n = l.n*decay + 1
+	l.x = l.x*decay + x
+	l.y = l.y*decay + y
+	l.xx = l.xx*decay + x*x
+	l.xy = l.xy*decay + x*y
+	l.lastAt = now
 }
 
 // coefficients returns the fitted intercept and slope, or the given defaults for
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -32,8 +32,14 @@
 	// decays with failureHalfLife.
 	failureWeight   = 0.25
 	failureHalfLife = 3 * time.Second
-	// sampleWeight is the weight of the newest sample in moving averages.
-	sampleWeight = 0.1
+	// successWeight is the weight of one success in the failure rate.
+	successWeight = 0.1
+	// distinctFactor is the ratio of durations from which a target counts as faster or slower
+	// than its service.
+	distinctFactor = 2
+	// minGapTTL is how long the smallest allowed pause of a service counts after the last
+	// request that had it.
+	minGapTTL = 10 * time.Second
 	// failurePenalty is the cost of a certain failure, in multiples of the time
 	// to the first byte of an empty prompt or, for a plain service, of the
 	// average duration of an answer.
@@ -176,19 +182,17 @@
 // Picker holds the state of the region's targets and chooses among them. The zero
 // value is ready to use. It is safe for concurrent use.
 type Picker struct {
-	mu              sync.Mutex
-	targets         map[string]*targetState
-	peers           map[string]peerLoads
-	peerTotals      map[string]Load          // sums over the peers whose reports count, by target
-	peerExpiry      time.Time                // no report of a peer expires before
-	others          map[string]Load          // of all other instances, as a hub reported it, by target
-	othersAt        time.Time                // when that report arrived
-	prefillFits     map[string]*linearFit    // milliseconds to the first byte over prompt tokens, by service
-	serviceAnswerMS map[string]float64       // average duration of an answer, by service
-	minGaps         map[string]time.Duration // smallest Request.MaxEventGap seen, by service
-	listedAt        time.Time                // when the last list of targets was requested
-	reserved        map[string]bool          // see ReserveForChecks
-	readmitted      map[string]time.Time     // when a data centre last got requests again
+	mu         sync.Mutex
+	targets    map[string]*targetState
+	peers      map[string]peerLoads
+	peerTotals map[string]Load // sums over the peers whose reports count, by target
+	peerExpiry time.Time       // no report of a peer expires before
+	others     map[string]Load // of all other instances, as a hub reported it, by target
+	othersAt   time.Time       // when that report arrived
+	services   map[string]*serviceState
+	listedAt   time.Time            // when the last list of targets was requested
+	reserved   map[string]bool      // see ReserveForChecks
+	readmitted map[string]time.Time // when a data centre last got requests again
 
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
 	// math/rand are used. It must not be changed after first use.
@@ -480,7 +484,7 @@
 			continue
 		}
 		cachedTokens := p.cachedPrefix(now, p.state(t.Name()), r.Parts, t.Name() == r.PreferredTarget)
-		waitMS := p.queueMS(now, t, r) + p.processingMS(r, r.PromptTokens-cachedTokens)*p.state(t.Name()).slowdownFactor()
+		waitMS := p.queueMS(now, t, r) + p.targetProcessingMS(now, p.state(t.Name()), r, r.PromptTokens-cachedTokens)
 		if costMS := waitMS - p.savedMS(r, cachedTokens)*affinityFactor; costMS < minCostMS {
 			best, bestWaitMS, minCostMS = t, waitMS, costMS
 		}
@@ -523,9 +527,9 @@
 		uncachedTokens: max(r.PromptTokens-p.cachedPrefix(now, s, r.Parts, false), 0), memoryTokens: r.PromptTokens + r.MaxOutputTokens, isEngine: r.Service.Slots() > 0,
 	}
 	if r.MaxEventGap > 0 {
-		p.recordGap(ticket.service, r.MaxEventGap)
+		p.service(ticket.service).recordGap(now, r.MaxEventGap)
 	}
-	_, ticket.tokensAhead, _ = p.totalLoad(now, t.Name(), s)
+	ticket.openAhead, ticket.tokensAhead, _ = p.totalLoad(now, t.Name(), s)
 	s.open++
 	if ticket.isProbe = s.failures > 0; ticket.isProbe {
 		s.probing++
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chervilyard.example/yard/coldlimit"
+	"chervilyard.example/yard/latency"
 	"chervilyard.example/yard/warmup"
 )
 
@@ -24,18 +25,19 @@
 	memoryTokens  int
 	failures      int // consecutive ejections; 0 after a first byte or an answer
 	ejectedUntil  time.Time
-	deferredUntil time.Time // until when the target wants no requests of this instance
-	failureRate   float64   // moving average of the fraction of failed requests, as of failureRateAt
-	failureRateAt time.Time // when failureRate was last updated
-	answerMS      float64   // moving average; 0 if unknown
+	deferredUntil time.Time       // until when the target wants no requests of this instance
+	failureRate   float64         // moving average of the fraction of failed requests, as of failureRateAt
+	failureRateAt time.Time       // when failureRate was last updated
+	answer        latency.Average // duration of an answer of a plain service without queueing
 	centre        string
 	warmup        warmup.State
 	lastColdUntil time.Time            // end of the last cold time that was reported, for the log
 	lastSuspected time.Time            // last sign of a possible restart, dismissed or not
 	window        coldlimit.Window     // requests sent while the target was cold
 	partsUsed     map[string]time.Time // last use of each prompt part, by ID
-	slowdown      float64              // time to the first byte relative to the fit of the service; 0 if unknown
-	maxPauseMS    float64              // longest recent pause between two events of a stream, as of maxPauseAt
+	slowdown      latency.Average      // time to the first byte relative to the fit of the service
+	lastTrial     time.Time
+	maxPauseMS    float64 // longest recent pause between two events of a stream, as of maxPauseAt
 	maxPauseAt    time.Time
 }
 
@@ -67,7 +69,7 @@
 }
 
 func (s *targetState) recordSuccess(now time.Time) {
-	s.failureRate, s.failureRateAt = s.decayedFailureRate(now)*(1-sampleWeight), now
+	s.failureRate, s.failureRateAt = s.decayedFailureRate(now)*(1-successWeight), now
 }
 
 // decayedPauseMS returns the longest recent pause in milliseconds, decayed with
@@ -80,13 +82,9 @@
 }
 
 // slowdownFactor returns the time to the first byte at the target relative to its
-// service, 1 if unknown.
-func (s *targetState) slowdownFactor() float64 {
-	if s.slowdown == 0 {
-		return 1
-	}
-	return s.slowdown
-}
+// service. It approaches 1 without new samples, so that a target that was slow once is
+// chosen again.
+func (s *targetState) slowdownFactor(now time.Time) float64 { return s.slowdown.Blend(now, 1) }
 
 const maxParts = 4096 // prompt parts of one target above which expired ones are evicted
 
@@ -99,6 +97,30 @@
 	}
 }
 
+// serviceState is what this instance learned of the latency of a service.
+type serviceState struct {
+	answer     latency.Average // duration of an answer of a plain service without queueing
+	prefillFit linearFit       // milliseconds to the first byte over prompt tokens
+	learnedAt  time.Time       // last sample of any of them; zero if there is none
+	minGap     time.Duration   // smallest recent Request.MaxEventGap, 0 if there is none
+	minGapAt   time.Time       // when a request with that gap was last sent
+	lastTrial  time.Time
+	badTrials  int // consecutive trials without an answer within the limit
+}
+
+// service returns the state of the named service and creates it if necessary.
+func (p *Picker) service(name string) *serviceState {
+	if p.services == nil {
+		p.services = make(map[string]*serviceState)
+	}
+	s := p.services[name]
+	if s == nil {
+		s = &serviceState{}
+		p.services[name] = s
+	}
+	return s
+}
+
 // state returns the state of the named target and creates it if necessary.
 func (p *Picker) state(name string) *targetState {
 	if p.targets == nil {
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chervilyard.example/yard/latency"
 	"chervilyard.example/yard/target"
 )
 
@@ -30,7 +31,8 @@
 	chosenAt        time.Time
 	expectedWait    time.Duration
 	uncachedTokens  int // prompt tokens that the target is expected to process
-	tokensAhead     int // prompt tokens that waited at the target when it was chosen
+	openAhead       int // requests that were open at the target when it was chosen
+	tokensAhead     int // prompt tokens that waited there
 	memoryTokens    int
 	isEngine        bool
 	belief          *coldBelief // about the target when it was chosen; see Picker.coldBelief
@@ -45,6 +47,7 @@
 	alternativeWait time.Duration // expected time to the first byte there
 	permitUntil     time.Time     // when the permit for the request expires; zero if there is none
 	isProbe         bool          // sent after an ejection; shows whether the target has recovered
+	trial           *trial        // set if the target was expected to take too long
 	gotFirst        bool
 	ended           bool
 }
@@ -135,20 +138,24 @@
 	if !t.isEngine || t.tokensAhead+t.uncachedTokens <= 0 {
 		return
 	}
-	if t.picker.prefillFits == nil {
-		t.picker.prefillFits = make(map[string]*linearFit)
+	service := t.picker.service(t.service)
+	fit := &service.prefillFit
+	if t.trialSucceeded(now) {
+		*fit, s.slowdown = linearFit{}, latency.Average{}
 	}
-	fit := t.picker.prefillFits[t.service]
-	if fit == nil {
-		fit = &linearFit{}
-		t.picker.prefillFits[t.service] = fit
-	}
-	tookMS := now.Sub(t.chosenAt).Seconds() * 1000
+	t.recordSlowdown(now, s)
+	fit.add(now, float64(t.tokensAhead+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
+	service.learnedAt = now
+}
+
+// recordSlowdown records the time that the request has waited for its first byte relative to
+// that at the service's other targets.
+func (t *Ticket) recordSlowdown(now time.Time, s *targetState) {
+	fit := &t.picker.service(t.service).prefillFit
 	base, perToken := fit.coefficients(defaultAnswerMS, defaultPerTokenMS)
 	if fittedMS := base + float64(t.tokensAhead+t.uncachedTokens)*perToken; fit.determined() && fittedMS > 0 {
-		s.slowdown = min(max(movingAverage(s.slowdown, tookMS/fittedMS), 1/maxSlowdown), maxSlowdown)
+		s.slowdown.Add(now, min(max(now.Sub(t.chosenAt).Seconds()*1000/fittedMS, 1/maxSlowdown), maxSlowdown))
 	}
-	fit.add(float64(t.tokensAhead+t.uncachedTokens), tookMS)
 }
 
 // maxSlowdown is the largest slowdown of a target relative to its service, and
@@ -198,6 +205,9 @@
 	if !t.gotFirst {
 		t.stopWaiting(s)
 	}
+	if t.trial != nil && !t.trial.ended && (o == TimedOut || o == ConnectionBroken) {
+		t.picker.service(t.service).badTrials++
+	}
 	t.recordOutcome(now, s, o)
 }
 
@@ -215,12 +225,7 @@
 	case Answered:
 		s.failures = 0
 		s.recordSuccess(now)
-		tookMS := now.Sub(t.chosenAt).Seconds() * 1000
-		s.answerMS = movingAverage(s.answerMS, tookMS)
-		if t.picker.serviceAnswerMS == nil {
-			t.picker.serviceAnswerMS = make(map[string]float64)
-		}
-		t.picker.serviceAnswerMS[t.service] = movingAverage(t.picker.serviceAnswerMS[t.service], tookMS)
+		t.recordAnswer(now, s)
 	case Failed:
 		s.failures = 0
 		s.recordFailure(now)
@@ -235,6 +240,7 @@
 		t.suspect(now, s, o)
 	case TimedOut:
 		s.recordFailure(now)
+		t.recordSilence(now, s)
 	case Replaced:
 		t.eject(now, s)
 	case Overloaded:
@@ -262,11 +268,36 @@
 	s.ejectedUntil = now.Add(d)
 }
 
-// movingAverage returns the exponentially weighted moving average after a new
-// sample, which is the sample itself if average is not positive.
-func movingAverage(average, sample float64) float64 {
-	if average <= 0 {
-		return sample
+// answerMS returns the milliseconds since the target was chosen without those that a request
+// waits behind the ones that were open there.
+func (t *Ticket) answerMS(now time.Time) float64 {
+	return now.Sub(t.chosenAt).Seconds() * 1000 / (1 + queuedRounds(t.openAhead, max(t.target.Capacity(), 1)))
+}
+
+// recordAnswer records the duration of a complete answer.
+func (t *Ticket) recordAnswer(now time.Time, s *targetState) {
+	service, ms := t.picker.service(t.service), t.answerMS(now)
+	if !t.isEngine && t.trialSucceeded(now) {
+		s.answer.Reset(now, ms)
+		service.answer.Reset(now, ms)
+	} else {
+		s.answer.Add(now, ms)
+		service.answer.Add(now, ms)
+	}
+	if !t.isEngine {
+		service.learnedAt = now
+	}
+}
+
+// recordSilence records how long the request waited in vain if that is longer than the target
+// was expected to take. Otherwise a target that got slower would be given up each time before
+// its answer shows that.
+func (t *Ticket) recordSilence(now time.Time, s *targetState) {
+	switch {
+	case t.gotFirst || now.Sub(t.chosenAt) <= t.expectedWait:
+	case t.isEngine:
+		t.recordSlowdown(now, s)
+	default:
+		s.answer.Add(now, t.answerMS(now))
 	}
-	return average + (sample-average)*sampleWeight
 }
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -161,6 +162,27 @@
 	return strings.Join(list, ", ")
 }
 
+// DescribeLoad returns a list of the usable candidates for the log, each with the requests that
+// are open there, the expected time without queueing and the age of the last sample of it.
+func (p *Picker) DescribeLoad(now time.Time, candidates []target.Target, r Request) string {
+	const maxDescribed = 4
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for i := range candidates[:min(len(candidates), maxDescribed)] {
+		t := &candidates[i]
+		s := p.state(t.Name())
+		open, _, _ := p.totalLoad(now, t.Name(), s)
+		age := "never"
+		if at := s.lastSample(); !at.IsZero() {
+			age = formatMillis(now.Sub(at))
+		}
+		processing := milliseconds(p.targetProcessingMS(now, s, r, r.PromptTokens))
+		list = append(list, fmt.Sprintf("%s open=%d takes=%s seen=%s", t.Name(), open, formatMillis(processing), age))
+	}
+	return strings.Join(list, ", ")
+}
+
 // usable reports whether the target can get the request now.
 func (p *Picker) usable(now time.Time, t *target.Target, r Request, coldShare ColdShare) bool {
 	s := p.state(t.Name())
