Edge: an instance cut off from all targets serves through the others

Cause: requests were forwarded to other regions only, nothing told "I cannot reach the targets" from "the targets are down", and a connection that is reset after it is made ejects no target, so each request met the same fault.

Change: - Package reachability takes the outcomes of new connections, of requests and health checks, as evidence: open connections may live on while new ones are refused. Silence of half a second starts a health check. An instance counts as cut off from a service once all its targets, or five of them, failed since the last answer on a new connection; two answers in a row end it after a second at least. Targets that have not failed are checked first. - Such an instance forwards requests to a ready instance beside it that does not say the same, over the one hop that a request may take, under the same checks of residency, deadline and retry budget. If all say it, requests go to the targets as before: those are more likely down. - It stays ready. The directory names it only if the caller's region has no other. Heartbeats tell which services an instance does not reach; others do not forward to it or rely on its health checks, and it tells neither waits of such services nor the load of requests it sent before.

Failed before: without the change TestCutOffInstanceServesThroughOthers (links refused, reset, hanging and half-open, one and two of three instances) fails in all eight cases, in six of them with none of 160 requests served there from StableMs after the cut; with it all are served in all eight, before StableMs too, none runs twice, and the instance serves by itself within two seconds of the end. TestAllInstancesCutOff: all are named and serve again.

A request that was open as the links were cut, and broke by that, is excused there: the trace names its connection as broken at that moment.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -30,6 +30,7 @@
 	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
+	"chervilyard.example/yard/reachability"
 	"chervilyard.example/yard/retry"
 	"chervilyard.example/yard/steadyclock"
 	"chervilyard.example/yard/suspect"
@@ -49,6 +50,9 @@
 	Now       func() time.Time
 	// Listen listens on an address. If it is nil, net.Listen with TCP is used.
 	Listen func(address string) (net.Listener, error)
+	// Dial connects to targets and to the instances that requests are forwarded to. If it is
+	// nil, pool.Dial is used.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Edge is a running instance. Start creates it and Stop shuts it down gracefully.
@@ -102,6 +106,8 @@
 	suspectWrite sync.Mutex    // held while the store's entry of suspects is written
 	suspectRetry time.Time     // no write before it; used with suspectWrite held
 	liveness     liveness.Checker
+	reach        reachability.Monitor
+	unreached    atomic.Pointer[unreachedServices] // nil if there are none yet
 
 	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
 	ctx                         context.Context
@@ -119,6 +125,7 @@
 func Start(ctx context.Context, c Config) (*Edge, error) {
 	e := &Edge{store: c.Store, decisions: c.Decisions, meter: c.Meter, now: c.Now, started: c.Now(), runID: membership.NewRun(c.Now(), rand.Int64()), eraChanged: make(chan struct{}, 1), suspectNews: make(chan struct{}, 1), limitReached: make(chan string, 64)}
 	e.settings.Store(&c.Settings)
+	e.pool.Dial, e.liveness.Dial = c.Dial, c.Dial
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	listen := c.Listen
 	if listen == nil {
@@ -206,6 +213,7 @@
 		e.logDecision("target", "dismissed", name+": the list still has the run")
 	}
 	g.Suspects, g.TargetEnded, g.TrialRank, g.ClaimTrial = &e.suspects, e.liveness.Ended, e.trialRank, e.claimTrial
+	g.OnConnFailed, g.OnConnAnswered, g.OnSilent, g.IsCutOff = e.recordConnFailed, e.recordConnAnswered, e.checkSilent, e.isCutOff
 	g.SuspectsKnown = e.suspectsLoaded
 	g.Random = rand.Float64
 	g.Cutoff = func() (time.Time, bool) {
@@ -219,6 +227,12 @@
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
 	e.meter.Gauge("chervil_blocked_parts", func() float64 { return float64(e.suspects.Blocked()) })
 	e.meter.Gauge("chervil_target_limits", func() float64 { return float64(e.rates.InEffect()) })
+	e.meter.Gauge("chervil_services_unreached", func() float64 {
+		if u := e.unreached.Load(); u != nil {
+			return float64(len(u.names))
+		}
+		return 0
+	})
 	e.meter.Gauge("chervil_lists_old", func() float64 {
 		if e.knowledgeIsOld(e.now()) {
 			return 1
@@ -298,6 +312,7 @@
 		e.pool.CloseExpired(now)
 		e.endRollbacks(now)
 		e.targets.leaving.evict(now)
+		e.reach.Retain(func(name string) bool { _, ok := e.targets.get(name); return ok })
 		e.evictRates(now)
 		e.divideQuota(now)
 		e.coldTargetShare(now) // keeps the history of positions current without requests
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -36,6 +36,7 @@
 	now       func() time.Time
 	// wrapListener wraps the listeners of the instances. It may be nil.
 	wrapListener func(net.Listener) net.Listener
+	targetLinks  targetLinks // between instances and targets
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -94,6 +95,9 @@
 			RetryLimits: retry.Limits{Window: 10 * time.Second, RetriesPerRequest: 0.2, ExtraRetries: 20}, ColdRateFactor: 1.5, ColdExtraRequests: 3,
 		},
 		Store: f.store.storeFor(name), Protocol: testProtocol, Decisions: log, Meter: meter.New(), Now: f.now, Listen: f.listen,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return f.targetLinks.dial(ctx, name, address)
+		},
 	})
 	if err != nil {
 		cancel()
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"chervilyard.example/chervilyard/gateway"
@@ -10,6 +11,7 @@
 	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/hub"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/placement"
 )
 
 // forwardPeersPerRegion is the number of instances of another region that this one forwards
@@ -33,10 +35,14 @@
 
 func (e *Edge) self(now time.Time) membership.Member {
 	s := e.Settings()
-	return membership.Member{
+	m := membership.Member{
 		Name: s.Name, Run: e.runID, Region: s.Region, Centre: s.Centre, Callers: s.CallerAddr, Forward: s.ForwardAddr,
 		Peers: s.PeerAddr, Leaving: e.leaving(), Ready: e.Ready(), Capacity: s.Capacity, Heard: now,
 	}
+	if u := e.unreached.Load(); u != nil {
+		m.Unreached, m.Isolated = strings.Join(u.names, "\n"), u.isolated
+	}
+	return m
 }
 
 // heartbeatPayload returns the content of a heartbeat or a reply to a member: digests, and
@@ -54,10 +60,10 @@
 		h.Limits = e.tellRates(now, false)
 		return h
 	case isHub && !plan.Includes(to.Name):
-		h.Others = encodeLoads(e.picker.LoadsWithout(now, to.Name))
+		h.Others = encodeLoads(e.picker.LoadsWithout(now, to.Name, e.tellsLoad))
 		h.Rooms = e.remoteWaits.relay(now, e.gossiper.RoundTripTime)
 	default:
-		h.Loads = encodeLoads(e.picker.Loads())
+		h.Loads = encodeLoads(slices.DeleteFunc(e.picker.Loads(), func(l placement.Load) bool { return !e.tellsLoad(l.Target) }))
 	}
 	h.Leaving = e.targets.leaving.list(now, isHub)
 	h.Checks = e.checks.tell(now, isHub)
@@ -83,6 +89,9 @@
 	coldShare := e.coldTargetShare(now)
 	var list []*fleet.Room
 	for _, name := range e.targets.services() {
+		if e.unreached.Load().includes(name) {
+			continue
+		}
 		if wait, ok := e.picker.QueueWait(now, e.targets.usable(name), c.Service(name), coldShare); ok {
 			room := &fleet.Room{Service: name, Wait: wait.Seconds() * 1000}
 			if l, learnedAt, ok := e.picker.ServiceLatency(c.Service(name)); ok && now.Sub(learnedAt) <= latencyMaxAge {
@@ -130,14 +139,15 @@
 }
 
 // remoteInstances returns the ready instances of the other permitted regions, in order
-// of the expected wait including the round trip. It omits those of which no waiting time for
+// of the expected wait including the round trip, and those of this region that it is to use
+// while it is cut off itself. It omits those of which no waiting time for
 // the service is known that was reported within remoteWaitMaxAge. Of a region whose waiting
 // times a hub relayed it returns forwardPeersPerRegion instances.
 func (e *Edge) remoteInstances(now time.Time, service string, permits func(string) bool) []gateway.RemoteInstance {
 	var list []gateway.RemoteInstance
 	unheard := make(map[string][]membership.Member)
 	for _, m := range e.memberTable.Live(now, liveTimeout) {
-		if m.Region == e.Settings().Region || m.Leaving || !m.Ready || !permits(m.Region) {
+		if m.Region == e.Settings().Region || m.Leaving || !m.Ready || !m.Reaches(service) || !permits(m.Region) {
 			continue
 		}
 		if w, ok := e.remoteWaits.lookup(now, m.Name, service); ok {
@@ -156,6 +166,9 @@
 			}
 		}
 	}
+	if e.unreached.Load().includes(service) && permits(e.Settings().Region) {
+		list = append(list, e.instancesBeside(now, service)...)
+	}
 	slices.SortStableFunc(list, func(a, b gateway.RemoteInstance) int { return cmp.Compare(a.Wait, b.Wait) })
 	return list
 }
--- a/chervilyard/edge/probe.go
+++ b/chervilyard/edge/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"sync"
@@ -101,12 +102,17 @@
 		},
 		OnWritten: func() { check.Sent(e.now()) },
 	})
+	now := e.now()
 	if err != nil {
+		var poolErr *pool.Error
+		if e.ctx.Err() == nil && (!errors.As(err, &poolErr) || poolErr.Op != pool.OpAdmit) {
+			e.recordConnFailed(now, t)
+		}
 		e.logDecision("target", "not proved", t.Name()+": "+err.Error())
 		return
 	}
 	defer resp.Close()
-	now := e.now()
+	e.recordConnAnswered(now, t, false)
 	name, cold, healthy := e.gateway.Protocol.ParseHealth(resp.Status, resp.Header)
 	class := e.gateway.Protocol.ClassifyResponse(resp.Status, resp.Header)
 	if name == t.Name() && class.Leaving {
--- a/chervilyard/edge/silence_test.go
+++ b/chervilyard/edge/silence_test.go
@@ -94,7 +94,8 @@
 				if rand.IntN(4) == 0 {
 					method, path = http.MethodGet, "/quick/"
 				}
-				o.add(period, send(edges[rand.IntN(len(edges))], fmt.Sprint("q", n), method, path+fmt.Sprint(n), nil))
+				id := fmt.Sprintf("%p-%d", o, n)
+				o.add(period, send(edges[rand.IntN(len(edges))], id, method, path+fmt.Sprint(n), nil))
 			})
 		}
 	})
--- a/chervilyard/edge/soak_test.go
+++ b/chervilyard/edge/soak_test.go
@@ -45,6 +45,10 @@
 // in the other soaks.
 func TestSoakRepeatedRequest(t *testing.T) { runSoaks(t, soakKind{restores: true, repeats: true}) }
 
+// Guards against an instance that is cut off from all targets and fails its requests, among all
+// that happens in the other soaks.
+func TestSoakCutOff(t *testing.T) { runSoaks(t, soakKind{isolates: true}) }
+
 // runSoaks runs a soak of the kind for each seed.
 func runSoaks(t *testing.T, kind soakKind) {
 	for seed := range *soakSeeds {
@@ -67,6 +71,7 @@
 	restores  bool // the store comes back from older copies
 	turnsCold bool // some targets turn cold
 	repeats   bool // one request comes again and again that ends its targets
+	isolates  bool // an instance is cut off from all targets of its region
 }
 
 // soak is the state of one soak. Callers and targets run in their own goroutines.
@@ -75,11 +80,12 @@
 	f    *fleet
 	kind soakKind
 
-	judged []*judgedTarget
-	floods []*coldError
-	cold   map[*healthTarget]targetEntry // targets that turn cold in evacuations, with their entries
-	links  links
-	ends   crashes // of targets under the request that comes again
+	judged    []*judgedTarget
+	floods    []*coldError
+	cold      map[*healthTarget]targetEntry // targets that turn cold in evacuations, with their entries
+	links     links
+	isolation isolation
+	ends      crashes // of targets under the request that comes again
 
 	starting sync.Mutex // held while an instance is started
 
@@ -109,9 +115,13 @@
 }
 
 // isExcused reports whether an instance was killed while it had the request: the one that
-// got it from the caller, or one that it was forwarded to.
+// got it from the caller, or one that it was forwarded to; or whether its connection to the
+// target was cut.
 func (s *soak) isExcused(id string, c cutOff) bool {
 	history := s.history(id)
+	if s.isolation.crosses(c) && strings.Contains(history, "broken=") {
+		return true
+	}
 	return slices.ContainsFunc(s.kills, func(k kill) bool {
 		during := k.at.After(c.sent.Add(-time.Second)) && k.at.Before(c.end.Add(time.Second))
 		return k.callers == c.callers || during && triedAt(history, k.name)
@@ -143,7 +153,7 @@
 			continue
 		}
 		h := &healthTarget{name: target, serve: s.target}
-		s.f.addTarget(target, target[:4]+"-a", h.ServeHTTP)
+		s.isolation.addTarget(s.f.addTarget(target, target[:4]+"-a", h.ServeHTTP))
 	}
 	s.cold = make(map[*healthTarget]targetEntry)
 	for _, target := range []string{"east-3", "west-3"} {
@@ -160,12 +170,15 @@
 		j := &judgedTarget{name: name}
 		s.judged = append(s.judged, j)
 		h := &healthTarget{name: name, serve: s.judgedHandler(j)}
-		s.f.addTarget(name, name[:4]+"-a", h.ServeHTTP)
+		s.isolation.addTarget(s.f.addTarget(name, name[:4]+"-a", h.ServeHTTP))
 	}
 	s.f.wrapListener = s.links.wrap
 	for n := range 2 {
 		s.instances = append(s.instances, s.start("east", n), s.start("west", n))
 	}
+	if kind.isolates { // one that runs all the while and reaches the targets
+		s.instances = append(s.instances, s.start("east", 2))
+	}
 	s.f.waitReady()
 	ctx, cancel := context.WithTimeout(context.Background(), soakTime)
 	defer cancel()
@@ -185,6 +198,9 @@
 	if kind.repeats {
 		running.Go(func() { s.repeat(ctx) })
 	}
+	if kind.isolates {
+		running.Go(func() { s.isolate(ctx) })
+	}
 	running.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -210,6 +226,9 @@
 	for _, err := range s.floods {
 		t.Error(s.describe(err))
 	}
+	if err := s.isolation.judge(); err != nil {
+		t.Error(err)
+	}
 	if err := judgeRepeated(&s.ends); err != nil {
 		t.Error(s.describeRepeated(err))
 	}
@@ -338,6 +357,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isolation.record(sent, c.RemoteAddr().String(), err == nil && resp.StatusCode == http.StatusOK)
 	if err != nil {
 		if now := time.Now(); now.Sub(sent) < soakTimeout {
 			s.cut[id] = cutOff{err, c.RemoteAddr().String(), sent, now}
@@ -385,6 +405,9 @@
 		e := s.instances[n]
 		s.mu.Unlock()
 		settings := e.Settings()
+		if s.kind.isolates && settings.Name == isolatedInstance {
+			continue // only instances that keep running are judged
+		}
 		if s.intN(4) == 0 {
 			s.mu.Lock()
 			s.kills = append(s.kills, kill{settings.Name, settings.CallerAddr, time.Now()})
--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -346,7 +346,7 @@
 				route.New("quick", route.KindService, route.Timeout(5*time.Second), route.Repeatable(true), route.Forward(route.Forwarding{
 					Host: "h.example", Prefix: "/quick/", Services: []route.WeightedService{{Service: "s", Weight: 1}}, Attempts: 2, LatencyObjective: 300 * time.Millisecond,
 				})),
-				route.New("once", route.KindService, route.Timeout(5*time.Second), route.Forward(route.Forwarding{
+				route.New("once", route.KindService, route.Timeout(5*time.Second), route.Repeatable(false), route.Forward(route.Forwarding{
 					Host: "h.example", Prefix: "/once/", Services: []route.WeightedService{{Service: "s", Weight: 1}}, Attempts: 2, LatencyObjective: 300 * time.Millisecond,
 				})),
 				route.New("stream", route.KindService, route.Timeout(2*time.Second), route.Forward(route.Forwarding{
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -143,6 +143,7 @@
 				return
 			case <-ticker.C:
 				e.checkTargets(e.now())
+				e.checkReach(e.now())
 			case name := <-e.limitReached:
 				e.checkNow(e.now(), name)
 			}
@@ -184,7 +185,7 @@
 	for _, name := range e.coldTargetShare(now).Holders(t.Name(), c.Service(services[0])) {
 		if name == e.Settings().Name {
 			order = append(order, e.self(now))
-		} else if m, ok := e.memberTable.Get(name); ok && now.Sub(m.Heard) < liveTimeout && !e.asking.isSilent(now, name) {
+		} else if m, ok := e.memberTable.Get(name); ok && now.Sub(m.Heard) < liveTimeout && m.Reaches(services[0]) && !e.asking.isSilent(now, name) {
 			order = append(order, m)
 		}
 	}
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -36,7 +36,8 @@
 // the error is the refusal for the caller.
 func (g *Gateway) chooseDestination(now time.Time, x *exchange) (destination, error) {
 	var candidates []target.Target
-	if x.permits(g.Region) {
+	x.cutOff = g.IsCutOff != nil && g.IsCutOff(now, x.service)
+	if x.permits(g.Region) && !x.cutOff {
 		candidates = g.Targets(now, x.service)
 	}
 	waitLimit := g.waitLimit(now, x)
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -34,6 +34,9 @@
 	// and longer than firstByteWaitFactor times the expected wait.
 	firstByteObjectiveFraction = 0.75
 	firstByteWaitFactor        = 4
+	// A target that has not responded for silenceThreshold and firstByteWaitFactor times the
+	// expected wait may be out of reach.
+	silenceThreshold = 500 * time.Millisecond
 )
 
 const codeCallerGone = "caller_gone"
@@ -135,13 +138,25 @@
 		a.firstByte.Start(firstByteTimeout, func() bool { return g.giveUp(&state, cancel) })
 		defer a.firstByte.Stop()
 	}
+	stopWatch := g.watchSilence(now, dest)
 	resp, err := g.send(ctx, a)
+	stopWatch()
 	if err != nil {
 		return g.handleFailure(ctx, a, err)
 	}
 	return g.handleResponse(ctx, a, resp)
 }
 
+// watchSilence calls OnSilent if the target does not respond in time, unless the returned
+// function is called before.
+func (g *Gateway) watchSilence(now time.Time, dest destination) (stop func()) {
+	if dest.ticket == nil || g.OnSilent == nil {
+		return func() {}
+	}
+	timer := time.AfterFunc(max(silenceThreshold, firstByteWaitFactor*dest.expectedWait()), func() { g.OnSilent(dest.ticket.Target(), now) })
+	return func() { timer.Stop() }
+}
+
 // giveUp cancels an attempt without a timely first byte if the request can be sent to
 // another destination, for which it draws on the retry budget. It reports whether the
 // attempt was canceled.
@@ -271,6 +286,9 @@
 		x.possibleRuns--
 		x.deliveries--
 	}
+	if failedConn := ctx.Err() == nil && !a.headerRead && poolErr != nil && !poolErr.Kept && poolErr.Op != pool.OpAdmit; failedConn && a.dest.ticket != nil && g.OnConnFailed != nil {
+		g.OnConnFailed(now, a.dest.ticket.Target())
+	}
 	switch {
 	case errors.Is(cause, errFirstByteTimeout):
 		g.endAttempt(a, now, placement.TimedOut)
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -28,6 +28,7 @@
 	headerPart           = "Chervil-Part"      // in a refusal: the part of the prompt because of which it is refused
 	headerConfirmed      = "Chervil-Confirmed" // in such a refusal: set if a trial has confirmed it
 	headerLeaving        = "Chervil-Leaving"   // in a refusal: set if only this instance refuses, because it is stopping
+	headerElsewhere      = "Chervil-Elsewhere" // in a refusal: set if another instance of the region may serve it
 )
 
 // setForwardingHeaders sets the headers that tell the receiving instance what
@@ -48,9 +49,9 @@
 	}
 }
 
-// ServeForwarded serves a request that an instance of another region forwarded, using
-// a target of this region. It never forwards the request again, which prevents
-// forwarding loops.
+// ServeForwarded serves a request that an instance of another region forwarded, or one of
+// this region that is cut off, using a target of this region. It never forwards the request
+// again, which prevents forwarding loops.
 func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -125,8 +125,9 @@
 	// ColdShare returns how the instances of the region share the request rate of
 	// cold targets.
 	ColdShare func(now time.Time) placement.ColdShare
-	// Remotes returns the instances of other regions that may serve the request,
-	// best first, with the expected wait at each.
+	// Remotes returns the instances of other regions that may serve the request, and those of
+	// this region that reach targets of which this instance is cut off, best first, with the
+	// expected wait at each.
 	Remotes func(now time.Time, service string, permits func(region string) bool) []RemoteInstance
 	// OnRemoteLeaving is called with an instance that refused a forwarded request
 	// because it is stopping. It may be nil.
@@ -187,6 +188,17 @@
 	// OnSuspectedRestart is called with a target that may have restarted. It may be
 	// nil.
 	OnSuspectedRestart func(t target.Target)
+	// OnConnFailed is called with a target to which a new connection could not be made or broke
+	// before a response, and OnConnAnswered with one that responded and whether the connection
+	// had a request before. They may be nil.
+	OnConnFailed   func(now time.Time, t target.Target)
+	OnConnAnswered func(now time.Time, t target.Target, kept bool)
+	// OnSilent is called with a target that has not responded to a request, which has waited
+	// since a time, for longer than a working one should take. It may be nil.
+	OnSilent func(t target.Target, since time.Time)
+	// IsCutOff reports whether this instance reaches no target of the service in its region,
+	// and another instance there may. Such requests are forwarded to it. It may be nil.
+	IsCutOff func(now time.Time, service string) bool
 	// Random returns a uniformly distributed random number in [0, 1).
 	Random func() float64
 	// Cutoff returns the time at which the instance cuts off open requests, and
@@ -205,7 +217,7 @@
 	Waited    time.Duration
 }
 
-// RemoteInstance is an instance of another region.
+// RemoteInstance is an instance that requests are forwarded to.
 type RemoteInstance struct {
 	Member membership.Member
 	Wait   time.Duration // expected queueing time there plus the network round trip
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -48,6 +48,9 @@
 	a.headerRead = true
 	x.skipped += resp.Skipped
 	g.recordAlive(a)
+	if a.dest.ticket != nil && g.OnConnAnswered != nil {
+		g.OnConnAnswered(g.Now(), a.dest.ticket.Target(), resp.Kept)
+	}
 	g.closeAfterResponse(x)
 	if a.dest.remote != nil {
 		x.addRemoteCounts(resp.Header)
@@ -140,6 +143,9 @@
 		return false, g.refusePart(g.Now(), a.x, v)
 	}
 	if run == refusal.RunNo {
+		if resp.Header.Get(headerElsewhere) != "" {
+			a.x.untry(a.dest.remote.Member.Region)
+		}
 		if resp.Header.Get(headerLeaving) != "" {
 			a.x.untry(a.dest.remote.Member.Region)
 			if g.OnRemoteLeaving != nil {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -89,6 +89,7 @@
 	coldBeliefs       []string      // of each attempt at a cold or recently cold target, for the log
 	permitLog         []string      // of each target with a rate limit, for the log
 	permitsRefused    int           // how often no permit could be obtained
+	cutOff            bool          // this instance reaches no target of the service, and another of its region may
 	latencyTrial      bool          // sent to learn how long the service takes
 	awaitsProof       bool          // a target can take the request once it is proved to be warm
 	proofWaited       time.Duration // time waited for that
@@ -266,6 +267,9 @@
 		if r.Code == codeLeaving {
 			x.w.Header().Set(headerLeaving, "yes")
 		}
+		if x.cutOff {
+			x.w.Header().Set(headerElsewhere, "yes")
+		}
 		x.setVerdictHeaders(x.w.Header())
 		x.w.Header().Set(headerRetryAfterMS, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 		x.setCountHeaders(x.w.Header())
--- a/chervilyard/gossip/connection.go
+++ b/chervilyard/gossip/connection.go
@@ -108,6 +108,7 @@
 	return &fleet.Member{
 		Name: m.Name, Run: m.Run, Region: m.Region, Centre: m.Centre, Callers: m.Callers, Forward: m.Forward,
 		Peers: m.Peers, Leaving: m.Leaving, Ready: m.Ready, Capacity: m.Capacity, Age: AgeMillis(now, m.Heard),
+		Unreached: m.Unreached, Isolated: m.Isolated,
 	}
 }
 
@@ -123,6 +124,7 @@
 	return membership.Member{
 		Name: m.GetName(), Run: m.GetRun(), Region: m.GetRegion(), Centre: m.GetCentre(), Callers: m.GetCallers(),
 		Forward: m.GetForward(), Peers: m.GetPeers(), Leaving: m.GetLeaving(), Ready: m.GetReady(), Capacity: m.GetCapacity(),
+		Unreached: m.GetUnreached(), Isolated: m.GetIsolated(),
 		Heard: written.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
 	}
 }
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -45,6 +45,7 @@
 	Op        string // "dial", OpAdmit, "write" or "read"; other packages may set other operations
 	Address   string
 	MaybeSent bool // a byte may have reached the server
+	Kept      bool // the connection had a request before
 	Err       error
 }
 
@@ -80,6 +81,9 @@
 // Pool holds idle connections by address. The zero value is ready to use. A Pool is
 // safe for concurrent use.
 type Pool struct {
+	// Dial connects to an address within the time in which a new connection is worth waiting
+	// for. If it is nil, Dial of this package is used.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial is called with the address of each new connection. It may be nil.
 	OnDial func(address string)
 
@@ -114,12 +118,12 @@
 		}
 		var poolErr *Error
 		if errors.As(err, &poolErr) {
-			poolErr.Address = address
+			poolErr.Address, poolErr.Kept = address, c.kept
 			return nil, poolErr
 		}
-		return nil, &Error{Op: "read", Address: address, MaybeSent: true, Err: err}
+		return nil, &Error{Op: "read", Address: address, MaybeSent: true, Kept: c.kept, Err: err}
 	}
-	resp.stopClose = stopClose
+	resp.stopClose, resp.Kept = stopClose, c.kept
 	resp.release = func(c *conn) { p.putIdle(address, c) }
 	return resp, nil
 }
@@ -137,12 +141,11 @@
 		}
 		_ = c.raw.Close() // expired, closed by the server, or has unread data
 	}
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
+	dial := p.Dial
+	if dial == nil {
+		dial = Dial
 	}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +155,16 @@
 	return newConn(raw), nil
 }
 
+// Dial connects to an address with TCP. Connections whose other end is silent for seconds fail.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
+		Control:         setUserTimeout,
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -60,6 +60,8 @@
 	Length int64
 	// Skipped is the number of responses to other requests that came before this one.
 	Skipped int
+	// Kept states that the connection had a request before.
+	Kept bool
 
 	conn        *conn
 	body        io.ReadCloser
--- a/yard/discovery/discovery.go
+++ b/yard/discovery/discovery.go
@@ -15,7 +15,8 @@
 
 // Pick returns the instances that are ready and not leaving in the caller's data
 // centre. If there are none, it returns those of the caller's region, and if that
-// has none either, those of the regions with the highest share. The function share
+// has none either, those of the regions with the highest share. Within the region, isolated
+// instances come last: they serve requests through the others. The function share
 // returns the fraction of the caller's traffic that a region may serve, from 0 to
 // 1. If it returns 0 for all regions, the instances of all regions are returned.
 //
@@ -25,12 +26,15 @@
 func Pick(members []membership.Member, c Caller, share func(region string) float64) []membership.Member {
 	available := filter(members, func(m membership.Member) bool { return m.Ready && !m.Leaving })
 	inRegion := func(m membership.Member) bool { return m.Region == c.Region }
-	for _, match := range []func(membership.Member) bool{
-		func(m membership.Member) bool { return m.Centre == c.Centre },
-		inRegion,
-	} {
-		if list := filter(available, match); len(list) > 0 {
-			return list
+	reaching := filter(available, func(m membership.Member) bool { return !m.Isolated })
+	for _, candidates := range [][]membership.Member{reaching, available} {
+		for _, match := range []func(membership.Member) bool{
+			func(m membership.Member) bool { return m.Centre == c.Centre },
+			inRegion,
+		} {
+			if list := filter(candidates, match); len(list) > 0 {
+				return list
+			}
 		}
 	}
 	maxShare := 0.0
--- a/yard/discovery/discovery_test.go
+++ b/yard/discovery/discovery_test.go
@@ -11,7 +11,7 @@
 
 // TestScripts runs the scripts in testdata. Their steps are
 //
-//	member NAME CENTRE [leaving|starting]
+//	member NAME CENTRE [leaving|starting|isolated]
 //	pick CENTRE [REGION=SHARE]... -> [NAME]...
 //
 // where the first sets the state of an instance, and the second checks which
@@ -28,7 +28,9 @@
 					order = append(order, s.Words[1])
 				}
 				m := membership.Member{Name: s.Words[1], Centre: s.Words[2], Region: regionOf(s.Words[2]), Ready: true}
-				if len(s.Words) > 3 {
+				if len(s.Words) > 3 && s.Words[3] == "isolated" {
+					m.Isolated = true
+				} else if len(s.Words) > 3 {
 					m.Leaving, m.Ready = s.Words[3] == "leaving", s.Words[3] == "leaving"
 				}
 				members[m.Name] = m
--- a/yard/membership/membership.go
+++ b/yard/membership/membership.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,12 @@
 
 	Capacity int64 // of its processor, in thousandths of a core; 0 if unknown
 
+	// Services of which the instance reaches no target of its region, sorted and separated by
+	// line ends, and whether it reaches none of any service. It serves requests for them
+	// through other instances. The entry in the store does not hold them.
+	Unreached string `json:"-"`
+	Isolated  bool   `json:"-"`
+
 	// How many instances of the fleet and of its region the instance knew, including
 	// itself, when it wrote its entry in the store. Heartbeats do not carry it.
 	Fleet, Neighbours int
@@ -56,7 +63,16 @@
 	}
 	buf = binary.LittleEndian.AppendUint64(buf, uint64(m.Run))
 	buf = binary.LittleEndian.AppendUint64(buf, uint64(m.Capacity))
-	return xxhash.Sum64(append(buf, boolByte(m.Leaving), boolByte(m.Ready)))
+	buf = append(buf, boolByte(m.Leaving), boolByte(m.Ready))
+	if m.Unreached != "" {
+		buf = append(append(buf, m.Unreached...), 0, boolByte(m.Isolated))
+	}
+	return xxhash.Sum64(buf)
+}
+
+// Reaches reports whether the instance reaches targets of the service, as far as it says.
+func (m Member) Reaches(service string) bool {
+	return m.Unreached == "" || !slices.Contains(strings.Split(m.Unreached, "\n"), service)
 }
 
 // fingerprintCapBytes is the initial capacity of the buffer that Fingerprint hashes. It
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -315,9 +315,9 @@
 	p.othersAt = now
 }
 
-// LoadsWithout returns the loads of this instance and of the peers but the named one,
-// sorted by target.
-func (p *Picker) LoadsWithout(now time.Time, peer string) []Load {
+// LoadsWithout returns the loads of the peers but the named one, and those of this instance of
+// the targets for which include returns true, sorted by target.
+func (p *Picker) LoadsWithout(now time.Time, peer string, include func(targetName string) bool) []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expirePeers(now)
@@ -329,7 +329,7 @@
 		totals[l.Target] = totals[l.Target].add(l, -1)
 	}
 	for name, s := range p.targets {
-		if s.open > 0 {
+		if s.open > 0 && include(name) {
 			totals[name] = totals[name].add(s.load(name), 1)
 		}
 	}
--- a/yard/placement/stale_loads_test.go
+++ b/yard/placement/stale_loads_test.go
@@ -112,7 +112,7 @@
 			if h := turn % f.hubs; h != i {
 				f.pickers[h].UpdatePeerLoads(f.clock(), fmt.Sprint(i), f.pickers[i].Loads())
 				if i >= f.hubs {
-					f.pickers[i].UpdateOtherLoads(f.clock(), f.pickers[h].LoadsWithout(f.clock(), fmt.Sprint(i)))
+					f.pickers[i].UpdateOtherLoads(f.clock(), f.pickers[h].LoadsWithout(f.clock(), fmt.Sprint(i), func(string) bool { return true }))
 				}
 			}
 			f.at(f.now+interval, exchange)
