Edge: a cut link is not taken for the end of a target

What callers saw: with links that refuse connections, a request that was open several times at the moment of the cut, the same each time, was blocked in the whole fleet as one that crashes targets: four blocks within a run of TestCutOffInstanceMisleadsNobody/refused.

Cause: a target counts as ended if its connection broke and its address refuses connections. An instance that is cut off sees just that of all targets at once, and tells it to the fleet.

Change: while an instance reaches none of a service's targets, one beside it has to confirm that a target refuses connections. It answers from a connection of its own, without a health check, so the limit of cold targets does not matter. With no such instance the word stands as before.

Failed before: with the check replaced by the former one the test fails, in two of two runs, with four requests blamed; with it, it passes, and the tests of crashing targets and repeated requests pass as before.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -212,7 +212,7 @@
 	e.picker.OnDismissed = func(_ time.Time, name string) {
 		e.logDecision("target", "dismissed", name+": the list still has the run")
 	}
-	g.Suspects, g.TargetEnded, g.TrialRank, g.ClaimTrial = &e.suspects, e.liveness.Ended, e.trialRank, e.claimTrial
+	g.Suspects, g.TargetEnded, g.TrialRank, g.ClaimTrial = &e.suspects, e.targetEnded, e.trialRank, e.claimTrial
 	g.OnConnFailed, g.OnConnAnswered, g.OnSilent, g.IsCutOff = e.recordConnFailed, e.recordConnAnswered, e.checkSilent, e.isCutOff
 	g.SuspectsKnown = e.suspectsLoaded
 	g.Random = rand.Float64
--- a/chervilyard/edge/reach.go
+++ b/chervilyard/edge/reach.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"chervilyard.example/chervilyard/gateway"
+	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/target"
 )
@@ -142,6 +145,39 @@
 	return !ok || !slices.ContainsFunc(t.Routes(), u.includes)
 }
 
+// targetEnded reports whether the target at an address, whose connection broke, has ended. One
+// that refuses connections may be out of reach of this instance alone, so if none of the
+// service's targets can be reached, another instance has to confirm it.
+func (e *Edge) targetEnded(ctx context.Context, now time.Time, address string) bool {
+	if !e.liveness.Ended(ctx, now, address) {
+		return false
+	}
+	t, ok := e.targets.at(address)
+	if !ok {
+		return true
+	}
+	now = e.now()
+	e.recordConnFailed(now, t)
+	for _, service := range t.Routes() {
+		if !e.unreached.Load().includes(service) {
+			continue
+		}
+		for _, m := range e.membersBeside(now, service)[:min(1, len(e.membersBeside(now, service)))] {
+			answer, err := e.gossiper.RequestProof(ctx, m, &fleet.Check{Run: targetRunHash(t), End: true})
+			return err != nil || answer.GetRun() != targetRunHash(t)
+		}
+	}
+	return true
+}
+
+// acceptsConnections answers another instance whether a target still accepts connections.
+func (e *Edge) acceptsConnections(ctx context.Context, t target.Target) *fleet.Check {
+	if e.liveness.Ended(ctx, e.now(), t.Address()) {
+		return &fleet.Check{}
+	}
+	return &fleet.Check{Run: targetRunHash(t)}
+}
+
 // byService returns the names of the region's targets that may get requests, by service.
 func (t *targetList) byService() map[string][]string {
 	t.mu.Lock()
@@ -156,3 +192,15 @@
 	}
 	return services
 }
+
+// at returns the region's target at an address.
+func (t *targetList) at(address string) (target.Target, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for candidate := range maps.Values(t.local) {
+		if candidate.Address() == address {
+			return candidate, true
+		}
+	}
+	return target.Target{}, false
+}
--- a/chervilyard/edge/reach_test.go
+++ b/chervilyard/edge/reach_test.go
@@ -159,6 +159,57 @@
 	}
 }
 
+// Guards against an instance that is cut off and misleads the others: another region, which has
+// no targets and forwards all its requests, must be served through the instances that reach
+// them, and a request that comes again and again at the one that does not must not be blamed
+// for targets that have not ended.
+func TestCutOffInstanceMisleadsNobody(t *testing.T) {
+	for _, kind := range []string{"refused", "hanging"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f := newCutFleet(t)
+			west := f.start("west", 0)
+			f.waitReady()
+			var far, others outcomes
+			stop := make(chan struct{})
+			var repeating sync.WaitGroup
+			waitFar, waitOthers := sendRequests([]*edge.Edge{west}, 40, &far, stop), sendRequests(f.edges[1:], 40, &others, stop)
+			for caller := range 8 { // several are open at each target as the links are cut
+				repeating.Go(func() {
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(10 * time.Millisecond):
+							send(f.edges[0], fmt.Sprintf("same%d-%d", caller, n), http.MethodGet, "/quick/same", nil)
+						}
+					}
+				})
+			}
+			time.Sleep(2 * time.Second)
+			others.set("cut")
+			f.cut(1, kind)
+			time.Sleep(stableTime)
+			far.set("cut")
+			time.Sleep(4 * time.Second)
+			close(stop)
+			waitFar()
+			waitOthers()
+			repeating.Wait()
+			for name, o := range map[string]*outcomes{"another region": &far, "beside": &others} {
+				share, sent := o.share("cut")
+				t.Logf("%s: served %.3f of %d: %v", name, share, sent, o.counts)
+				if share < 0.98 || sent < 100 {
+					t.Errorf("%s: %.3f of %d requests were served", name, share, sent)
+				}
+			}
+			if blocked := f.logged("part", "blocked"); blocked > 0 {
+				t.Errorf("%d requests are blamed for targets that one instance does not reach", blocked)
+			}
+		})
+	}
+}
+
 // Guards against a directory without instances where all of a region are cut off: they must be
 // named, and serve again as the cut ends.
 func TestAllInstancesCutOff(t *testing.T) {
--- a/chervilyard/edge/target_checks.go
+++ b/chervilyard/edge/target_checks.go
@@ -236,6 +236,9 @@
 	if !ok {
 		return &fleet.Check{}
 	}
+	if c.GetEnd() {
+		return e.acceptsConnections(ctx, t)
+	}
 	for arrived := e.now(); ctx.Err() == nil; {
 		if r, ok := e.checks.own(c.GetRun()); ok && !r.Earliest.Before(arrived) {
 			return encodeCheck(e.now(), c.GetRun(), r)
