Gateway: events without end at many streams do not fill the memory

What was there: one response without end was bounded (64 KiB of a header, 256 KiB of a buffered body, 1 MiB of an event that is held back), also with a trailer, a chunk extension or informational responses without end, which the new cases of TestEndlessResponse add. What many hold together was not: on routes whose streams may be resumed each may hold back 1 MiB, as long as its time allows.

Change: while all streams together hold back more than 16 MiB, one with more than 64 KiB is ended as one with too long an event is.

TestEndlessResponse keeps its measure.

--- a/chervilyard/gateway/endless_response_test.go
+++ b/chervilyard/gateway/endless_response_test.go
@@ -1,10 +1,15 @@
 package gateway_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"runtime"
+	"runtime/metrics"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,6 +44,40 @@
 	return most - before
 }
 
+// liveGrowth calls f and returns by how many bytes the reachable objects on the heap grew at
+// most meanwhile. Unlike heapGrowth it does not count what has been released and not yet
+// collected, of which many requests at once leave much.
+func liveGrowth(f func()) uint64 {
+	live := func() uint64 {
+		runtime.GC()
+		sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+		metrics.Read(sample)
+		return sample[0].Value.Uint64()
+	}
+	before := live()
+	most := before
+	done, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+				most = max(most, live())
+			}
+		}
+	}()
+	f()
+	close(done)
+	<-stopped
+	return most - before
+}
+
+var endlessKinds = []string{
+	"garbage", "header", "line", "lines", "events", "chunks", "unframed", "trailer", "fields", "extension", "extended", "interim", "pause",
+}
+
 // Guards against bytes of a target that never end and that fill the memory, occupy a request
 // for longer than its time, or look like a whole response.
 func TestEndlessResponse(t *testing.T) {
@@ -47,7 +86,7 @@
 		maxSize   = 65 << 20
 		maxTime   = 2 * time.Second // of a request; the routes allow 0.7 s
 	)
-	for _, kind := range []string{"garbage", "header", "line", "lines", "events", "chunks", "unframed"} {
+	for _, kind := range endlessKinds {
 		for _, path := range []string{"resume", "stream", "read"} {
 			for _, hop := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s %s hop=%v", kind, path, hop), func(t *testing.T) {
@@ -92,3 +131,54 @@
 		}
 	}
 }
+
+// Guards against many responses without end at once that fill the memory of an instance, for
+// callers that read and for callers that do not: a process that ends takes all other requests
+// with it. Half of the memory of a small instance, 160 MiB, must be left.
+func TestManyEndlessResponses(t *testing.T) {
+	const (
+		atOnce    = 100
+		maxGrowth = 80 << 20
+		deadline  = 3 * time.Second // of a request; the routes allow 0.7 s
+	)
+	for _, kind := range endlessKinds {
+		for _, path := range []string{"resume", "stream", "read"} {
+			for _, reads := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s %s reads=%v", kind, path, reads), func(t *testing.T) {
+					var targets []*fakeTarget // enough for all requests at once
+					for i := range 16 {
+						targets = append(targets, newFakeTarget(t, fmt.Sprint("e", i), "endless "+kind))
+					}
+					n := newTestInstance(t, "near", targets)
+					address := n.public.Listener.Addr().String()
+					var callers sync.WaitGroup
+					growth := liveGrowth(func() {
+						for id := range atOnce {
+							callers.Go(func() {
+								c, err := net.Dial("tcp", address)
+								if err != nil {
+									t.Error(err)
+									return
+								}
+								defer c.Close()
+								_ = c.SetDeadline(time.Now().Add(deadline))
+								_, _ = fmt.Fprintf(c, "GET /%s/x HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nId: %d\r\nTokens: 1\r\nConnection: close\r\n\r\n", path, id)
+								if !reads {
+									time.Sleep(time.Second) // longer than the route allows
+								}
+								if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+									t.Error("the connection was not ended")
+								}
+							})
+						}
+						callers.Wait()
+					})
+					t.Logf("the heap grew by %d MiB", growth>>20)
+					if growth > maxGrowth {
+						t.Errorf("the heap grew by %d MiB", growth>>20)
+					}
+				})
+			}
+		}
+	}
+}
--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -36,7 +37,9 @@
 //	early            an error status before the body is read
 //	extra            200 followed by surplus bytes
 //	endless KIND     bytes without end: "garbage", in a "header", in one "line" of an event, in
-//	                 "lines" of one event, in "events", in "chunks", or "unframed"
+//	                 "lines" of one event, in "events", in "chunks", "unframed", in one field of a "trailer" or many "fields" of
+//	                 it, in the "extension" of one chunk, in "extended" chunks, or in "interim" responses; or a "pause"
+//	                 within a long event
 //	rest A,B         a complete stream of the events after the last one that the caller has
 //	part N END FRAMING TYPE A,B  the first N bytes of a response with the events as its body,
 //	                 then END: "close" or "reset"; FRAMING is one of package pool's
@@ -198,22 +201,7 @@
 	case "unframed":
 		write(c, head("200 OK", "")+rest)
 	case "endless":
-		const stream = "Content-Type: text/event-stream\r\n"
-		block := strings.Repeat("x", 16<<10)
-		text := map[string]struct{ start, repeated string }{
-			"garbage":  {"", block},
-			"header":   {"HTTP/1.1 200 OK\r\nId: " + id + "\r\nX: ", block},
-			"line":     {head("200 OK", stream) + "data: ", block},
-			"lines":    {head("200 OK", stream), strings.Repeat("data: x\n", 2<<10)},
-			"events":   {head("200 OK", stream), strings.Repeat("id: 1\ndata: x\n\n", 1<<10)},
-			"chunks":   {head("200 OK", "Transfer-Encoding: chunked\r\n"), chunked(block)},
-			"unframed": {head("200 OK", ""), block},
-		}[rest]
-		repeated := []byte(text.repeated)
-		for ok := write(c, text.start); ok; {
-			_, err := c.Write(repeated)
-			ok = err == nil
-		}
+		writeEndless(c, rest, id, head)
 	case "extra":
 		return write(c, head("200 OK", "Content-Length: 2\r\n")+"okHTTP/1.1 200 OK\r\nId: x\r\nStamp: x\r\nContent-Length: 1\r\n\r\nx")
 	default:
@@ -222,6 +210,51 @@
 	return false
 }
 
+// endlessBlocks are what endless responses repeat. All responses share them, so that they do not
+// count in the memory of tests.
+var endlessBlocks = map[string][]byte{
+	"lines":    bytes.Repeat([]byte("data: x\n"), 2<<10),
+	"events":   bytes.Repeat([]byte("id: 1\ndata: x\n\n"), 1<<10),
+	"chunks":   []byte(chunked(strings.Repeat("x", 16<<10))),
+	"fields":   bytes.Repeat([]byte("X: x\r\n"), 2<<10),
+	"extended": bytes.Repeat([]byte("1;x="+strings.Repeat("x", 1<<10)+"\r\nx\r\n"), 16),
+	"interim":  bytes.Repeat([]byte("HTTP/1.1 103 Early Hints\r\nX: x\r\n\r\n"), 512),
+	"":         bytes.Repeat([]byte("x"), 16<<10), // the other kinds
+}
+
+// writeEndless writes an endless response of a kind until the connection is closed.
+func writeEndless(c net.Conn, kind, id string, head func(status, more string) string) {
+	const (
+		stream  = "Content-Type: text/event-stream\r\n"
+		chunks  = "Transfer-Encoding: chunked\r\n"
+		trailer = chunks + "Trailer: X\r\n"
+	)
+	start := map[string]string{
+		"garbage": "", "interim": "",
+		"header": "HTTP/1.1 200 OK\r\nId: " + id + "\r\nX: ",
+		"line":   head("200 OK", stream) + "data: ", "pause": head("200 OK", stream) + "data: ",
+		"lines": head("200 OK", stream), "events": head("200 OK", stream),
+		"chunks": head("200 OK", chunks), "extended": head("200 OK", chunks),
+		"extension": head("200 OK", chunks) + "1;x=",
+		"unframed":  head("200 OK", ""),
+		"trailer":   head("200 OK", trailer) + chunked("x") + "0\r\nX: ",
+		"fields":    head("200 OK", trailer) + chunked("x") + "0\r\n",
+	}[kind]
+	block, ok := endlessBlocks[kind]
+	if !ok {
+		block = endlessBlocks[""]
+	}
+	ok = write(c, start)
+	for sent := 0; ok; sent += len(block) {
+		if kind == "pause" && sent > 1000<<10-len(block) {
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
+		_, err := c.Write(block)
+		ok = err == nil
+	}
+}
+
 // framed returns a response of status 200 whose body is delimited by the framing.
 func framed(framing string, head func(status, more string) string, mediaType, body string) string {
 	fields := "Content-Type: " + mediaType + "\r\n"
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -206,6 +206,7 @@
 	Cutoff func() (cutoff time.Time, shuttingDown bool)
 
 	inFlight gauge
+	heldBack gauge // bytes of incomplete events
 }
 
 // Permit allows one request to a target with a rate limit.
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -26,6 +26,10 @@
 	// maxEvent is the largest event in bytes of a stream that may be resumed. Its bytes are
 	// held back until it is complete.
 	maxEvent = 1 << 20
+	// While all streams together hold back more than maxHeldBack bytes, none may hold back
+	// more than minHeldBack.
+	maxHeldBack = 16 << 20
+	minHeldBack = 64 << 10
 	// readSize is the buffer size in bytes for reading a stream.
 	readSize = 4 << 10
 	// Gaps between reads that exceed the route's maximum gap divided by
@@ -33,9 +37,22 @@
 	reportedGapDivisor = 3
 )
 
-// errEventTooLong is the error of a stream with an event over maxEvent.
+// errEventTooLong is the error of a stream with an event that is too long to be held back.
 var errEventTooLong = errors.New("an event is over the size limit")
 
+// heldBytes counts the bytes that a stream holds back until its event is complete.
+type heldBytes struct {
+	total *gauge // of all streams
+	own   int64
+}
+
+// set changes the number of bytes, and reports whether the stream may hold back so many.
+func (h *heldBytes) set(n int) bool {
+	total := h.total.Add(int64(n) - h.own)
+	h.own = int64(n)
+	return n <= maxEvent && (total <= maxHeldBack || n <= minHeldBack)
+}
+
 // errNotFromTarget is the error of a response with a success status that is not
 // marked as sent by a target.
 var errNotFromTarget = errors.New("the bytes are not a response of a target")
@@ -233,6 +250,8 @@
 func (g *Gateway) relayStream(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
 	var events event.Splitter
+	held := heldBytes{total: &g.heldBack}
+	defer held.set(0)
 	buf := make([]byte, readSize)
 	for {
 		n, err := resp.Read(buf)
@@ -248,9 +267,9 @@
 			out := buf[:n]
 			if x.route.Resumable() {
 				out = events.Add(out)
-			}
-			if err == nil && len(events.Remainder()) > maxEvent {
-				err = errEventTooLong
+				if !held.set(len(events.Remainder())) && err == nil {
+					err = errEventTooLong
+				}
 			}
 			x.writeEvents(resp, out, resp.Buffered() == 0)
 		}
