Gateway: what a lost region's targets took does not keep requests from others

What callers saw: a region whose targets were slow and then went away refused everything, although an idle target of another region could serve it.

Another region that had no request lately tells no figure of its own, so that of the lost targets stood for it, and trials were made only where a target of this region was usable.

Change: a trial is also made where this region has no usable target and no other is expected to answer in time: one request is forwarded.

Failed before: TestLostSlowTargetsDoNotCountElsewhere served 0 of 60; with the change it passes (99 of 100 wanted).

--- a/chervilyard/edge/silence_test.go
+++ b/chervilyard/edge/silence_test.go
@@ -162,3 +162,30 @@
 		})
 	}
 }
+
+// Guards against a region that has lost its targets while they were slow, and refuses what
+// another region could serve, since it expects the targets there to be as slow.
+func TestLostSlowTargetsDoNotCountElsewhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.put("configuration/document", document{Version: 1, Rate: 1e6, Keys: []string{"k"}})
+	near, far := newDullTarget(900*time.Millisecond), newDullTarget(15*time.Millisecond)
+	f.addTarget("near", "east-a", near.ServeHTTP)
+	east := f.start("east", 0)
+	f.start("west", 0)
+	f.waitReady()
+	var o outcomes
+	stop := make(chan struct{})
+	wait := sendRequests([]*edge.Edge{east}, 20, &o, stop)
+	time.Sleep(3 * time.Second)
+	f.addTarget("far", "west-a", far.ServeHTTP)
+	f.store.put("targets/near", nil)
+	time.Sleep(stableTime)
+	o.set("after")
+	time.Sleep(3 * time.Second)
+	close(stop)
+	wait()
+	if served, n := o.share("after"); served < 0.99 {
+		t.Errorf("%.3f of %d requests were served: %v", served, n, o.counts)
+	}
+}
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -54,7 +54,7 @@
 		spillTo = spill.ChooseRegion(local, ok, remoteEstimates, x.tried, waitLimit)
 	}
 	slower := spillTo >= 0 && local.Wait > remoteEstimates[spillTo].Estimate.Wait // and not chosen for its cache
-	if ok && (slower || local.Wait > waitLimit) {
+	if ok && (slower || local.Wait > waitLimit) || !ok && spillTo < 0 {
 		if trial, ok := g.chooseTrial(now, x, dest, remotes, spillTo >= 0, waitLimit); ok {
 			return trial, nil
 		}
@@ -76,8 +76,8 @@
 	return dest, nil
 }
 
-// chooseTrial chooses a destination for a request that this region is expected to serve too
-// slowly, or that another one would serve for that reason. What is expected is learned from
+// chooseTrial chooses a destination for a request that all regions are expected to serve too
+// slowly, or that another one would serve because this one is. What is expected is learned from
 // answers, so without such requests a wrong expectation would last. It returns false if the
 // request is not to be a trial. Only the first attempt of a request may be one.
 func (g *Gateway) chooseTrial(now time.Time, x *exchange, dest destination, remotes []RemoteInstance, forwarding bool, waitLimit time.Duration) (destination, bool) {
