Reachability: a target that gives no evidence does not hide a cut

Cause: a target without a permit gets neither requests nor health checks, so it can neither fail nor answer, and all targets had to have failed. Besides, the next check went to it each time, so the evidence of the other one ended. Found beside it: where some of many targets crash together, their failures alone could make five.

Change: checks go to the target that was seen least recently; one of which a check shows nothing is left out. Of more than five targets, five health checks must have failed.

Failed before: scripts limited and cut of package reachability and TestCrashedTargetsAreNoCut; with the change they pass.

--- a/yard/reachability/reachability.go
+++ b/yard/reachability/reachability.go
@@ -10,14 +10,18 @@
 )
 
 const (
-	// An instance counts as cut off if new connections to as many targets as there are, or
-	// maxWitnesses, failed since the last one that was answered, minFailures in all.
+	// An instance counts as cut off if new connections to all targets failed since the last one
+	// that was answered, minFailures in all. Of more than maxWitnesses, health checks of so many
+	// must have failed: requests may meet targets that crashed together.
 	maxWitnesses = 5
 	minFailures  = 2
 	// evidenceTTL is how long a failure counts.
 	evidenceTTL = 3 * time.Second
-	// While connections fail, targets are checked every checkInterval, one after the other.
+	// While connections fail, targets are checked every checkInterval, one after the other. A
+	// target of which a check shows nothing within checkTimeout gives no evidence: its limit
+	// may allow neither a request nor a check now.
 	checkInterval = 250 * time.Millisecond
+	checkTimeout  = 700 * time.Millisecond
 	// minCutOff is the shortest time for which an instance counts as cut off, and
 	// answersToReturn the number of new connections in a row that are answered before it does
 	// not any more, so that a link that comes and goes does not change the routes each time.
@@ -39,9 +43,10 @@
 	failures    int                  // since the last answer
 	lastFailure time.Time
 	cutOff      bool
-	since       time.Time // when it was cut off
-	answers     int       // in a row while it is cut off
-	checkedAt   time.Time
+	since       time.Time            // when it was cut off
+	answers     int                  // in a row while it is cut off
+	checkedAt   time.Time            // when NextCheck last returned a target
+	checks      map[string]time.Time // when it last returned each, since the last answer
 }
 
 // Failed records that a new connection to the target could not be made, or broke or was silent
@@ -51,7 +56,7 @@
 	defer m.mu.Unlock()
 	s := m.state(service)
 	if s.failedAt == nil || now.Sub(s.lastFailure) > evidenceTTL {
-		s.failedAt, s.failures = make(map[string]time.Time), 0
+		s.failedAt, s.checks, s.failures = make(map[string]time.Time), make(map[string]time.Time), 0
 	}
 	s.failedAt[target], s.lastFailure = now, now
 	s.failures++
@@ -70,7 +75,7 @@
 		}
 		s.cutOff = false
 	}
-	s.failedAt, s.failures, s.answers = nil, 0, 0
+	s.failedAt, s.checks, s.failures, s.answers = nil, nil, 0, 0
 }
 
 // Heard records a response of the target on any connection.
@@ -102,23 +107,28 @@
 	if s == nil {
 		return false
 	}
-	failed := 0
+	failed, failedChecks, mute := 0, 0, 0
 	for _, name := range targets {
-		if _, ok := s.failedAt[name]; ok {
+		if at, ok := s.failedAt[name]; ok {
 			failed++
+			if checked, ok := s.checks[name]; ok && !at.Before(checked) {
+				failedChecks++
+			}
+		} else if checked, ok := s.checks[name]; ok && now.Sub(checked) > checkTimeout {
+			mute++
 		}
 	}
 	switch {
 	case failed == 0 || now.Sub(s.lastFailure) > evidenceTTL && s.answers == 0:
 		s.cutOff = false
-	case !s.cutOff && failed >= min(len(targets), maxWitnesses) && s.failures >= minFailures:
+	case !s.cutOff && (failed >= len(targets)-mute || failedChecks >= maxWitnesses) && s.failures >= minFailures:
 		s.cutOff, s.since, s.answers = true, now, 0
 	}
 	return s.cutOff
 }
 
 // NextCheck returns the target of the service that a health check should be sent to now, and
-// false if none should. Those that did not fail yet come first.
+// false if none should: the one whose last failure or check is the longest ago.
 func (m *Monitor) NextCheck(now time.Time, service string, targets []string) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -126,8 +136,17 @@
 	if s == nil || s.failures == 0 || now.Sub(s.lastFailure) > evidenceTTL || now.Sub(s.checkedAt) < checkInterval || len(targets) == 0 {
 		return "", false
 	}
-	s.checkedAt = now
-	return slices.MinFunc(targets, func(a, b string) int { return s.failedAt[a].Compare(s.failedAt[b]) }), true
+	next := slices.MinFunc(targets, func(a, b string) int { return s.lastEvidence(a).Compare(s.lastEvidence(b)) })
+	s.checkedAt, s.checks[next] = now, now
+	return next, true
+}
+
+// lastEvidence returns when the target last failed or was checked, zero if neither.
+func (s *state) lastEvidence(target string) time.Time {
+	if failed, checked := s.failedAt[target], s.checks[target]; failed.After(checked) {
+		return failed
+	}
+	return s.checks[target]
 }
 
 // Retain forgets the targets for which listed returns false.
