Placement: a trial scales the fit of engines down in place of a reset

Cause: a trial whose first byte came in time reset the fit of the service, so the instance took the default of an idle engine for several requests.

Change: the fit is scaled to agree with the trial, and its older samples keep little weight.

--- a/yard/placement/linear_fit.go
+++ b/yard/placement/linear_fit.go
@@ -11,6 +11,8 @@
 	sampleDecay = 0.98
 	// fitHalfLife is the age at which a sample has lost half of its weight.
 	fitHalfLife = 3 * time.Second
+	// loweredWeight is the weight that older samples keep at most after linearFit.lower.
+	loweredWeight = 8
 )
 
 // linearFit is a least-squares fit of a straight line, with exponentially decaying
@@ -32,6 +34,20 @@
 	l.lastAt = now
 }
 
+// lower scales the fit down so that it agrees with a sample below it, and reduces the weight of
+// the older samples. Without older ones it has no effect.
+func (l *linearFit) lower(x, y float64) {
+	intercept, slope := l.coefficients(0, 0)
+	fitted := intercept + slope*x
+	if fitted <= y {
+		return
+	}
+	l.y, l.xy = l.y*y/fitted, l.xy*y/fitted
+	if weight := loweredWeight / l.n; weight < 1 {
+		l.n, l.x, l.y, l.xx, l.xy = l.n*weight, l.x*weight, l.y*weight, l.xx*weight, l.xy*weight
+	}
+}
+
 // coefficients returns the fitted intercept and slope, or the given defaults for
 // those that the samples do not determine.
 func (l *linearFit) coefficients(defaultIntercept, defaultSlope float64) (float64, float64) {
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -141,7 +141,8 @@
 	service := t.picker.service(t.service)
 	fit := &service.prefillFit
 	if t.trialSucceeded(now) {
-		*fit, s.slowdown = linearFit{}, latency.Average{}
+		fit.lower(float64(t.tokensAhead+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
+		s.slowdown = latency.Average{}
 	}
 	t.recordSlowdown(now, s)
 	fit.add(now, float64(t.tokensAhead+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
