Discovery: list and forward to instances in proportion to their capacity

Cause: callers choose among the listed instances with equal probability, and all were listed. Change: a weaker instance is listed for a part of the callers in proportion to its capacity, the same ones each time; the instances of another region that get forwarded requests are chosen by weighted rendezvous hashing. Instances of equal or unknown capacity are listed as before.

--- a/chervilyard/edge/directory.go
+++ b/chervilyard/edge/directory.go
@@ -14,15 +14,15 @@
 	trafficHalfLife = 30 * time.Second
 )
 
-// Locate returns the addresses of the instances that a caller in the given region and
-// data centre should use for a host, and how long the caller may cache them.
-func (e *Edge) Locate(now time.Time, host, region, centre string) ([]string, time.Duration) {
+// Locate returns the addresses of the instances that a caller should use for a host, and how
+// long the caller may cache them.
+func (e *Edge) Locate(now time.Time, host string, caller discovery.Caller) ([]string, time.Duration) {
 	members := append(e.memberTable.Live(now, liveTimeout), e.self(now))
-	picked := discovery.Pick(members, discovery.Caller{Region: region, Centre: centre}, func(region string) float64 {
+	picked := discovery.Pick(members, caller, func(region string) float64 {
 		return e.permittedShare(host, region)
 	})
 	var list []string
-	for _, m := range picked {
+	for _, m := range discovery.Balance(picked, caller) {
 		if len(list) < maxLocated {
 			list = append(list, m.Callers)
 		}
--- a/chervilyard/edge/edge_test.go
+++ b/chervilyard/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/edge"
 	"chervilyard.example/chervilyard/meter"
+	"chervilyard.example/yard/discovery"
 	"chervilyard.example/yard/retry"
 )
 
@@ -280,7 +281,7 @@
 	e, other := f.start("east", 0), f.start("east", 1)
 	f.waitReady()
 	eventually(t, 3*time.Second, "the directory lists both instances", func() bool {
-		list, _ := other.Locate(time.Now(), "h.example", "east", "east-a")
+		list, _ := other.Locate(time.Now(), "h.example", discovery.Caller{Region: "east", Centre: "east-a"})
 		return len(list) == 2
 	})
 	var cut, served atomic.Int64
@@ -309,7 +310,7 @@
 	started := time.Now()
 	go e.Stop()
 	eventually(t, time.Second, "the directory omits the stopping instance", func() bool {
-		list, _ := other.Locate(time.Now(), "h.example", "east", "east-a")
+		list, _ := other.Locate(time.Now(), "h.example", discovery.Caller{Region: "east", Centre: "east-a"})
 		return len(list) == 1 && list[0] == other.Settings().CallerAddr
 	})
 	if e.Ready() {
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -161,7 +161,7 @@
 			continue
 		}
 		if w, ok := e.remoteWaits.lookupRelayed(now, region, service); ok {
-			for _, m := range hub.Nearest(e.Settings().Name, members, forwardPeersPerRegion) {
+			for _, m := range hub.NearestWeighted(e.Settings().Name, members, forwardPeersPerRegion) {
 				list = append(list, gateway.RemoteInstance{Member: m, Wait: w.queue, Latency: w.latency})
 			}
 		}
--- a/chervilyard/edge/reach_test.go
+++ b/chervilyard/edge/reach_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"chervilyard.example/chervilyard/edge"
+
+	"chervilyard.example/yard/discovery"
 )
 
 // runs counts how often targets ran each request.
@@ -82,7 +84,7 @@
 
 // located returns the names of the instances that the directory of another one names.
 func (f *cutFleet) located(asked *edge.Edge) []string {
-	addresses, _ := asked.Locate(time.Now(), "h.example", "east", "east-a")
+	addresses, _ := asked.Locate(time.Now(), "h.example", discovery.Caller{Region: "east", Centre: "east-a"})
 	var names []string
 	for _, e := range f.edges {
 		if slices.Contains(addresses, e.Settings().CallerAddr) {
--- a/yard/discovery/discovery.go
+++ b/yard/discovery/discovery.go
@@ -1,14 +1,24 @@
 // Package discovery selects the instances that a caller should connect to.
 package discovery
 
-import "chervilyard.example/yard/membership"
+import (
+	"slices"
+
+	"chervilyard.example/yard/hub"
+	"chervilyard.example/yard/membership"
+)
 
 // Caller is the location of a caller.
 type Caller struct {
 	Region string
 	Centre string
+	Key    string // identifies the caller; it gets the same instances each time
 }
 
+// minListed is the number of instances that a caller gets at least, if there are so many: it
+// avoids those that failed it, and needs others to go on with.
+const minListed = 3
+
 // minRemoteShare is the fraction of a caller's traffic that another region has to be
 // permitted to serve to be preferred to instances of the caller's region that are leaving.
 const minRemoteShare = 0.95
@@ -50,6 +60,27 @@
 	return filter(available, func(m membership.Member) bool { return share(m.Region) >= maxShare })
 }
 
+// Balance returns the members to list for the caller. Callers choose among the listed ones with
+// equal probability, so a weaker instance is listed for a part of the callers only, in proportion
+// to its capacity. Otherwise an instance with a fifth of a core gets as many requests as one with
+// a whole core. All are listed if their capacities are equal.
+func Balance(members []membership.Member, c Caller) []membership.Member {
+	strongest := hub.MaxCapacity(members)
+	list := filter(members, func(m membership.Member) bool {
+		relative := hub.RelativeCapacity(m, strongest)
+		return relative >= 1 || hub.Uniform(c.Key, m.Name) < relative
+	})
+	if len(list) >= min(minListed, len(members)) {
+		return list
+	}
+	for _, m := range hub.NearestWeighted(c.Key, members, len(members)) {
+		if len(list) < minListed && !slices.ContainsFunc(list, func(listed membership.Member) bool { return listed.Name == m.Name }) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 func filter(members []membership.Member, match func(membership.Member) bool) []membership.Member {
 	var list []membership.Member
 	for _, m := range members {
--- a/yard/hub/hub.go
+++ b/yard/hub/hub.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,3 +98,48 @@
 	}
 	return list
 }
+
+// NearestWeighted returns at most n of the members, by weighted rendezvous hashing with the key:
+// over many keys, the first member of the result is each with a probability proportional to its
+// capacity. Members whose capacity is not known count as the strongest.
+func NearestWeighted(key string, members []membership.Member, n int) []membership.Member {
+	type scored struct {
+		score float64
+		index int
+	}
+	strongest := MaxCapacity(members)
+	scores := make([]scored, len(members))
+	for i, m := range members {
+		scores[i] = scored{-math.Log(Uniform(key, m.Name)) / RelativeCapacity(m, strongest), i}
+	}
+	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	list := make([]membership.Member, 0, min(n, len(members)))
+	for _, s := range scores[:min(n, len(members))] {
+		list = append(list, members[s.index])
+	}
+	return list
+}
+
+// MaxCapacity returns the largest capacity among the members.
+func MaxCapacity(members []membership.Member) int64 {
+	strongest := int64(0)
+	for _, m := range members {
+		strongest = max(strongest, m.Capacity)
+	}
+	return strongest
+}
+
+// RelativeCapacity returns the member's capacity as a fraction of the strongest one, above 0 and
+// at most 1. It is 1 if the capacity is not known.
+func RelativeCapacity(m membership.Member, strongest int64) float64 {
+	if m.Capacity <= 0 || strongest <= 0 {
+		return 1
+	}
+	return min(float64(m.Capacity)/float64(strongest), 1)
+}
+
+// Uniform returns a number above 0 and below 1 that is uniformly distributed over the keys and
+// the names of members, and always the same for the same pair.
+func Uniform(key, name string) float64 {
+	return (float64(xxhash.Sum64String(key+"\x00"+name)>>11) + 0.5) / (1 << 53)
+}
