Placement: prefer targets and regions that answer in time

Cause: the target with the lowest cost was chosen, and the request refused if that one was expected to take too long, even where another target or region would have answered in time: a cached prefix is worth twelve times its prefill time, so prompts waited for their preferred target in a burst. Change: the cheapest target within the wait limit comes first; targets beyond it count only if there is no other, and a region without a timely target forwards to one that has one.

--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -42,6 +42,7 @@
 	}
 	waitLimit := g.waitLimit(now, x)
 	dest := destination{local: candidates, request: g.request(x), coldShare: g.ColdShare(now)}
+	dest.request.WaitLimit = waitLimit
 	remotes := slices.DeleteFunc(g.Remotes(now, x.service, x.permits), func(r RemoteInstance) bool {
 		return slices.Contains(x.tried, r.Member.Name)
 	})
@@ -51,7 +52,7 @@
 	var remoteEstimates []spill.RemoteEstimate
 	if !x.forwarded { // a forwarded request is never forwarded again
 		remoteEstimates = g.remoteEstimates(dest.request, remotes, preferredRegion)
-		spillTo = spill.ChooseRegion(local, ok, remoteEstimates, x.tried, waitLimit)
+		spillTo = spill.ChooseRegion(local, ok && local.Wait <= waitLimit, remoteEstimates, x.tried, waitLimit)
 	}
 	slower := spillTo >= 0 && local.Wait > remoteEstimates[spillTo].Estimate.Wait // and not chosen for its cache
 	if ok && (slower || local.Wait > waitLimit) || !ok && spillTo < 0 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -97,6 +97,9 @@
 	MaxEventGap     time.Duration // longest allowed pause between events of a stream; 0 means no limit
 	Exclude         []string      // names of targets to exclude
 	PreferredTarget string        // name of the target that PreferredTarget returns for the prompt; "" if there is none
+	// WaitLimit is the longest acceptable expected wait for the first byte; 0 means no limit.
+	// Targets that exceed it are chosen only if all do.
+	WaitLimit time.Duration
 }
 
 // Estimate is the expected latency and cost of a request at a target or in a region.
@@ -398,6 +401,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, e := p.best(now, p.sample(now, candidates, r, coldShare), r, coldShare)
+	if best != nil && r.WaitLimit > 0 && e.Wait > r.WaitLimit {
+		best, e = p.best(now, candidates, r, coldShare) // the sample has none in time
+	}
 	if best == nil {
 		return nil
 	}
@@ -473,11 +479,12 @@
 	return e, best != nil
 }
 
-// best returns the usable candidate with the lowest expected cost, or nil. The
-// caller must hold p.mu.
+// best returns the usable candidate with the lowest expected cost among those within the
+// request's wait limit or, if there are none, the one with the shortest expected wait. It
+// returns nil if no candidate is usable. The caller must hold p.mu.
 func (p *Picker) best(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) (*target.Target, Estimate) {
 	var best *target.Target
-	bestWaitMS, minCostMS := math.Inf(1), math.Inf(1)
+	bestTimely, bestWaitMS, minCostMS := false, math.Inf(1), math.Inf(1)
 	for i := range candidates {
 		t := &candidates[i]
 		if slices.Contains(r.Exclude, t.Name()) || !p.usable(now, t, r, coldShare) {
@@ -485,8 +492,16 @@
 		}
 		cachedTokens := p.cachedPrefix(now, p.state(t.Name()), r.Parts, t.Name() == r.PreferredTarget)
 		waitMS := p.queueMS(now, t, r) + p.targetProcessingMS(now, p.state(t.Name()), r, r.PromptTokens-cachedTokens)
-		if costMS := waitMS - p.savedMS(r, cachedTokens)*affinityFactor; costMS < minCostMS {
-			best, bestWaitMS, minCostMS = t, waitMS, costMS
+		costMS := waitMS - p.savedMS(r, cachedTokens)*affinityFactor
+		timely := r.WaitLimit <= 0 || milliseconds(waitMS) <= r.WaitLimit
+		better := costMS < minCostMS
+		if timely != bestTimely {
+			better = timely
+		} else if !timely {
+			better = waitMS < bestWaitMS
+		}
+		if better {
+			best, bestTimely, bestWaitMS, minCostMS = t, timely, waitMS, costMS
 		}
 	}
 	if best == nil {
@@ -529,7 +544,8 @@
 	if r.MaxEventGap > 0 {
 		p.service(ticket.service).recordGap(now, r.MaxEventGap)
 	}
-	ticket.openAhead, ticket.tokensAhead, _ = p.totalLoad(now, t.Name(), s)
+	ticket.cachedTokens = p.cachedPrefix(now, s, r.Parts, t.Name() == r.PreferredTarget)
+	ticket.openAhead, ticket.tokensAhead, ticket.memoryAhead = p.totalLoad(now, t.Name(), s)
 	s.open++
 	if ticket.isProbe = s.failures > 0; ticket.isProbe {
 		s.probing++
--- a/yard/spill/spill.go
+++ b/yard/spill/spill.go
@@ -16,8 +16,8 @@
 
 // ChooseRegion returns the index of the offer with the lowest cost, or -1 if the
 // request should stay in the local region, because no offer costs less than local
-// or none is allowed. If localOK is false, the local region has no usable target and
-// local is ignored.
+// or none is allowed. If localOK is false, the local region has no target that can serve the
+// request in time, and local is ignored.
 // Offers of tried regions, and those with an expected wait of limit or more, are
 // ignored. The caller must exclude regions that may not serve the request.
 func ChooseRegion(local placement.Estimate, localOK bool, offers []RemoteEstimate, tried []string, limit time.Duration) int {
