Gateway: log the load of the target that a request was sent to

Cause: logs did not show behind how many requests and unread prompt tokens a request waited, nor whether its prefix was expected to be cached. Change: the decision of a request has ahead= with open requests, waiting prompt tokens, tokens of all open requests and cached tokens of each attempt.

--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -129,6 +129,9 @@
 		// Another instance of that region would use the same targets.
 		x.tried = append(x.tried, dest.remote.Member.Region)
 	}
+	if dest.ticket != nil {
+		x.recordPlacement(dest.ticket)
+	}
 	x.lastDestination, x.expectedFirstByte = dest.name(), dest.expectedWait()
 	x.possibleRuns++
 	x.deliveries++
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -80,6 +80,9 @@
 	if len(x.broken) > 0 {
 		parts = append(parts, "broken="+strings.Join(x.broken, ","), "parts="+x.partIDs(), "same="+x.fingerprint().Digest())
 	}
+	if len(x.placements) > 0 {
+		parts = append(parts, "ahead="+strings.Join(x.placements, ","))
+	}
 	if len(x.sentAt) > 0 {
 		parts = append(parts, "sent_at="+strings.Join(x.sentAt, ","))
 	}
@@ -136,6 +139,17 @@
 	x.sentAt = append(x.sentAt, name+"@"+strconv.FormatInt(at.UnixMilli(), 10))
 }
 
+// recordPlacement keeps the load of the chosen target of an engine's service when it was
+// chosen: open requests, prompt tokens that wait and tokens of all of them, and how many tokens
+// of the prompt it was expected to have cached.
+func (x *exchange) recordPlacement(ticket *placement.Ticket) {
+	if x.catalog.Service(x.service).Slots() == 0 {
+		return
+	}
+	open, waiting, memory := ticket.Ahead()
+	x.placements = append(x.placements, fmt.Sprintf("%s:open=%d:waiting=%d:memory=%d:cached=%d", ticket.Target().Name(), open, waiting, memory, ticket.CachedTokens()))
+}
+
 // recordPermit keeps what was known of the limit of a target for which a permit was asked, who
 // issued it and how long the request waited.
 func (x *exchange) recordPermit(name string, p Permit, ok bool) {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -94,6 +94,7 @@
 	awaitsProof       bool          // a target can take the request once it is proved to be warm
 	proofWaited       time.Duration // time waited for that
 	skipped           int           // responses to other requests on its connections
+	placements        []string      // load of the target of each attempt as it was chosen, for the log
 	sentAt            []string      // target and time of each attempt that had a connection, for the log
 	status            int
 	detail            string        // reason of the last failure, for the log
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -33,7 +33,9 @@
 	uncachedTokens  int // prompt tokens that the target is expected to process
 	openAhead       int // requests that were open at the target when it was chosen
 	tokensAhead     int // prompt tokens that waited there
+	cachedTokens    int // prompt tokens that it was expected to have cached
 	memoryTokens    int
+	memoryAhead     int // prompt and output tokens of the requests that were open there
 	isEngine        bool
 	belief          *coldBelief // about the target when it was chosen; see Picker.coldBelief
 	request         Request
@@ -58,6 +60,15 @@
 // ExpectedWait returns the expected time to the first byte.
 func (t *Ticket) ExpectedWait() time.Duration { return t.expectedWait }
 
+// Ahead returns the requests that were open at the target when it was chosen, the prompt tokens
+// that waited there, and the prompt and output tokens of all of them.
+func (t *Ticket) Ahead() (open, waitingTokens, memoryTokens int) {
+	return t.openAhead, t.tokensAhead, t.memoryAhead
+}
+
+// CachedTokens returns how many tokens of the prompt the target was expected to have cached.
+func (t *Ticket) CachedTokens() int { return t.cachedTokens }
+
 // NeedsPermit reports whether the target has a rate limit, so that Permit has to be called
 // before Admit.
 func (t *Ticket) NeedsPermit() bool { return t.limited }
