Placement: fit the time to the first byte by relative errors

Cause: the least-squares fit follows the requests that took longest, because of load that was not known yet. In a burst it took 300 to 500 ms for an empty prompt at an idle target, and requests were refused while targets were idle. Change: samples are weighted by the inverse square of their time.

--- a/yard/placement/linear_fit.go
+++ b/yard/placement/linear_fit.go
@@ -11,26 +11,33 @@
 	sampleDecay = 0.98
 	// fitHalfLife is the age at which a sample has lost half of its weight.
 	fitHalfLife = 3 * time.Second
+	// minWeighedMS is the time in milliseconds below which a relative error counts no more.
+	minWeighedMS = 10
 	// loweredWeight is the weight that older samples keep at most after linearFit.lower.
 	loweredWeight = 8
 )
 
 // linearFit is a least-squares fit of a straight line, with exponentially decaying
 // sample weights. It models the time to the first byte as a fixed part plus a part
-// proportional to the number of prompt tokens. n is the sum of the weights; the
+// proportional to the number of prompt tokens. The fit minimizes relative errors, so samples
+// that took long because of load that is not known yet do not lift it above what targets with
+// little load take. count is the sum of the weights by age, n that of all weights; the
 // other fields are weighted sums of x, y and their products.
 type linearFit struct {
+	count           float64
 	n, x, y, xx, xy float64
 	lastAt          time.Time // of the last sample
 }
 
 func (l *linearFit) add(now time.Time, x, y float64) {
 	decay := sampleDecay * math.Exp2(-max(now.Sub(l.lastAt).Seconds(), 0)/fitHalfLife.Seconds())
-	l.n = l.n*decay + 1
-	l.x = l.x*decay + x
-	l.y = l.y*decay + y
-	l.xx = l.xx*decay + x*x
-	l.xy = l.xy*decay + x*y
+	weight := 1 / (max(y, minWeighedMS) * max(y, minWeighedMS))
+	l.count = l.count*decay + 1
+	l.n = l.n*decay + weight
+	l.x = l.x*decay + weight*x
+	l.y = l.y*decay + weight*y
+	l.xx = l.xx*decay + weight*x*x
+	l.xy = l.xy*decay + weight*x*y
 	l.lastAt = now
 }
 
@@ -43,7 +50,8 @@
 		return
 	}
 	l.y, l.xy = l.y*y/fitted, l.xy*y/fitted
-	if weight := loweredWeight / l.n; weight < 1 {
+	if weight := loweredWeight / l.count; weight < 1 {
+		l.count *= weight
 		l.n, l.x, l.y, l.xx, l.xy = l.n*weight, l.x*weight, l.y*weight, l.xx*weight, l.xy*weight
 	}
 }
@@ -66,5 +74,5 @@
 // x values for a fit.
 func (l *linearFit) determined() bool {
 	const minSamples = 5
-	return l.n >= minSamples && l.n*l.xx-l.x*l.x > 1e-6*l.xx*l.n
+	return l.count >= minSamples && l.n*l.xx-l.x*l.x > 1e-6*l.xx*l.n
 }
