Placement: classes of requests share an engine by their demand

Cause: long generations may wait three times as long as short requests and hold a slot for seconds. In a burst they had 25 to 31 of 32 slots of each engine of a region, and short requests that are more urgent were refused: 200 to 500 of 4,500 a second were sent, where 1,200 were before the burst. Costs of crowding and pauses, which no request waits for, counted as waiting besides, and the time to a first byte was learned from requests that had waited for a slot. Change: package classmix gives requests of less urgent routes their part of the slots and of the waiting prompt tokens of an engine, by what both classes ask for. The wait for a slot follows from the slots that each class frees. Penalties count toward the cost of a target, not toward the wait. Without routes of different priorities nothing is bounded.

--- a/chervilyard/edge/loads.go
+++ b/chervilyard/edge/loads.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"chervilyard.example/yard/fleet"
@@ -16,11 +18,16 @@
 		Targets: make([]uint32, 0, len(list)), Open: make([]uint32, 0, len(list)),
 		Waiting: make([]uint32, 0, len(list)), Memory: make([]uint32, 0, len(list)),
 	}
+	tellsLesser := slices.ContainsFunc(list, func(l placement.Load) bool { return l.LesserOpen > 0 })
 	for _, l := range list {
 		h.Targets = append(h.Targets, targetHash(l.Target))
 		h.Open = append(h.Open, uint32(l.Open))
 		h.Waiting = append(h.Waiting, uint32(max(l.WaitingTokens, 0)))
 		h.Memory = append(h.Memory, uint32(max(l.MemoryTokens, 0)))
+		if tellsLesser {
+			h.Lesser = append(h.Lesser, uint32(max(l.LesserOpen, 0)))
+			h.Unread = append(h.Unread, uint32(max(l.LesserWaiting, 0)))
+		}
 	}
 	return h
 }
@@ -34,9 +41,11 @@
 	defer t.mu.Unlock()
 	for i := range n {
 		if name, ok := t.byHash[h.GetTargets()[i]]; ok {
-			list = append(list, placement.Load{
-				Target: name, Open: int(h.GetOpen()[i]), WaitingTokens: int(h.GetWaiting()[i]), MemoryTokens: int(h.GetMemory()[i]),
-			})
+			l := placement.Load{Target: name, Open: int(h.GetOpen()[i]), WaitingTokens: int(h.GetWaiting()[i]), MemoryTokens: int(h.GetMemory()[i])}
+			if i < min(len(h.GetLesser()), len(h.GetUnread())) {
+				l.LesserOpen, l.LesserWaiting = int(h.GetLesser()[i]), int(h.GetUnread()[i])
+			}
+			list = append(list, l)
 		}
 	}
 	return list
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -43,6 +43,10 @@
 	waitLimit := g.waitLimit(now, x)
 	dest := destination{local: candidates, request: g.request(x), coldShare: g.ColdShare(now)}
 	dest.request.WaitLimit = waitLimit
+	if len(candidates) > 0 && !x.arrivalRecorded {
+		x.arrivalRecorded = true
+		g.Picker.RecordArrival(now, dest.request)
+	}
 	remotes := slices.DeleteFunc(g.Remotes(now, x.service, x.permits), func(r RemoteInstance) bool {
 		return slices.Contains(x.tried, r.Member.Name)
 	})
@@ -141,6 +145,7 @@
 	return placement.Request{
 		Service: x.catalog.Service(x.service), PromptTokens: x.req.PromptTokens, MaxOutputTokens: x.req.MaxOutputTokens,
 		Parts: x.req.Parts, MaxEventGap: x.route.MaxEventGap(), Exclude: x.tried,
+		Lesser: x.catalog.IsLesser(x.service, x.route.Priority()),
 	}
 }
 
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -140,14 +140,15 @@
 }
 
 // recordPlacement keeps the load of the chosen target of an engine's service when it was
-// chosen: open requests, prompt tokens that wait and tokens of all of them, and how many tokens
-// of the prompt it was expected to have cached.
+// chosen: open requests, prompt tokens that wait, tokens of all of them and requests of less
+// urgent routes, and how many tokens of the prompt it was expected to have cached.
 func (x *exchange) recordPlacement(ticket *placement.Ticket) {
 	if x.catalog.Service(x.service).Slots() == 0 {
 		return
 	}
-	open, waiting, memory := ticket.Ahead()
-	x.placements = append(x.placements, fmt.Sprintf("%s:open=%d:waiting=%d:memory=%d:cached=%d", ticket.Target().Name(), open, waiting, memory, ticket.CachedTokens()))
+	ahead := ticket.Ahead()
+	x.placements = append(x.placements, fmt.Sprintf("%s:open=%d:waiting=%d:memory=%d:cached=%d:lesser=%d",
+		ticket.Target().Name(), ahead.Open, ahead.WaitingTokens, ahead.MemoryTokens, ticket.CachedTokens(), ahead.LesserOpen))
 }
 
 // recordPermit keeps what was known of the limit of a target for which a permit was asked, who
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -90,6 +90,7 @@
 	permitLog         []string      // of each target with a rate limit, for the log
 	permitsRefused    int           // how often no permit could be obtained
 	cutOff            bool          // this instance reaches no target of the service, and another of its region may
+	arrivalRecorded   bool          // the picker knows of the request
 	latencyTrial      bool          // sent to learn how long the service takes
 	awaitsProof       bool          // a target can take the request once it is proved to be warm
 	proofWaited       time.Duration // time waited for that
--- a/yard/catalog/catalog.go
+++ b/yard/catalog/catalog.go
@@ -29,6 +29,7 @@
 	customerByKey map[string]string // customer name by key
 	services      map[string]service.Service
 	defaultTokens map[string]float64 // by customer
+	mostUrgent    map[string]int     // lowest priority number of the routes to a service
 }
 
 // Config is the input of New.
@@ -55,11 +56,17 @@
 		customerByKey: cfg.CustomerByKey,
 		services:      make(map[string]service.Service, len(cfg.Services)),
 		defaultTokens: cfg.DefaultTokens,
+		mostUrgent:    make(map[string]int),
 	}
 	for _, r := range cfg.Routes {
 		host := strings.ToLower(r.Host())
 		c.routesByHost[host] = append(c.routesByHost[host], r)
 		c.routesByName[r.Name()] = r
+		for _, s := range r.Services() {
+			if lowest, ok := c.mostUrgent[s.Service]; !ok || r.Priority() < lowest {
+				c.mostUrgent[s.Service] = r.Priority()
+			}
+		}
 	}
 	for _, list := range c.routesByHost {
 		slices.SortStableFunc(list, func(a, b route.Route) int { return len(b.Prefix()) - len(a.Prefix()) })
@@ -129,6 +136,13 @@
 // none.
 func (c *Catalog) Service(name string) service.Service { return c.services[name] }
 
+// IsLesser reports whether requests of the given priority are less urgent than those of another
+// route to the same service.
+func (c *Catalog) IsLesser(service string, priority int) bool {
+	lowest, ok := c.mostUrgent[service]
+	return ok && priority > lowest
+}
+
 // DefaultTokens returns the quota tokens that a customer is charged for a request that
 // states no token count, at least 1.
 func (c *Catalog) DefaultTokens(customer string) float64 { return max(c.defaultTokens[customer], 1) }
--- /dev/null
+++ b/yard/placement/classes_test.go
@@ -0,0 +1,98 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+)
+
+// served returns the share of the requests of a class that arrived in a period and were not
+// refused.
+func (f *simulatedFleet) served(lesser bool, from, to time.Duration) float64 {
+	served, all := 0.0, 0.0
+	for _, r := range f.requests {
+		if r.lesser != lesser || r.arrived < from || r.arrived > to {
+			continue
+		}
+		all++
+		if !r.refused {
+			served++
+		}
+	}
+	return served / max(all, 1)
+}
+
+// arriveMixed lets short urgent requests and long lesser ones arrive, at rates a second for each
+// engine.
+func (f *simulatedFleet) arriveMixed(short, long float64) {
+	n := float64(len(f.engines))
+	f.arrive(short*n, func() *simulatedRequest {
+		return &simulatedRequest{prompt: f.logNormal(1800, 0.9), generated: 24, objective: 500 * time.Millisecond}
+	})
+	f.arrive(long*n, func() *simulatedRequest {
+		return &simulatedRequest{prompt: f.logNormal(9000, 0.9), generated: 380, objective: 1500 * time.Millisecond, lesser: true}
+	})
+}
+
+// Pattern: a burst of long generations, which may wait three times as long and hold a slot ten
+// times as long, beside short requests that are more urgent. Without a part of the slots for
+// them, the short ones are refused while the long ones are served. Urgent requests must not be
+// served less often than lesser ones by over 5 in 100, and the lesser ones must not starve:
+// they get at least half of what the urgent ones get.
+func TestBurstOfLongGenerations(t *testing.T) {
+	for _, c := range []struct {
+		instances, hubs, engines int
+		short, long              float64 // a second for each engine
+	}{
+		{28, 2, 30, 60, 8},
+		{9, 2, 10, 60, 8},
+		{100, 4, 60, 40, 12},
+		{28, 2, 30, 20, 12},
+	} {
+		f := newSimulatedFleet(c.instances, c.hubs, c.engines)
+		f.refuses = true
+		f.exchangeLoads(100 * time.Millisecond)
+		f.arriveMixed(c.short, c.long)
+		f.run(20 * time.Second)
+		const from, to = 8 * time.Second, 18 * time.Second
+		urgent, lesser := f.served(false, from, to), f.served(true, from, to)
+		t.Logf("%+v: %.3f of the urgent and %.3f of the lesser requests served", c, urgent, lesser)
+		if urgent < lesser-0.05 {
+			t.Errorf("%+v: %.3f of the urgent and %.3f of the lesser requests served", c, urgent, lesser)
+		}
+		if lesser < urgent/2 {
+			t.Errorf("%+v: lesser requests starve: %.3f served, urgent ones %.3f", c, lesser, urgent)
+		}
+	}
+}
+
+// Pattern: a light mix, and requests of one class only. Nothing is refused that would be served
+// without classes: at half of the capacity 99 of 100 are served, of each class.
+func TestClassesWithoutShortage(t *testing.T) {
+	for _, c := range []struct{ short, long float64 }{{12, 1.2}, {25, 0}, {0, 3}} {
+		f := newSimulatedFleet(28, 2, 30)
+		f.refuses = true
+		f.exchangeLoads(100 * time.Millisecond)
+		for _, lesser := range []bool{false, true} {
+			rate := c.short
+			if lesser {
+				rate = c.long
+			}
+			if rate == 0 {
+				continue
+			}
+			generated, prompt := 24, 1800.0
+			if lesser {
+				generated, prompt = 380, 9000
+			}
+			f.arrive(rate*float64(len(f.engines)), func() *simulatedRequest {
+				return &simulatedRequest{prompt: f.logNormal(prompt, 0.9), generated: generated, objective: 1500 * time.Millisecond, lesser: lesser}
+			})
+		}
+		f.run(15 * time.Second)
+		for _, lesser := range []bool{false, true} {
+			if share := f.served(lesser, 3*time.Second, 14*time.Second); share < 0.99 && (lesser && c.long > 0 || !lesser && c.short > 0) {
+				t.Errorf("%+v: %.3f served, lesser=%v", c, share, lesser)
+			}
+		}
+	}
+}
--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -114,26 +114,49 @@
 	return base + float64(uncachedTokens)*perToken
 }
 
-// queueMS returns the milliseconds that a request is expected to wait behind the
-// requests already at the target, including the costs of crowding, failures and
-// pauses.
+// queueMS returns the milliseconds that a request is expected to wait behind the requests
+// already at the target.
 func (p *Picker) queueMS(now time.Time, t *target.Target, r Request) float64 {
 	s := p.state(t.Name())
-	open, waiting, memory := p.totalLoad(now, t.Name(), s)
+	load := p.totalLoad(now, t.Name(), s)
 	answerMS := p.answerMS(now, s, r.Service.Name())
-	slots := max(t.Capacity(), 1)
-	queued := queuedRounds(open, slots) * answerMS
-	if limit := r.Service.MemoryTokens(); limit > 0 && memory+r.PromptTokens+r.MaxOutputTokens > limit {
-		queued = max(queued, answerMS*float64(memory+r.PromptTokens+r.MaxOutputTokens-limit)/float64(limit))
+	queued := p.slotWaitMS(load, max(t.Capacity(), 1), r.Service.Name(), answerMS)
+	if limit := r.Service.MemoryTokens(); limit > 0 && load.MemoryTokens+r.PromptTokens+r.MaxOutputTokens > limit {
+		queued = max(queued, answerMS*float64(load.MemoryTokens+r.PromptTokens+r.MaxOutputTokens-limit)/float64(limit))
 	}
-	crowding := crowdingFactor * float64(open) / float64(slots)
 	if r.Service.Slots() == 0 {
-		return queued + answerMS*(crowding+s.decayedFailureRate(now)*failurePenalty)
+		return queued
+	}
+	_, perToken := p.prefillCost(r.Service.Name())
+	return queued + float64(load.WaitingTokens)*perToken*s.slowdownFactor(now)
+}
+
+// penaltyMS returns the costs in milliseconds of crowding, failures and pauses of streams at
+// the target. They make it less desirable, but a request does not wait for them.
+func (p *Picker) penaltyMS(now time.Time, t *target.Target, r Request) float64 {
+	s := p.state(t.Name())
+	load := p.totalLoad(now, t.Name(), s)
+	crowding := crowdingFactor * float64(load.Open) / float64(max(t.Capacity(), 1))
+	failures := s.decayedFailureRate(now) * failurePenalty
+	if r.Service.Slots() == 0 {
+		return p.answerMS(now, s, r.Service.Name()) * (crowding + failures)
 	}
 	base, perToken := p.prefillCost(r.Service.Name())
-	queued += base * s.decayedFailureRate(now) * failurePenalty
-	queued += p.pausePenaltyMS(now, s, r.Service.Name())
-	return queued + ((float64(waiting)+crowding*float64(r.PromptTokens))*perToken+crowding*base)*s.slowdownFactor(now)
+	return base*failures + p.pausePenaltyMS(now, s, r.Service.Name()) +
+		crowding*(float64(r.PromptTokens)*perToken+base)*s.slowdownFactor(now)
+}
+
+// slotWaitMS returns the milliseconds that a request is expected to wait for a slot behind the
+// open ones. At an engine, those of the two classes free their slots after different times: a
+// few long generations among short ones hardly delay the next slot.
+func (p *Picker) slotWaitMS(load Load, slots int, service string, answerMS float64) float64 {
+	mix := &p.service(service).mix
+	if load.Open < slots || !mix.HasBoth() {
+		return queuedRounds(load.Open, slots) * answerMS
+	}
+	lesser := min(max(load.LesserOpen, 0), slots)
+	freedPerMS := float64(slots-lesser)/mix.SlotTimeMS(false) + float64(lesser)/mix.SlotTimeMS(true)
+	return float64(load.Open-slots+1) / freedPerMS
 }
 
 // queuedRounds returns how many durations of an answer a request waits for a slot behind open
@@ -147,15 +170,12 @@
 
 // totalLoad returns the load of the target summed over this instance and all others, as far
 // as recent reports tell.
-func (p *Picker) totalLoad(now time.Time, name string, s *targetState) (open, waiting, memory int) {
-	var others Load
+func (p *Picker) totalLoad(now time.Time, name string, s *targetState) Load {
 	if now.Sub(p.othersAt) <= othersLoadTTL {
-		others = p.others[name]
-	} else {
-		p.expirePeers(now)
-		others = p.peerTotals[name]
+		return s.load(name).add(p.others[name], 1)
 	}
-	return s.open + others.Open, s.waitingTokens + others.WaitingTokens, s.memoryTokens + others.MemoryTokens
+	p.expirePeers(now)
+	return s.load(name).add(p.peerTotals[name], 1)
 }
 
 // cachedPrefix returns how many leading prompt tokens the target is expected to
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -97,6 +97,9 @@
 	MaxEventGap     time.Duration // longest allowed pause between events of a stream; 0 means no limit
 	Exclude         []string      // names of targets to exclude
 	PreferredTarget string        // name of the target that PreferredTarget returns for the prompt; "" if there is none
+	// Lesser is set if the request is less urgent than others of the service. Such requests hold
+	// a part of the slots of an engine only; see package classmix.
+	Lesser bool
 	// WaitLimit is the longest acceptable expected wait for the first byte; 0 means no limit.
 	// Targets that exceed it are chosen only if all do.
 	WaitLimit time.Duration
@@ -180,6 +183,8 @@
 	Open          int
 	WaitingTokens int // prompt tokens of requests that wait for their first byte
 	MemoryTokens  int // prompt and output tokens of open requests
+	LesserOpen    int // of Open, requests with Request.Lesser
+	LesserWaiting int // of WaitingTokens, those of such requests
 }
 
 // Picker holds the state of the region's targets and chooses among them. The zero
@@ -237,7 +242,7 @@
 		if s.run != t.RunID() {
 			*s = targetState{
 				run: t.RunID(), centre: t.Centre(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
-				open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
+				open: s.open, lesserOpen: s.lesserOpen, lesserWaiting: s.lesserWaiting, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
 			}
 		}
 		s.warmup.List(report)
@@ -373,6 +378,7 @@
 	return Load{
 		Target: other.Target, Open: l.Open + factor*other.Open,
 		WaitingTokens: l.WaitingTokens + factor*other.WaitingTokens, MemoryTokens: l.MemoryTokens + factor*other.MemoryTokens,
+		LesserOpen: l.LesserOpen + factor*other.LesserOpen, LesserWaiting: l.LesserWaiting + factor*other.LesserWaiting,
 	}
 }
 
@@ -492,7 +498,7 @@
 		}
 		cachedTokens := p.cachedPrefix(now, p.state(t.Name()), r.Parts, t.Name() == r.PreferredTarget)
 		waitMS := p.queueMS(now, t, r) + p.targetProcessingMS(now, p.state(t.Name()), r, r.PromptTokens-cachedTokens)
-		costMS := waitMS - p.savedMS(r, cachedTokens)*affinityFactor
+		costMS := waitMS + p.penaltyMS(now, t, r) - p.savedMS(r, cachedTokens)*affinityFactor
 		timely := r.WaitLimit <= 0 || milliseconds(waitMS) <= r.WaitLimit
 		better := costMS < minCostMS
 		if timely != bestTimely {
@@ -519,7 +525,7 @@
 	r := Request{Service: s}
 	for i := range candidates {
 		if t := &candidates[i]; p.usable(now, t, r, coldShare) {
-			minWaitMS = min(minWaitMS, p.queueMS(now, t, r))
+			minWaitMS = min(minWaitMS, p.queueMS(now, t, r)+p.penaltyMS(now, t, r))
 		}
 	}
 	if math.IsInf(minWaitMS, 1) {
@@ -528,6 +534,16 @@
 	return milliseconds(minWaitMS), true
 }
 
+// RecordArrival records a request for a target of this region, whether it gets one or not.
+func (p *Picker) RecordArrival(now time.Time, r Request) {
+	if r.Service.Slots() == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(r.Service.Name()).mix.RecordArrival(now, r.Lesser, r.PromptTokens, r.WaitLimit)
+}
+
 // newTicket adds the request to the load of the target and returns its ticket. The
 // caller must hold p.mu.
 func (p *Picker) newTicket(now time.Time, t target.Target, r Request, wait time.Duration, coldShare ColdShare) *Ticket {
@@ -545,12 +561,18 @@
 		p.service(ticket.service).recordGap(now, r.MaxEventGap)
 	}
 	ticket.cachedTokens = p.cachedPrefix(now, s, r.Parts, t.Name() == r.PreferredTarget)
-	ticket.openAhead, ticket.tokensAhead, ticket.memoryAhead = p.totalLoad(now, t.Name(), s)
+	ticket.ahead = p.totalLoad(now, t.Name(), s)
 	s.open++
+	if r.Lesser {
+		s.lesserOpen++
+	}
 	if ticket.isProbe = s.failures > 0; ticket.isProbe {
 		s.probing++
 	}
 	s.waitingTokens += ticket.uncachedTokens
+	if r.Lesser {
+		s.lesserWaiting += ticket.uncachedTokens
+	}
 	s.memoryTokens += ticket.memoryTokens
 	for _, part := range r.Parts {
 		if s.partsUsed == nil {
--- a/yard/placement/stale_loads_test.go
+++ b/yard/placement/stale_loads_test.go
@@ -36,6 +36,8 @@
 	arrived, first    time.Duration
 	prompt, generated int
 	objective         time.Duration
+	lesser            bool // less urgent than others
+	refused           bool // expected to wait longer than its objective
 	ticket            *placement.Ticket
 }
 
@@ -51,6 +53,7 @@
 	targets []target.Target
 	service service.Service
 	plain   bool // the targets are those of a plain service
+	refuses bool // requests are refused that are expected to wait longer than their objective
 	events  eventQueue
 
 	requests []*simulatedRequest
@@ -135,11 +138,23 @@
 
 func (f *simulatedFleet) dispatch(r *simulatedRequest) {
 	f.requests = append(f.requests, r)
-	r.ticket = f.pickers[r.instance].Choose(f.clock(), f.targets, placement.Request{
+	request := placement.Request{
 		Service: f.service, PromptTokens: r.prompt, MaxOutputTokens: r.generated, MaxEventGap: 400 * time.Millisecond,
-		Parts: []placement.Part{{ID: fmt.Sprint(len(f.requests)), Tokens: r.prompt}},
-	}, placement.ColdShare{Position: placement.Position{Instances: len(f.pickers)}, RateFactor: 1})
+		Parts: []placement.Part{{ID: fmt.Sprint(len(f.requests)), Tokens: r.prompt}}, Lesser: r.lesser,
+	}
+	if f.refuses {
+		request.WaitLimit = r.objective
+		f.pickers[r.instance].RecordArrival(f.clock(), request)
+	}
+	r.ticket = f.pickers[r.instance].Choose(f.clock(), f.targets, request,
+		placement.ColdShare{Position: placement.Position{Instances: len(f.pickers)}, RateFactor: 1})
 	if r.ticket == nil {
+		r.refused = true
+		return
+	}
+	if f.refuses && r.ticket.ExpectedWait() > r.objective {
+		r.refused = true
+		r.ticket.End(f.clock(), placement.Withheld)
 		return
 	}
 	name := r.ticket.Target().Name()
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"chervilyard.example/yard/classmix"
 	"chervilyard.example/yard/coldlimit"
 	"chervilyard.example/yard/latency"
 	"chervilyard.example/yard/warmup"
@@ -20,8 +21,10 @@
 	runListed     time.Time // when the run was first listed
 	lastListed    time.Time
 	open          int
+	lesserOpen    int // of open, requests with Request.Lesser
 	probing       int // requests sent to the target after an ejection that have no first byte yet
 	waitingTokens int
+	lesserWaiting int // of waitingTokens, those of such requests
 	memoryTokens  int
 	failures      int // consecutive ejections; 0 after a first byte or an answer
 	ejectedUntil  time.Time
@@ -50,7 +53,7 @@
 
 // load returns the load that this instance's open requests put on the target.
 func (s *targetState) load(name string) Load {
-	return Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens}
+	return Load{Target: name, Open: s.open, WaitingTokens: s.waitingTokens, MemoryTokens: s.memoryTokens, LesserOpen: s.lesserOpen, LesserWaiting: s.lesserWaiting}
 }
 
 // decayedFailureRate returns the fraction of recent requests that failed. It
@@ -105,6 +108,7 @@
 	minGap     time.Duration   // smallest recent Request.MaxEventGap, 0 if there is none
 	minGapAt   time.Time       // when a request with that gap was last sent
 	lastTrial  time.Time
+	mix        classmix.Mix
 	badTrials  int // consecutive trials without an answer within the limit
 }
 
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -30,12 +30,10 @@
 	service         string
 	chosenAt        time.Time
 	expectedWait    time.Duration
-	uncachedTokens  int // prompt tokens that the target is expected to process
-	openAhead       int // requests that were open at the target when it was chosen
-	tokensAhead     int // prompt tokens that waited there
-	cachedTokens    int // prompt tokens that it was expected to have cached
+	uncachedTokens  int  // prompt tokens that the target is expected to process
+	ahead           Load // of the target when it was chosen
+	cachedTokens    int  // prompt tokens that it was expected to have cached
 	memoryTokens    int
-	memoryAhead     int // prompt and output tokens of the requests that were open there
 	isEngine        bool
 	belief          *coldBelief // about the target when it was chosen; see Picker.coldBelief
 	request         Request
@@ -51,6 +49,7 @@
 	isProbe         bool          // sent after an ejection; shows whether the target has recovered
 	trial           *trial        // set if the target was expected to take too long
 	gotFirst        bool
+	firstByteAt     time.Time
 	ended           bool
 }
 
@@ -60,11 +59,8 @@
 // ExpectedWait returns the expected time to the first byte.
 func (t *Ticket) ExpectedWait() time.Duration { return t.expectedWait }
 
-// Ahead returns the requests that were open at the target when it was chosen, the prompt tokens
-// that waited there, and the prompt and output tokens of all of them.
-func (t *Ticket) Ahead() (open, waitingTokens, memoryTokens int) {
-	return t.openAhead, t.tokensAhead, t.memoryAhead
-}
+// Ahead returns the load of the target when it was chosen, without the request.
+func (t *Ticket) Ahead() Load { return t.ahead }
 
 // CachedTokens returns how many tokens of the prompt the target was expected to have cached.
 func (t *Ticket) CachedTokens() int { return t.cachedTokens }
@@ -140,24 +136,27 @@
 	if t.gotFirst {
 		return
 	}
-	t.gotFirst = true
+	t.gotFirst, t.firstByteAt = true, now
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
 	s := t.picker.state(t.target.Name())
 	t.stopWaiting(s)
 	s.failures = 0
-	if !t.isEngine || t.tokensAhead+t.uncachedTokens <= 0 {
+	if !t.isEngine || t.ahead.WaitingTokens+t.uncachedTokens <= 0 {
 		return
 	}
 	service := t.picker.service(t.service)
 	fit := &service.prefillFit
 	if t.trialSucceeded(now) {
-		fit.lower(float64(t.tokensAhead+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
+		fit.lower(float64(t.ahead.WaitingTokens+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
 		s.slowdown = latency.Average{}
 	}
-	t.recordSlowdown(now, s)
-	fit.add(now, float64(t.tokensAhead+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
 	service.learnedAt = now
+	if t.ahead.Open >= max(t.target.Capacity(), 1) && service.mix.HasBoth() {
+		return // it waited for a slot, so the time does not show how long its prompt took
+	}
+	t.recordSlowdown(now, s)
+	fit.add(now, float64(t.ahead.WaitingTokens+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
 }
 
 // recordSlowdown records the time that the request has waited for its first byte relative to
@@ -165,7 +164,7 @@
 func (t *Ticket) recordSlowdown(now time.Time, s *targetState) {
 	fit := &t.picker.service(t.service).prefillFit
 	base, perToken := fit.coefficients(defaultAnswerMS, defaultPerTokenMS)
-	if fittedMS := base + float64(t.tokensAhead+t.uncachedTokens)*perToken; fit.determined() && fittedMS > 0 {
+	if fittedMS := base + float64(t.ahead.WaitingTokens+t.uncachedTokens)*perToken; fit.determined() && fittedMS > 0 {
 		s.slowdown.Add(now, min(max(now.Sub(t.chosenAt).Seconds()*1000/fittedMS, 1/maxSlowdown), maxSlowdown))
 	}
 }
@@ -213,6 +212,14 @@
 		t.countSent(now, s)
 	}
 	s.open--
+	if t.request.Lesser {
+		s.lesserOpen--
+	}
+	if t.isEngine && t.gotFirst && o == Answered {
+		_, perToken := t.picker.prefillCost(t.service)
+		prefill := milliseconds(float64(t.uncachedTokens) * perToken)
+		t.picker.service(t.service).mix.RecordEnd(now, t.request.Lesser, now.Sub(t.firstByteAt)+prefill)
+	}
 	s.memoryTokens -= t.memoryTokens
 	if !t.gotFirst {
 		t.stopWaiting(s)
@@ -226,6 +233,9 @@
 // stopWaiting removes the request from those that wait for a first byte.
 func (t *Ticket) stopWaiting(s *targetState) {
 	s.waitingTokens -= t.uncachedTokens
+	if t.request.Lesser {
+		s.lesserWaiting -= t.uncachedTokens
+	}
 	if t.isProbe {
 		s.probing--
 	}
@@ -283,7 +293,7 @@
 // answerMS returns the milliseconds since the target was chosen without those that a request
 // waits behind the ones that were open there.
 func (t *Ticket) answerMS(now time.Time) float64 {
-	return now.Sub(t.chosenAt).Seconds() * 1000 / (1 + queuedRounds(t.openAhead, max(t.target.Capacity(), 1)))
+	return now.Sub(t.chosenAt).Seconds() * 1000 / (1 + queuedRounds(t.ahead.Open, max(t.target.Capacity(), 1)))
 }
 
 // recordAnswer records the duration of a complete answer.
--- a/yard/placement/trial.go
+++ b/yard/placement/trial.go
@@ -105,11 +105,11 @@
 // isIdle reports whether a request at the target would not have to wait behind others, or only
 // behind few. The caller must hold p.mu.
 func (p *Picker) isIdle(now time.Time, t *target.Target, r Request) bool {
-	open, waitingTokens, _ := p.totalLoad(now, t.Name(), p.state(t.Name()))
+	load := p.totalLoad(now, t.Name(), p.state(t.Name()))
 	if r.Service.Slots() == 0 {
-		return open <= 0
+		return load.Open <= 0
 	}
-	return open <= t.Capacity()/idleFraction || waitingTokens <= 0 && open < t.Capacity()
+	return load.Open <= t.Capacity()/idleFraction || load.WaitingTokens <= 0 && load.Open < t.Capacity()
 }
 
 // lastSample returns when the target was last observed.
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -151,6 +151,8 @@
 			list = append(list, t.Name()+" wants no request for "+s.deferredUntil.Sub(now).Round(time.Millisecond).String())
 		case now.Before(s.ejectedUntil):
 			list = append(list, t.Name()+" failed "+strconv.Itoa(s.failures)+" times")
+		case p.isFullForClass(now, t, s, r):
+			list = append(list, t.Name()+" full of less urgent requests")
 		case permitWait > 0:
 			list = append(list, t.Name()+" has a limit and no permit for "+permitWait.Round(time.Millisecond).String())
 		case !p.usable(now, t, r, coldShare) && p.isCold(now, s):
@@ -172,7 +174,7 @@
 	for i := range candidates[:min(len(candidates), maxDescribed)] {
 		t := &candidates[i]
 		s := p.state(t.Name())
-		open, _, _ := p.totalLoad(now, t.Name(), s)
+		open := p.totalLoad(now, t.Name(), s).Open
 		age := "never"
 		if at := s.lastSample(); !at.IsZero() {
 			age = formatMillis(now.Sub(at))
@@ -204,10 +206,28 @@
 	if s.failures > 0 && s.probing > 0 {
 		return true // a single probe decides whether the target has recovered
 	}
+	if p.isFullForClass(now, t, s, r) {
+		return true
+	}
 	memory := r.Service.MemoryTokens()
 	return memory > 0 && r.PromptTokens+r.MaxOutputTokens > memory
 }
 
+// isFullForClass reports whether lesser requests hold as many slots of the engine, or have as
+// many prompt tokens waiting there, as they may.
+func (p *Picker) isFullForClass(now time.Time, t *target.Target, s *targetState, r Request) bool {
+	if !r.Lesser || r.Service.Slots() == 0 {
+		return false
+	}
+	load, mix := p.totalLoad(now, t.Name(), s), &p.service(r.Service.Name()).mix
+	if load.LesserOpen >= mix.LesserSlots(now, max(t.Capacity(), 1)) {
+		return true
+	}
+	_, perToken := p.prefillCost(r.Service.Name())
+	limit, bounded := mix.LesserTokens(now, perToken*s.slowdownFactor(now))
+	return bounded && load.LesserWaiting > 0 && float64(load.LesserWaiting+r.PromptTokens) > limit
+}
+
 // countsSince reports whether the target may be cold, so that its rate limit holds, and since
 // when requests to it count. What was sent before a sign of a restart went to the run before,
 // and what was sent before the target was last known to be warm went to a warm target.
