Gateway: end forwarded attempts over a hop that fell silent

Cause: a request forwarded to an instance that is cut off waited until its deadline. TCP's user timeout and keep-alive end a connection only if the other kernel answers nothing; they show nothing of a frozen process or a relay. Change: each forwarded attempt is watched (gateway/hop.go). The member is left out until it is heard again, the others of its region stay usable, and if all hops are silent, targets here are used.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -32,6 +32,7 @@
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/reachability"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/silence"
 	"chervilyard.example/yard/steadyclock"
 	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
@@ -107,6 +108,7 @@
 	suspectRetry time.Time     // no write before it; used with suspectWrite held
 	liveness     liveness.Checker
 	reach        reachability.Monitor
+	silence      silence.Monitor                   // of the hops to other instances
 	unreached    atomic.Pointer[unreachedServices] // nil if there are none yet
 
 	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
@@ -214,6 +216,8 @@
 	}
 	g.Suspects, g.TargetEnded, g.TrialRank, g.ClaimTrial = &e.suspects, e.targetEnded, e.trialRank, e.claimTrial
 	g.OnConnFailed, g.OnConnAnswered, g.OnSilent, g.IsCutOff = e.recordConnFailed, e.recordConnAnswered, e.checkSilent, e.isCutOff
+	g.Silence, g.HeartbeatsMissing, g.OnHopSilent = &e.silence, e.heartbeatsMissing, e.recordHopSilent
+	g.RoundTrip = func(m membership.Member) time.Duration { return e.gossiper.RoundTripTime(m.Name) }
 	g.SuspectsKnown = e.suspectsLoaded
 	g.Random = rand.Float64
 	g.Cutoff = func() (time.Time, bool) {
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -46,6 +46,7 @@
 	remotes := slices.DeleteFunc(g.Remotes(now, x.service, x.permits), func(r RemoteInstance) bool {
 		return slices.Contains(x.tried, r.Member.Name)
 	})
+	remotes = g.usableHops(now, remotes, len(candidates) > 0)
 	preferredRegion := g.setPreferredTarget(x, &dest.request, remotes)
 	local, ok := g.Picker.EstimateBest(now, candidates, dest.request, dest.coldShare)
 	spillTo := -1
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -141,6 +141,8 @@
 		a.firstByte.Start(firstByteTimeout, func() bool { return g.giveUp(&state, cancel) })
 		defer a.firstByte.Stop()
 	}
+	stopHopWatch := g.watchHop(ctx, cancel, now, a)
+	defer stopHopWatch()
 	stopWatch := g.watchSilence(now, dest)
 	resp, err := g.send(ctx, a)
 	stopWatch()
@@ -245,6 +247,7 @@
 		}
 		return g.Pool.Do(ctx, a.dest.remote.Member.Forward, &pool.Request{
 			Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Body: x.body,
+			OnReceived: g.recordReceived(a.dest.remote.Member),
 		})
 	}
 	t := a.dest.ticket.Target()
@@ -292,9 +295,16 @@
 	if failedConn := ctx.Err() == nil && !a.headerRead && poolErr != nil && !poolErr.Kept && poolErr.Op != pool.OpAdmit; failedConn && a.dest.ticket != nil && g.OnConnFailed != nil {
 		g.OnConnFailed(now, a.dest.ticket.Target())
 	}
+	if !sent {
+		g.recordUnreached(ctx, now, a, err)
+	}
+	if errors.Is(cause, errHopSilent) {
+		g.leaveSilentHop(now, a)
+	}
 	switch {
 	case errors.Is(cause, errFirstByteTimeout):
 		g.endAttempt(a, now, placement.TimedOut)
+	case errors.Is(cause, errHopSilent): // retried or ended like an attempt whose connection broke
 	case ctx.Err() != nil && !now.Before(x.deadline):
 		g.endAttempt(a, now, placement.TimedOut)
 		return false, g.deadlineExceeded(ctx, x)
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -28,6 +28,7 @@
 	headerPart           = "Chervil-Part"      // in a refusal: the part of the prompt because of which it is refused
 	headerConfirmed      = "Chervil-Confirmed" // in such a refusal: set if a trial has confirmed it
 	headerLeaving        = "Chervil-Leaving"   // in a refusal: set if only this instance refuses, because it is stopping
+	headerProbe          = "Chervil-Probe"     // set if the request only asks whether this instance answers
 	headerElsewhere      = "Chervil-Elsewhere" // in a refusal: set if another instance of the region may serve it
 )
 
@@ -53,6 +54,10 @@
 // this region that is cut off, using a target of this region. It never forwards the request
 // again, which prevents forwarding loops.
 func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerProbe) != "" {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{w: w, arrived: g.Now(), method: r.Method, host: r.Host, requestTarget: r.RequestURI, allowedDeliveries: 1, forwarded: true}
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/silence"
 	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 )
@@ -199,6 +200,16 @@
 	// IsCutOff reports whether this instance reaches no target of the service in its region,
 	// and another instance there may. Such requests are forwarded to it. It may be nil.
 	IsCutOff func(now time.Time, service string) bool
+	// Silence tells when the hop to another instance has fallen silent. If it is nil, forwarded
+	// requests wait until their deadline.
+	Silence *silence.Monitor
+	// RoundTrip returns the round-trip time to a member, 0 if it is not known, and
+	// HeartbeatsMissing whether its heartbeats are overdue. They may be nil.
+	RoundTrip         func(m membership.Member) time.Duration
+	HeartbeatsMissing func(now time.Time, m membership.Member) bool
+	// OnHopSilent is called when a forwarded request ended because the hop to the member was
+	// found silent. It may be nil.
+	OnHopSilent func(now time.Time, m membership.Member)
 	// Random returns a uniformly distributed random number in [0, 1).
 	Random func() float64
 	// Cutoff returns the time at which the instance cuts off open requests, and
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -344,6 +344,10 @@
 // the error of the request.
 func (g *Gateway) failBroken(ctx context.Context, a *attempt, err error) error {
 	now := g.Now()
+	if errors.Is(context.Cause(ctx), errHopSilent) {
+		g.leaveSilentHop(now, a)
+		return refusal.Unknown(http.StatusBadGateway, "answer_broken", "the hop to the other instance fell silent").WithCause(errHopSilent)
+	}
 	if ctx.Err() != nil && now.Before(a.x.deadline) {
 		g.endAttempt(a, now, placement.Canceled)
 		return g.cutOffOrGone(now, a.x, context.Cause(ctx))
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -79,6 +79,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_broken_attempts_total{service=%q,phase=%q}`, service, phase)).Inc()
 }
 
+// CountSilentHop counts a forwarded request that ended because the hop to a member was found
+// silent.
+func (m *Meter) CountSilentHop(member string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_silent_hops_total{member=%q}`, member)).Inc()
+}
+
 // CountPartRefusal counts a request that was refused because of a part of its prompt, and
 // states whether a trial has confirmed that targets end under the part.
 func (m *Meter) CountPartRefusal(service string, confirmed bool) {
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -42,7 +42,8 @@
 // conn is a connection to a server. It is used by one request at a time.
 type conn struct {
 	raw         net.Conn
-	limit       *io.LimitedReader // reads raw; bounds the size of a response header
+	onReceived  func()            // of the current request; may be nil
+	limit       *io.LimitedReader // reads the conn; bounds the size of a response header
 	r           *bufio.Reader     // reads limit
 	kept        bool              // it had a request before
 	idleTimeout time.Duration     // how long the connection may be reused after it becomes idle
@@ -51,8 +52,19 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	limit := &io.LimitedReader{R: raw, N: maxHeaderBytes}
-	return &conn{raw: raw, limit: limit, r: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: maxIdleTime}
+	c := &conn{raw: raw, idleTimeout: maxIdleTime}
+	c.limit = &io.LimitedReader{R: c, N: maxHeaderBytes}
+	c.r = bufio.NewReaderSize(c.limit, readBufferSize)
+	return c
+}
+
+// Read reads from the connection and reports that bytes arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.raw.Read(p)
+	if n > 0 && c.onReceived != nil {
+		c.onReceived()
+	}
+	return n, err
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -88,6 +100,7 @@
 
 // roundTrip sends the request and reads the header of the response.
 func (c *conn) roundTrip(r *Request) (*Response, error) {
+	c.onReceived = r.OnReceived
 	header := encodeHeader(r)
 	var bodyWritten chan error
 	if len(r.Body) <= maxInlineBody {
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -72,6 +72,9 @@
 	// OnWritten is called once the header, and a short body, have been written. It may be
 	// nil.
 	OnWritten func()
+	// OnReceived is called whenever bytes arrive on the connection until the response has ended.
+	// It may be nil.
+	OnReceived func()
 	// Accepts reports whether a response belongs to this request. Responses to other requests
 	// are skipped. There may be some on a kept connection, which had other requests before. If
 	// it is nil, all responses belong to the request.
@@ -179,7 +182,7 @@
 
 // putIdle makes a connection available to later requests.
 func (p *Pool) putIdle(address string, c *conn) {
-	c.kept, c.idleSince = true, time.Now()
+	c.kept, c.idleSince, c.onReceived = true, time.Now(), nil
 	c.expires = c.idleSince.Add(c.idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -214,6 +217,9 @@
 	p.idle[address] = newer
 }
 
+// CloseIdle closes the idle connections to the address.
+func (p *Pool) CloseIdle(address string) { p.closeIdleBefore(address, time.Now()) }
+
 // CloseExpired closes the idle connections that have expired at the time now.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
