Gossip: close connections that answer nothing after a partition

Cause: a connection that does not survive a partition stays in use until gRPC's keep-alive, 10 s at least, if the kernel at the other end or a relay acknowledges what is sent. Until then the instances hear nothing of each other, and one that cannot read the store keeps its old configuration. Change: a heartbeat or a fetch of content that times out closes its connection if nothing was answered on it for a second. It is closed outside the lock.

--- a/chervilyard/edge/store_test.go
+++ b/chervilyard/edge/store_test.go
@@ -41,6 +41,7 @@
 	changed  chan struct{} // closed and replaced by each change
 	leases   int64         // the last lease granted
 	calls    int
+	oldest   int64 // watches after an earlier revision find that the history is dropped
 
 	era        int64
 	copied     map[string]view.Item // the older copy
@@ -149,6 +150,19 @@
 	m.down = down
 }
 
+// dropHistory drops the changes up to the present revision.
+func (m *memoryStore) dropHistory() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.oldest = m.revision
+}
+
+func (m *memoryStore) historyDropped(after int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return after < m.oldest
+}
+
 func (m *memoryStore) setStall(d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -231,7 +245,7 @@
 				}
 				era := m.currentEra()
 				items, revision, changed := m.itemsAfter(part, after)
-				if after > revision {
+				if after > revision || m.historyDropped(after) {
 					return view.Changes{}, reader.ErrCompacted
 				}
 				if len(items) > 0 {
--- a/chervilyard/gossip/connection.go
+++ b/chervilyard/gossip/connection.go
@@ -8,8 +8,10 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/membership"
@@ -20,7 +22,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.lastUsed == nil {
-		g.lastUsed = make(map[string]time.Time)
+		g.lastUsed, g.lastAnswer = make(map[string]time.Time), make(map[string]time.Time)
 	}
 	g.lastUsed[address] = g.Now()
 	if c := g.conns[address]; c != nil {
@@ -48,9 +50,39 @@
 		g.conns = make(map[string]*grpc.ClientConn)
 	}
 	g.conns[address] = c
+	g.lastAnswer[address] = g.Now()
 	return c, nil
 }
 
+// recordCall records the end of a call on the connection to an address. It closes the connection
+// if the call timed out and nothing was answered for connSilence, so that the next call makes a
+// new one.
+func (g *Gossiper) recordCall(address string, c *grpc.ClientConn, err error) {
+	if g.isDead(address, c, err) {
+		_ = c.Close() // other calls on it are unanswered as well
+	}
+}
+
+// isDead records the end of a call on the connection to an address, and reports whether the
+// connection is to be closed. If so, it is not used any more.
+func (g *Gossiper) isDead(address string, c *grpc.ClientConn, err error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns[address] != c {
+		return false
+	}
+	now := g.Now()
+	if err == nil {
+		g.lastAnswer[address] = now
+		return false
+	}
+	if status.Code(err) != codes.DeadlineExceeded || now.Sub(g.lastAnswer[address]) < connSilence {
+		return false
+	}
+	delete(g.conns, address)
+	return true
+}
+
 // FetchContent fetches a member's copy of a part of the store. It waits for at most
 // twice remoteTimeout.
 func (g *Gossiper) FetchContent(ctx context.Context, m membership.Member, part string) (*fleet.Content, error) {
@@ -62,6 +94,7 @@
 	defer cancel()
 	request := &fleet.Part{Name: part}
 	content, err := fleet.NewFleetClient(conn).Read(ctx, request)
+	g.recordCall(m.Peers, conn, err)
 	g.countMessages("content", m, request, content)
 	return content, err
 }
@@ -85,6 +118,7 @@
 		}
 		delete(g.conns, address)
 		delete(g.lastUsed, address)
+		delete(g.lastAnswer, address)
 	}
 	unknown := func(name string) bool { return !known[name] }
 	maps.DeleteFunc(g.roundTrips, func(name string, _ time.Duration) bool { return unknown(name) })
--- a/chervilyard/gossip/gossip.go
+++ b/chervilyard/gossip/gossip.go
@@ -45,6 +45,11 @@
 	connIdleTimeout = time.Minute
 	// baseRedialDelay is the backoff after the first failed connection attempt.
 	baseRedialDelay = 200 * time.Millisecond
+	// connSilence is the time without a reply after which a call that times out closes its
+	// connection. gRPC looks after a connection only after 10 s without a byte, and the kernel
+	// notices nothing where a relay in the path acknowledges what is sent: a connection that did
+	// not survive a network partition would keep its members apart for as long.
+	connSilence = time.Second
 	// dialTimeout bounds a connection attempt.
 	dialTimeout = time.Second
 	// maxMessageBytes bounds a message; it exceeds the largest value in the store.
@@ -100,6 +105,7 @@
 	intervalCount int                         // heartbeat intervals since the start
 	conns         map[string]*grpc.ClientConn // by address
 	lastUsed      map[string]time.Time        // when the connection was last used, by address
+	lastAnswer    map[string]time.Time        // last reply on the connection, or its start, by address
 	inFlight      map[string]bool             // addresses that a heartbeat is in flight to
 	roundTrips    map[string]time.Duration    // average, by member name
 	exchangeCount int                         // exchanges begun since the start
@@ -236,6 +242,7 @@
 	defer cancel()
 	h := g.request(now, m)
 	reply, err := fleet.NewFleetClient(conn).Pulse(ctx, h)
+	g.recordCall(m.Peers, conn, err)
 	g.countMessages("heartbeat", m, h, reply)
 	if err != nil {
 		return // logSilentMembers logs a failure that lasts
