--- a/chervilyard/gateway/hop_test.go
+++ b/chervilyard/gateway/hop_test.go
@@ -25,16 +25,16 @@
 // hopCatalog returns a catalog whose routes have time enough to find a silent hop, and no
 // latency objective, so that no first-byte timeout ends an attempt before.
 func hopCatalog() *catalog.Catalog {
-	forward := func(name string, attempts int, stream, resume bool) route.Route {
+	forward := func(name string, stream, resume bool) route.Route {
 		return route.New(name, route.KindService, route.Timeout(hopTimeout), route.Repeatable(name == "read"),
 			route.Forward(route.Forwarding{
 				Host: "h.example", Prefix: "/" + name + "/", Services: []route.WeightedService{{Service: "s", Weight: 1}},
-				Attempts: attempts, Stream: stream, Resume: resume, Public: true,
+				Attempts: 2, Stream: stream, Resume: resume, Public: true,
 			}))
 	}
 	return catalog.New(catalog.Config{
 		Version: 1, Limits: catalog.Limits{MaxBodyBytes: 1 << 20}, Services: []service.Service{service.New("s")},
-		Routes: []route.Route{forward("read", 2, false, false), forward("order", 2, false, false), forward("stream", 2, true, false), forward("resume", 2, true, true)},
+		Routes: []route.Route{forward("read", false, false), forward("order", false, false), forward("stream", true, false), forward("resume", true, true)},
 	})
 }
 
