--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -32,6 +32,7 @@
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/reachability"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/silence"
 	"chervilyard.example/yard/steadyclock"
 	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
@@ -107,6 +108,7 @@
 	suspectRetry time.Time     // no write before it; used with suspectWrite held
 	liveness     liveness.Checker
 	reach        reachability.Monitor
+	silence      silence.Monitor                   // of the hops to other instances
 	unreached    atomic.Pointer[unreachedServices] // nil if there are none yet
 
 	cutoff                      atomic.Pointer[time.Time] // when Stop cuts off open requests; nil until it is called
@@ -165,7 +167,7 @@
 	s := e.Settings()
 	e.pool.OnDial = func(string) { e.meter.CountConnection() }
 	g := &e.gateway
-	g.Protocol, g.Now, g.Region = protocol, e.now, s.Region
+	g.Protocol, g.Now, g.Region, g.Name = protocol, e.now, s.Region, s.Name
 	g.Stamp = e.clock.Stamp
 	g.Catalog = e.catalog.Load
 	g.AwaitReady = e.awaitContentLoaded
@@ -214,6 +216,8 @@
 	}
 	g.Suspects, g.TargetEnded, g.TrialRank, g.ClaimTrial = &e.suspects, e.targetEnded, e.trialRank, e.claimTrial
 	g.OnConnFailed, g.OnConnAnswered, g.OnSilent, g.IsCutOff = e.recordConnFailed, e.recordConnAnswered, e.checkSilent, e.isCutOff
+	g.Silence, g.HeartbeatsMissing, g.OnHopSilent, g.Member = &e.silence, e.heartbeatsMissing, e.recordHopSilent, e.memberTable.Get
+	g.RoundTrip = func(m membership.Member) time.Duration { return e.gossiper.RoundTripTime(m.Name) }
 	g.SuspectsKnown = e.suspectsLoaded
 	g.Random = rand.Float64
 	g.Cutoff = func() (time.Time, bool) {
@@ -279,7 +283,7 @@
 	}
 	e.peerServer = gossip.NewServer(e.gossiper, e.content)
 	e.taskDone = append(e.taskDone, e.serve("callers", func() error { return e.callerServer.Serve(e.callerListener) }),
-		e.serve("forwarded", func() error { return e.forwardServer.Serve(e.forwardConns.Listener(listeners[1])) }),
+		e.serve("forwarded", func() error { return e.forwardServer.Serve(e.forwardConns.Listener(keepAliveListener{listeners[1]})) }),
 		e.serve("peers", func() error { return e.peerServer.Serve(listeners[2]) }),
 		e.gossiper.Run(e.ctx),
 		e.announce(e.ctx),
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retry"
+	"chervilyard.example/yard/silence"
 	"chervilyard.example/yard/suspect"
 	"chervilyard.example/yard/target"
 )
@@ -117,6 +118,7 @@
 	Now      func() time.Time
 	Catalog  func() *catalog.Catalog // returns nil until a configuration is known
 	Region   string
+	Name     string // of this instance, for those that it forwards requests to
 	// AwaitReady blocks until an instance that just started has its configuration,
 	// targets and suspects, or ctx is done. It may be nil.
 	AwaitReady func(ctx context.Context)
@@ -199,6 +201,19 @@
 	// IsCutOff reports whether this instance reaches no target of the service in its region,
 	// and another instance there may. Such requests are forwarded to it. It may be nil.
 	IsCutOff func(now time.Time, service string) bool
+	// Silence tells when the hop to another instance has fallen silent. If it is nil, forwarded
+	// requests wait until their deadline.
+	Silence *silence.Monitor
+	// RoundTrip returns the round-trip time to a member, 0 if it is not known, and
+	// HeartbeatsMissing whether its heartbeats are overdue. They may be nil.
+	RoundTrip         func(m membership.Member) time.Duration
+	HeartbeatsMissing func(now time.Time, m membership.Member) bool
+	// Member returns what is known of a member. If it is nil, requests of senders that fall silent
+	// go on.
+	Member func(name string) (membership.Member, bool)
+	// OnHopSilent is called when a forwarded request ended because the hop to the member was
+	// found silent. It may be nil.
+	OnHopSilent func(now time.Time, m membership.Member)
 	// Random returns a uniformly distributed random number in [0, 1).
 	Random func() float64
 	// Cutoff returns the time at which the instance cuts off open requests, and
