Gateway: wait limits by share, and retry delays from the backlog

Cause: in a shortage all customers wait for the same limit, and refused callers return after half of the expected wait. Change: waitLimit is scaled by the share of the customer while a refusal is in the window. The log has share and backlog of such a refusal. Requests to engines count as admitted when they are first sent, and as refused at the end if no engine took them.

--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -72,7 +72,7 @@
 	case local.Wait > waitLimit:
 		x.detail = fmt.Sprintf("%d targets here, the best in %v, allowed %v: %s", len(candidates), local.Wait.Round(time.Millisecond), waitLimit.Round(time.Millisecond),
 			g.Picker.DescribeLoad(now, candidates, dest.request))
-		return destination{}, g.refuse(x, "overloaded", "the targets would not answer in time", max(local.Wait/2, x.remoteRetryAfter))
+		return destination{}, g.refuse(x, codeOverloaded, "the targets would not answer in time", g.retryDelay(now, x, local.Wait, max(local.Wait/2, x.remoteRetryAfter)))
 	}
 	return dest, nil
 }
@@ -102,13 +102,14 @@
 
 // waitLimit returns the longest acceptable expected wait for the first byte. Under
 // overload, a queue as long as the route's latency objective keeps the targets as
-// busy as a longer one would, and the admitted requests still meet the objective.
+// busy as a longer one would, and the admitted requests still meet the objective. In a
+// shortage, customers above their share wait less.
 func (g *Gateway) waitLimit(now time.Time, x *exchange) time.Duration {
 	d := time.Duration(maxWaitFraction * float64(x.deadline.Sub(now)))
 	if objective := x.route.LatencyObjective(); objective > 0 {
 		d = min(d, objective)
 	}
-	return d
+	return g.fairWait(now, x, d)
 }
 
 // setPreferredTarget sets the preferred target for the prompt's shared parts in r
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -258,6 +258,7 @@
 				return false
 			}
 			a.sentAt = now
+			g.recordAdmitted(now, x)
 			g.recordSent(x, t.Name(), now)
 			return true
 		},
@@ -408,7 +409,7 @@
 // refuse returns a refusal that states correctly whether the request may have run.
 func (g *Gateway) refuse(x *exchange, code, message string, retryAfter time.Duration) error {
 	if x.possibleRuns == 0 {
-		return refusal.NotRun(http.StatusServiceUnavailable, code, message).WithRetryAfter(max(retryAfter, shortRetryAfter))
+		return refusal.NotRun(http.StatusServiceUnavailable, code, message).WithRetryAfter(retryAfter)
 	}
 	return refusal.Unknown(http.StatusBadGateway, code, message)
 }
@@ -420,7 +421,11 @@
 	if x.remoteRetryAfter > 0 {
 		retryAfter = min(retryAfter, x.remoteRetryAfter)
 	}
-	return g.refuse(x, "targets_none", "no target may take the request now", retryAfter)
+	delay := max(retryAfter, shortRetryAfter)
+	if now := g.Now(); g.Shares != nil && g.Shares.Short(now) {
+		delay = g.retryDelay(now, x, retryAfter, retryAfter)
+	}
+	return g.refuse(x, codeNoTarget, "no target may take the request now", delay)
 }
 
 // deadlineExceeded returns the refusal of a request whose deadline has passed.
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/catalog"
+	"chervilyard.example/yard/fairshare"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
@@ -105,6 +106,10 @@
 	// PartRefused is called for each request that is refused because of a part of its
 	// prompt, and states whether a trial has confirmed that targets end under it.
 	PartRefused func(service string, confirmed bool)
+	// CapacityRefused is called for each request to an engine that is refused for lack of
+	// capacity, with whether its wait limit was shorter because of its customer's share, and
+	// with its retry delay.
+	CapacityRefused func(service string, overShare bool, delay time.Duration)
 	// RequestedWait is called for each target that turned a request away with a time to
 	// wait: "kept", "reduced" to the longest one, or "malformed".
 	RequestedWait func(result string)
@@ -171,6 +176,9 @@
 	Pool         *pool.Pool
 	Decisions    *decisionlog.Log
 	Metrics      Metrics
+	// Shares counts the tokens of requests to engines by customer. If it is nil, customers do
+	// not share the capacity.
+	Shares *fairshare.Ledger
 	// Suspects holds the requests and parts of prompts under which targets ended.
 	Suspects *suspect.Ledger
 	// TargetEnded reports whether the target at an address, whose connection broke, has
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -29,7 +29,7 @@
 			d.Reason += ": " + r.Cause.Error()
 		}
 	}
-	d.Reason = strings.Join(nonEmpty(d.Reason, x.detail, x.decisionInputs(), g.stateAges(now), g.untilCutoff(x)), "; ")
+	d.Reason = strings.Join(nonEmpty(d.Reason, x.detail, x.shortage, x.decisionInputs(), g.stateAges(now), g.untilCutoff(x)), "; ")
 	g.Decisions.Record(d)
 	if g.Metrics.RequestDone != nil {
 		var firstByte time.Duration
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -93,6 +93,9 @@
 	latencyTrial      bool          // sent to learn how long the service takes
 	awaitsProof       bool          // a target can take the request once it is proved to be warm
 	proofWaited       time.Duration // time waited for that
+	waitFraction      float64       // part of the wait limit that the share of the customer allowed last; 0 if there was no shortage
+	admittedTokens    int           // counted as admitted
+	shortage          string        // share of the customer and backlog when the request was refused, for the log
 	skipped           int           // responses to other requests on its connections
 	placements        []string      // load of the target of each attempt as it was chosen, for the log
 	sentAt            []string      // target and time of each attempt that had a connection, for the log
@@ -255,6 +258,9 @@
 	if r != nil && r.Run == refusal.RunNo && x.chargedTokens > 0 {
 		g.refundTokens(now, x)
 	}
+	if r != nil {
+		g.recordRefused(now, x, r)
+	}
 	g.logOutcome(now, x, r)
 	if r == nil {
 		return
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -96,6 +96,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_permits_total{result=%q}`, result)).Inc()
 }
 
+// ObserveCapacityRefusal counts a request that was refused for lack of capacity, by whether
+// its customer was above its share, and its retry delay.
+func (m *Meter) ObserveCapacityRefusal(service string, overShare bool, delay time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_capacity_refused_total{service=%q,over_share="%t"}`, service, overShare)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`chervil_retry_delay_seconds{service=%q}`, service)).Update(delay.Seconds())
+}
+
 // CountConnection counts a new connection to a target or to another instance.
 func (m *Meter) CountConnection() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
 
