Edge: report admitted and refused tokens of customers in a shortage

Cause: an instance sees a part of a customer's requests. Change: heartbeats of a region carry the counts of fairshare.Ledger: own ones at most every 200 ms and a hub's sums every 400 ms, only while refusals are known. Weights are the rates of the customers. chervil_capacity_short tells a shortage.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -81,6 +81,7 @@
 	pool        pool.Pool
 	memberTable membership.Table
 	gossiper    *gossip.Gossiper
+	shares      shares // of customers in the capacity of engines
 
 	views        map[string]*view.View                           // by part
 	fetching     map[string]*atomic.Bool                         // by part; true while content is fetched from a peer
@@ -188,12 +189,13 @@
 	g.Picker, g.Limiter, g.RetryBudget, g.Pool, g.Decisions = &e.picker, &e.quota, &e.budget, &e.pool, e.decisions
 	g.Metrics = gateway.Metrics{
 		Forwarded: func(bytes int) { e.countPeerMessage("forward", true, bytes) },
-		Retry:     e.meter.CountRetry, LatencyTrial: e.meter.CountLatencyTrial, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait,
+		Retry:     e.meter.CountRetry, LatencyTrial: e.meter.CountLatencyTrial, ResponseEnd: e.meter.CountResponseEnd, AttemptBroken: e.meter.CountBrokenAttempt, PartRefused: e.meter.CountPartRefusal, RequestedWait: e.meter.CountRequestedWait, CapacityRefused: e.meter.ObserveCapacityRefusal,
 		RequestDone: func(route, code string, status int, duration, firstByte time.Duration) {
 			e.traffic.count(e.now(), route)
 			e.meter.ObserveRequest(route, code, status, duration, firstByte)
 		},
 	}
+	g.Shares, e.shares.ledger.Weight = &e.shares.ledger, e.customerWeight
 	g.CollectTokens, g.RefundTokens = e.collectTokens, e.refundTokens
 	g.OnSuspectedRestart = e.probeSuspect
 	e.picker.OnSuspected = func(_ time.Time, name string, o placement.Outcome) {
@@ -233,6 +235,12 @@
 		}
 		return 0
 	})
+	e.meter.Gauge("chervil_capacity_short", func() float64 {
+		if e.shares.ledger.Short(e.now()) {
+			return 1
+		}
+		return 0
+	})
 	e.meter.Gauge("chervil_lists_old", func() float64 {
 		if e.knowledgeIsOld(e.now()) {
 			return 1
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -65,6 +65,7 @@
 	default:
 		h.Loads = encodeLoads(slices.DeleteFunc(e.picker.Loads(), func(l placement.Load) bool { return !e.tellsLoad(l.Target) }))
 	}
+	e.tellShares(now, to, h.Others != nil, h)
 	h.Leaving = e.targets.leaving.list(now, isHub)
 	h.Checks = e.checks.tell(now, isHub)
 	h.Limits = e.tellRates(now, true)
@@ -120,6 +121,7 @@
 		} else {
 			e.picker.UpdatePeerLoads(now, h.GetName(), e.targets.decodeLoads(h.GetLoads()))
 		}
+		e.hearShares(written, h)
 		e.targets.leaving.tell(now, h.GetLeaving())
 		e.hearChecks(now, written, h.GetChecks())
 	} else {
