Placement, edge: eject failing targets by the outcomes at all instances

Seven of 58 engines that failed everything took a quarter of the requests of 84 instances for six seconds. Outcomes of requests now travel in Loads (answered, failed; hubs send sums over the others) and feed outlier.Detector. Ejected targets are left out while others can be used, a failing one costs what a failure costs its caller, and trials prefer requests that may be repeated. Ejections and returns are logged with their inputs and counted.

--- a/chervilyard/edge/bench_test.go
+++ b/chervilyard/edge/bench_test.go
@@ -47,7 +47,7 @@
 	}
 	for i := range 26 {
 		e.handleHeartbeat(now, now, membership.Member{Region: "region0"}, &fleet.Heartbeat{
-			Name: fmt.Sprintf("region0-%02d", i+1), Marks: []uint64{1}, Loads: encodeLoads(e.picker.Loads()),
+			Name: fmt.Sprintf("region0-%02d", i+1), Marks: []uint64{1}, Loads: encodeLoads(e.picker.Loads(e.now())),
 		})
 	}
 	peer := membership.Member{Name: "region0-01", Region: "region0", Peers: "10.1.200.25:8229"}
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -203,6 +203,7 @@
 		}
 		e.logDecision("target", "suspected", name+": "+cause)
 	}
+	e.picker.OnOutlier = e.recordOutlier
 	e.picker.OnLimitReached = func(name string) {
 		select {
 		case e.limitReached <- name:
@@ -226,6 +227,7 @@
 	e.meter.Gauge("chervil_open_requests", func() float64 { return float64(g.InFlight()) })
 	e.meter.Gauge("chervil_log_shed", func() float64 { return float64(e.decisions.Dropped()) })
 	e.meter.Gauge("chervil_blocked_parts", func() float64 { return float64(e.suspects.Blocked()) })
+	e.meter.Gauge("chervil_ejected_targets", func() float64 { return float64(e.picker.Ejected()) })
 	e.meter.Gauge("chervil_target_limits", func() float64 { return float64(e.rates.InEffect()) })
 	e.meter.Gauge("chervil_services_unreached", func() float64 {
 		if u := e.unreached.Load(); u != nil {
--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -63,7 +63,7 @@
 		h.Others = encodeLoads(e.picker.LoadsWithout(now, to.Name, e.tellsLoad))
 		h.Rooms = e.remoteWaits.relay(now, e.gossiper.RoundTripTime)
 	default:
-		h.Loads = encodeLoads(slices.DeleteFunc(e.picker.Loads(), func(l placement.Load) bool { return !e.tellsLoad(l.Target) }))
+		h.Loads = encodeLoads(slices.DeleteFunc(e.picker.Loads(now), func(l placement.Load) bool { return !e.tellsLoad(l.Target) }))
 	}
 	h.Leaving = e.targets.leaving.list(now, isHub)
 	h.Checks = e.checks.tell(now, isHub)
--- a/chervilyard/edge/loads.go
+++ b/chervilyard/edge/loads.go
@@ -15,12 +15,15 @@
 	h := &fleet.Loads{
 		Targets: make([]uint32, 0, len(list)), Open: make([]uint32, 0, len(list)),
 		Waiting: make([]uint32, 0, len(list)), Memory: make([]uint32, 0, len(list)),
+		Answered: make([]uint32, 0, len(list)), Failed: make([]uint32, 0, len(list)),
 	}
 	for _, l := range list {
 		h.Targets = append(h.Targets, targetHash(l.Target))
-		h.Open = append(h.Open, uint32(l.Open))
+		h.Open = append(h.Open, uint32(max(l.Open, 0)))
 		h.Waiting = append(h.Waiting, uint32(max(l.WaitingTokens, 0)))
 		h.Memory = append(h.Memory, uint32(max(l.MemoryTokens, 0)))
+		h.Answered = append(h.Answered, uint32(max(l.Answered, 0)))
+		h.Failed = append(h.Failed, uint32(max(l.Failed, 0)))
 	}
 	return h
 }
@@ -34,9 +37,13 @@
 	defer t.mu.Unlock()
 	for i := range n {
 		if name, ok := t.byHash[h.GetTargets()[i]]; ok {
-			list = append(list, placement.Load{
+			l := placement.Load{
 				Target: name, Open: int(h.GetOpen()[i]), WaitingTokens: int(h.GetWaiting()[i]), MemoryTokens: int(h.GetMemory()[i]),
-			})
+			}
+			if i < min(len(h.GetAnswered()), len(h.GetFailed())) { // instances of older versions send none
+				l.Answered, l.Failed = int(h.GetAnswered()[i]), int(h.GetFailed()[i])
+			}
+			list = append(list, l)
 		}
 	}
 	return list
--- a/chervilyard/edge/loads_test.go
+++ b/chervilyard/edge/loads_test.go
@@ -13,7 +13,10 @@
 func TestLoadsRoundTrip(t *testing.T) {
 	var known targetList
 	known.byHash = map[uint32]string{targetHash("a"): "a", targetHash("b"): "b"}
-	list := []placement.Load{{Target: "a", Open: 3, WaitingTokens: 7000, MemoryTokens: 60_000}, {Target: "b", Open: 1}, {Target: "unlisted", Open: 9}}
+	list := []placement.Load{
+		{Target: "a", Open: 3, WaitingTokens: 7000, MemoryTokens: 60_000, Answered: 12}, {Target: "b", Open: 1, Answered: 1, Failed: 300},
+		{Target: "unlisted", Open: 9},
+	}
 	encoded, err := proto.Marshal(encodeLoads(list))
 	if err != nil {
 		t.Fatal(err)
@@ -29,6 +32,11 @@
 	if got := known.decodeLoads(&h); !slices.Equal(got, list[:1]) {
 		t.Errorf("truncated message decoded as %+v", got)
 	}
+	h.Memory = append(h.Memory, 0)
+	h.Failed = nil // from an instance of an older version
+	if got := known.decodeLoads(&h); len(got) != 2 || got[1] != (placement.Load{Target: "b", Open: 1}) {
+		t.Errorf("message without outcomes decoded as %+v", got)
+	}
 	if got := known.decodeLoads(nil); len(got) != 0 {
 		t.Errorf("nil message decoded as %+v", got)
 	}
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -141,6 +141,7 @@
 	return placement.Request{
 		Service: x.catalog.Service(x.service), PromptTokens: x.req.PromptTokens, MaxOutputTokens: x.req.MaxOutputTokens,
 		Parts: x.req.Parts, MaxEventGap: x.route.MaxEventGap(), Exclude: x.tried,
+		Repeatable: x.route.Idempotent() && x.possibleRuns+1 < x.maxAttempts,
 	}
 }
 
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -90,6 +90,15 @@
 	m.set.GetOrCreateCounter(`chervil_leaving_targets_total`).Inc()
 }
 
+// CountEjection counts an ejection of a target, or its return.
+func (m *Meter) CountEjection(ejected bool) {
+	change := "returned"
+	if ejected {
+		change = "ejected"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_target_ejections_total{change=%q}`, change)).Inc()
+}
+
 // CountPermit counts a request for a permit to send a request to a target with a rate limit,
 // by its result.
 func (m *Meter) CountPermit(result string) {
--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -136,6 +136,23 @@
 	return queued + ((float64(waiting)+crowding*float64(r.PromptTokens))*perToken+crowding*base)*s.slowdownFactor(now)
 }
 
+// unrepeatableFactor is the cost of a failure that the caller gets to see, in multiples of the
+// longest acceptable wait. One that may be repeated costs up to that wait.
+const unrepeatableFactor = 4
+
+// failureCostMS returns what the failures at a target beyond those of its service are expected
+// to cost the caller, in milliseconds.
+func (p *Picker) failureCostMS(targetName string, r Request) float64 {
+	if p.assessment == nil || len(p.assessment.Excess) == 0 {
+		return 0
+	}
+	costMS := max(r.WaitLimit.Seconds()*1000, defaultAnswerMS)
+	if !r.Repeatable {
+		costMS *= unrepeatableFactor
+	}
+	return p.assessment.Excess[targetName] * costMS
+}
+
 // queuedRounds returns how many durations of an answer a request waits for a slot behind open
 // requests.
 func queuedRounds(open, slots int) float64 {
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chervilyard.example/yard/coldlimit"
+	"chervilyard.example/yard/outlier"
 	"chervilyard.example/yard/rendezvous"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
@@ -96,6 +97,7 @@
 	Parts           []Part        // in the order of the prompt; all but the last may be shared with other requests
 	MaxEventGap     time.Duration // longest allowed pause between events of a stream; 0 means no limit
 	Exclude         []string      // names of targets to exclude
+	Repeatable      bool          // another target may run it if this one fails
 	PreferredTarget string        // name of the target that PreferredTarget returns for the prompt; "" if there is none
 	// WaitLimit is the longest acceptable expected wait for the first byte; 0 means no limit.
 	// Targets that exceed it are chosen only if all do.
@@ -180,6 +182,8 @@
 	Open          int
 	WaitingTokens int // prompt tokens of requests that wait for their first byte
 	MemoryTokens  int // prompt and output tokens of open requests
+	Answered      int // requests that were answered in the last second
+	Failed        int // requests that failed there in the last second
 }
 
 // Picker holds the state of the region's targets and chooses among them. The zero
@@ -196,6 +200,9 @@
 	listedAt   time.Time            // when the last list of targets was requested
 	reserved   map[string]bool      // see ReserveForChecks
 	readmitted map[string]time.Time // when a data centre last got requests again
+	outliers   outlier.Detector
+	assessment *outlier.Assessment // of the service of the present choice; see assess
+	leftOut    map[string]bool     // ejected targets that the present choice leaves out
 
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
 	// math/rand are used. It must not be changed after first use.
@@ -213,6 +220,10 @@
 	// must not be changed after first use and must not call methods of the Picker.
 	OnSuspected func(now time.Time, name string, o Outcome)
 	OnDismissed func(now time.Time, name string)
+	// OnOutlier is called when a target is ejected because its requests fail far more often
+	// than those of the others, and when it returns. It may be nil, must not be changed after
+	// first use and must not call methods of the Picker.
+	OnOutlier func(now time.Time, c outlier.Change)
 }
 
 // UpdateTargets updates the state from a new list of targets that was requested at readAt and
@@ -235,6 +246,7 @@
 			continue
 		}
 		if s.run != t.RunID() {
+			p.outliers.Forget(t.Name())
 			*s = targetState{
 				run: t.RunID(), centre: t.Centre(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
 				open: s.open, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
@@ -248,6 +260,7 @@
 		// A target that is briefly missing from the list may still be cold when it returns.
 		if s.open == 0 && readAt.Sub(s.lastListed) > stateTTL {
 			delete(p.targets, name)
+			p.outliers.Forget(name)
 		}
 	}
 }
@@ -301,6 +314,7 @@
 	p.addToTotals(p.peers[peer].loads, -1)
 	p.addToTotals(loads, 1)
 	p.peers[peer] = peerLoads{at: now, loads: slices.Clone(loads)}
+	p.outliers.Report(now, peer, outcomes(loads))
 }
 
 // UpdateOtherLoads replaces the load of all other instances on the region's targets, which
@@ -316,6 +330,7 @@
 		p.others[l.Target] = l
 	}
 	p.othersAt = now
+	p.outliers.ReportOthers(now, outcomes(loads))
 }
 
 // LoadsWithout returns the loads of the peers but the named one, and those of this instance of
@@ -337,6 +352,9 @@
 		}
 	}
 	maps.DeleteFunc(totals, func(_ string, l Load) bool { return l.Open <= 0 })
+	for name, c := range p.outliers.Without(now, peer, include) {
+		totals[name] = totals[name].withOutcomes(c)
+	}
 	return sortLoads(slices.Collect(maps.Values(totals)))
 }
 
@@ -376,9 +394,9 @@
 	}
 }
 
-// Loads returns the loads of the targets with open requests of this instance,
-// sorted by target.
-func (p *Picker) Loads() []Load {
+// Loads returns the loads of the targets with open or recently ended requests of this
+// instance, sorted by target.
+func (p *Picker) Loads(now time.Time) []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]Load, 0, len(p.targets))
@@ -387,7 +405,7 @@
 			list = append(list, s.load(name))
 		}
 	}
-	return sortLoads(list)
+	return addOutcomes(sortLoads(list), p.outliers.Own(now))
 }
 
 func sortLoads(list []Load) []Load {
@@ -400,6 +418,10 @@
 func (p *Picker) Choose(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.assess(now, candidates, r, coldShare)
+	if ticket := p.chooseEjected(now, candidates, r, coldShare); ticket != nil {
+		return ticket
+	}
 	best, e := p.best(now, p.sample(now, candidates, r, coldShare), r, coldShare)
 	if best != nil && r.WaitLimit > 0 && e.Wait > r.WaitLimit {
 		best, e = p.best(now, candidates, r, coldShare) // the sample has none in time
@@ -475,6 +497,7 @@
 func (p *Picker) EstimateBest(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) (Estimate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.assess(now, candidates, r, coldShare)
 	best, e := p.best(now, candidates, r, coldShare)
 	return e, best != nil
 }
@@ -492,7 +515,7 @@
 		}
 		cachedTokens := p.cachedPrefix(now, p.state(t.Name()), r.Parts, t.Name() == r.PreferredTarget)
 		waitMS := p.queueMS(now, t, r) + p.targetProcessingMS(now, p.state(t.Name()), r, r.PromptTokens-cachedTokens)
-		costMS := waitMS - p.savedMS(r, cachedTokens)*affinityFactor
+		costMS := waitMS - p.savedMS(r, cachedTokens)*affinityFactor + p.failureCostMS(t.Name(), r)
 		timely := r.WaitLimit <= 0 || milliseconds(waitMS) <= r.WaitLimit
 		better := costMS < minCostMS
 		if timely != bestTimely {
@@ -517,6 +540,7 @@
 	defer p.mu.Unlock()
 	minWaitMS := math.Inf(1)
 	r := Request{Service: s}
+	p.assess(now, candidates, r, coldShare)
 	for i := range candidates {
 		if t := &candidates[i]; p.usable(now, t, r, coldShare) {
 			minWaitMS = min(minWaitMS, p.queueMS(now, t, r))
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -269,7 +269,7 @@
 		for _, ticket := range open {
 			ticket.End(now, placement.Answered)
 		}
-		for _, l := range p.Loads() {
+		for _, l := range p.Loads(now.Add(time.Minute)) { // outcomes no longer count
 			t.Fatalf("load left at %s: %d open requests, %d waiting tokens, %d tokens in memory", l.Target, l.Open, l.WaitingTokens, l.MemoryTokens)
 		}
 	})
--- a/yard/placement/stale_loads_test.go
+++ b/yard/placement/stale_loads_test.go
@@ -28,6 +28,7 @@
 	firstTokenMS  = 62.0
 	stepMS        = 3.27
 	stepPerSlotMS = 0.0823
+	failureTime   = 5 * time.Millisecond // until a failing target answers
 )
 
 // simulatedRequest is a request of a simulatedFleet.
@@ -36,6 +37,7 @@
 	arrived, first    time.Duration
 	prompt, generated int
 	objective         time.Duration
+	failed            bool
 	ticket            *placement.Ticket
 }
 
@@ -53,6 +55,8 @@
 	plain   bool // the targets are those of a plain service
 	events  eventQueue
 
+	fails func(r *simulatedRequest) bool // whether its target fails the request; nil means none
+
 	requests []*simulatedRequest
 	mostOpen int // requests at one engine at most
 }
@@ -110,7 +114,7 @@
 		exchange = func() {
 			turn++
 			if h := turn % f.hubs; h != i {
-				f.pickers[h].UpdatePeerLoads(f.clock(), fmt.Sprint(i), f.pickers[i].Loads())
+				f.pickers[h].UpdatePeerLoads(f.clock(), fmt.Sprint(i), f.pickers[i].Loads(f.clock()))
 				if i >= f.hubs {
 					f.pickers[i].UpdateOtherLoads(f.clock(), f.pickers[h].LoadsWithout(f.clock(), fmt.Sprint(i), func(string) bool { return true }))
 				}
@@ -157,6 +161,11 @@
 func (f *simulatedFleet) begin(r *simulatedRequest) {
 	e := &f.engines[r.engine]
 	e.running++
+	if f.fails != nil && f.fails(r) {
+		r.failed = true
+		f.at(f.now+failureTime, func() { f.end(r, placement.Failed) })
+		return
+	}
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	if f.plain {
 		f.at(f.now+ms(float64(r.generated)), func() {
@@ -174,10 +183,15 @@
 	})
 }
 
-// finish ends the request and begins the next one that waits for its place.
+// finish ends a request that is answered.
 func (f *simulatedFleet) finish(r *simulatedRequest) {
+	f.end(r, placement.Answered)
+}
+
+// end ends the request with the outcome and begins the next one that waits for its place.
+func (f *simulatedFleet) end(r *simulatedRequest, o placement.Outcome) {
 	e := &f.engines[r.engine]
-	r.ticket.End(f.clock(), placement.Answered)
+	r.ticket.End(f.clock(), o)
 	e.running--
 	if len(e.waiting) > 0 {
 		next := e.waiting[0]
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -233,6 +233,12 @@
 
 // recordOutcome updates the health of the target from the outcome of the request.
 func (t *Ticket) recordOutcome(now time.Time, s *targetState, o Outcome) {
+	switch {
+	case o == Answered:
+		t.picker.outliers.Record(now, t.chosenAt, t.target.Name(), false)
+	case o == Failed || o == Unreachable || o == ConnectionBroken || o == TimedOut && t.wasSilent(now):
+		t.picker.outliers.Record(now, t.chosenAt, t.target.Name(), true)
+	}
 	switch o {
 	case Answered:
 		s.failures = 0
@@ -261,6 +267,12 @@
 	}
 }
 
+// wasSilent reports whether the target sent nothing although the request waited for longer than
+// it was expected to. A request that was to show how slow the target is may do so.
+func (t *Ticket) wasSilent(now time.Time) bool {
+	return !t.gotFirst && t.trial == nil && now.Sub(t.chosenAt) > t.expectedWait
+}
+
 // suspect records a sign that the target may have restarted.
 func (t *Ticket) suspect(now time.Time, s *targetState, o Outcome) {
 	s.lastSuspected = now
--- a/yard/placement/trial.go
+++ b/yard/placement/trial.go
@@ -54,6 +54,7 @@
 	if !p.trialDue(now, r, coldShare, terms) {
 		return nil
 	}
+	p.assess(now, candidates, r, coldShare)
 	var oldest *target.Target
 	var oldestAt time.Time
 	for i := range candidates {
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -139,6 +139,7 @@
 func (p *Picker) Explain(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.assess(now, candidates, r, coldShare)
 	var list []string
 	for i := range candidates {
 		t := &candidates[i]
@@ -151,6 +152,8 @@
 			list = append(list, t.Name()+" wants no request for "+s.deferredUntil.Sub(now).Round(time.Millisecond).String())
 		case now.Before(s.ejectedUntil):
 			list = append(list, t.Name()+" failed "+strconv.Itoa(s.failures)+" times")
+		case p.leftOut[t.Name()]:
+			list = append(list, t.Name()+" fails more often than the others")
 		case permitWait > 0:
 			list = append(list, t.Name()+" has a limit and no permit for "+permitWait.Round(time.Millisecond).String())
 		case !p.usable(now, t, r, coldShare) && p.isCold(now, s):
@@ -185,6 +188,9 @@
 
 // usable reports whether the target can get the request now.
 func (p *Picker) usable(now time.Time, t *target.Target, r Request, coldShare ColdShare) bool {
+	if p.leftOut[t.Name()] {
+		return false
+	}
 	s := p.state(t.Name())
 	if p.isBarred(now, t, s, r) {
 		return false
@@ -246,6 +252,7 @@
 func (p *Picker) AwaitsProof(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.assess(now, candidates, r, coldShare)
 	return slices.ContainsFunc(candidates, func(t target.Target) bool {
 		s := p.state(t.Name())
 		return !slices.Contains(r.Exclude, t.Name()) && p.isUnproved(s, coldShare) && !p.isCold(now, s) &&
