--- a/yard/placement/bench_test.go
+++ b/yard/placement/bench_test.go
@@ -35,3 +35,34 @@
 		})
 	}
 }
+
+// BenchmarkChooseWithEjections measures one choice while a tenth of the targets is ejected.
+func BenchmarkChooseWithEjections(b *testing.B) {
+	const n = 58
+	var p placement.Picker
+	now := time.Unix(0, 0)
+	var list []target.Target
+	var loads []placement.Load
+	for i := range n {
+		list = append(list, target.New(fmt.Sprintf("i-%08d", i), "c", "", []string{"m"}, 64, 1, false))
+		l := placement.Load{Target: list[i].Name(), Open: 9, WaitingTokens: 900, MemoryTokens: 90_000, Answered: 20}
+		if i%10 == 0 {
+			l.Answered, l.Failed = 0, 20
+		}
+		loads = append(loads, l)
+	}
+	r := placement.Request{Service: engineService, PromptTokens: 2000, MaxOutputTokens: 20}
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		p.UpdateOtherLoads(now, loads)
+		p.EstimateBest(now, list, r, coldShare)
+	}
+	if p.Ejected() == 0 {
+		b.Fatal("no target is ejected")
+	}
+	for b.Loop() {
+		ticket := p.Choose(now, list, r, coldShare)
+		ticket.RecordFirstByte(now)
+		ticket.End(now, placement.Answered)
+	}
+}
