--- a/chervilyard/edge/loads.go
+++ b/chervilyard/edge/loads.go
@@ -17,17 +17,20 @@
 	h := &fleet.Loads{
 		Targets: make([]uint32, 0, len(list)), Open: make([]uint32, 0, len(list)),
 		Waiting: make([]uint32, 0, len(list)), Memory: make([]uint32, 0, len(list)),
+		Answered: make([]uint32, 0, len(list)), Failed: make([]uint32, 0, len(list)),
 	}
 	tellsLesser := slices.ContainsFunc(list, func(l placement.Load) bool { return l.LesserOpen > 0 })
 	for _, l := range list {
 		h.Targets = append(h.Targets, targetHash(l.Target))
-		h.Open = append(h.Open, uint32(l.Open))
+		h.Open = append(h.Open, uint32(max(l.Open, 0)))
 		h.Waiting = append(h.Waiting, uint32(max(l.WaitingTokens, 0)))
 		h.Memory = append(h.Memory, uint32(max(l.MemoryTokens, 0)))
 		if tellsLesser {
 			h.Lesser = append(h.Lesser, uint32(max(l.LesserOpen, 0)))
 			h.Unread = append(h.Unread, uint32(max(l.LesserWaiting, 0)))
 		}
+		h.Answered = append(h.Answered, uint32(max(l.Answered, 0)))
+		h.Failed = append(h.Failed, uint32(max(l.Failed, 0)))
 	}
 	return h
 }
@@ -45,6 +48,9 @@
 			if i < min(len(h.GetLesser()), len(h.GetUnread())) {
 				l.LesserOpen, l.LesserWaiting = int(h.GetLesser()[i]), int(h.GetUnread()[i])
 			}
+			if i < min(len(h.GetAnswered()), len(h.GetFailed())) { // instances of older versions send none
+				l.Answered, l.Failed = int(h.GetAnswered()[i]), int(h.GetFailed()[i])
+			}
 			list = append(list, l)
 		}
 	}
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -147,7 +147,8 @@
 	return placement.Request{
 		Service: x.catalog.Service(x.service), PromptTokens: x.req.PromptTokens, MaxOutputTokens: x.req.MaxOutputTokens,
 		Parts: x.req.Parts, MaxEventGap: x.route.MaxEventGap(), Exclude: x.tried,
-		Lesser: x.catalog.IsLesser(x.service, x.route.Priority()),
+		Lesser:     x.catalog.IsLesser(x.service, x.route.Priority()),
+		Repeatable: x.route.Idempotent() && x.possibleRuns+1 < x.maxAttempts,
 	}
 }
 
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chervilyard.example/yard/coldlimit"
+	"chervilyard.example/yard/outlier"
 	"chervilyard.example/yard/rendezvous"
 	"chervilyard.example/yard/service"
 	"chervilyard.example/yard/target"
@@ -96,6 +97,7 @@
 	Parts           []Part        // in the order of the prompt; all but the last may be shared with other requests
 	MaxEventGap     time.Duration // longest allowed pause between events of a stream; 0 means no limit
 	Exclude         []string      // names of targets to exclude
+	Repeatable      bool          // another target may run it if this one fails
 	PreferredTarget string        // name of the target that PreferredTarget returns for the prompt; "" if there is none
 	// Lesser is set if the request is less urgent than others of the service. Such requests hold
 	// a part of the slots of an engine only; see package classmix.
@@ -185,6 +187,8 @@
 	MemoryTokens  int // prompt and output tokens of open requests
 	LesserOpen    int // of Open, requests with Request.Lesser
 	LesserWaiting int // of WaitingTokens, those of such requests
+	Answered      int // requests that were answered in the last second
+	Failed        int // requests that failed there in the last second
 }
 
 // Picker holds the state of the region's targets and chooses among them. The zero
@@ -201,6 +205,9 @@
 	listedAt   time.Time            // when the last list of targets was requested
 	reserved   map[string]bool      // see ReserveForChecks
 	readmitted map[string]time.Time // when a data centre last got requests again
+	outliers   outlier.Detector
+	assessment *outlier.Assessment // of the service of the present choice; see assess
+	leftOut    map[string]bool     // ejected targets that the present choice leaves out
 
 	// Random returns a random number from 0 up to n. If it is nil, the functions of
 	// math/rand are used. It must not be changed after first use.
@@ -218,6 +225,10 @@
 	// must not be changed after first use and must not call methods of the Picker.
 	OnSuspected func(now time.Time, name string, o Outcome)
 	OnDismissed func(now time.Time, name string)
+	// OnOutlier is called when a target is ejected because its requests fail far more often
+	// than those of the others, and when it returns. It may be nil, must not be changed after
+	// first use and must not call methods of the Picker.
+	OnOutlier func(now time.Time, c outlier.Change)
 }
 
 // UpdateTargets updates the state from a new list of targets that was requested at readAt and
@@ -240,6 +251,7 @@
 			continue
 		}
 		if s.run != t.RunID() {
+			p.outliers.Forget(t.Name())
 			*s = targetState{
 				run: t.RunID(), centre: t.Centre(), runListed: receivedAt, lastListed: readAt, lastSuspected: s.lastSuspected,
 				open: s.open, lesserOpen: s.lesserOpen, lesserWaiting: s.lesserWaiting, probing: s.probing, waitingTokens: s.waitingTokens, memoryTokens: s.memoryTokens, window: s.window,
@@ -253,6 +265,7 @@
 		// A target that is briefly missing from the list may still be cold when it returns.
 		if s.open == 0 && readAt.Sub(s.lastListed) > stateTTL {
 			delete(p.targets, name)
+			p.outliers.Forget(name)
 		}
 	}
 }
@@ -306,6 +319,7 @@
 	p.addToTotals(p.peers[peer].loads, -1)
 	p.addToTotals(loads, 1)
 	p.peers[peer] = peerLoads{at: now, loads: slices.Clone(loads)}
+	p.outliers.Report(now, peer, outcomes(loads))
 }
 
 // UpdateOtherLoads replaces the load of all other instances on the region's targets, which
@@ -321,6 +335,7 @@
 		p.others[l.Target] = l
 	}
 	p.othersAt = now
+	p.outliers.ReportOthers(now, outcomes(loads))
 }
 
 // LoadsWithout returns the loads of the peers but the named one, and those of this instance of
@@ -342,6 +357,9 @@
 		}
 	}
 	maps.DeleteFunc(totals, func(_ string, l Load) bool { return l.Open <= 0 })
+	for name, c := range p.outliers.Without(now, peer, include) {
+		totals[name] = totals[name].withOutcomes(c)
+	}
 	return sortLoads(slices.Collect(maps.Values(totals)))
 }
 
@@ -382,9 +400,9 @@
 	}
 }
 
-// Loads returns the loads of the targets with open requests of this instance,
-// sorted by target.
-func (p *Picker) Loads() []Load {
+// Loads returns the loads of the targets with open or recently ended requests of this
+// instance, sorted by target.
+func (p *Picker) Loads(now time.Time) []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]Load, 0, len(p.targets))
@@ -393,7 +411,7 @@
 			list = append(list, s.load(name))
 		}
 	}
-	return sortLoads(list)
+	return addOutcomes(sortLoads(list), p.outliers.Own(now))
 }
 
 func sortLoads(list []Load) []Load {
@@ -406,6 +424,10 @@
 func (p *Picker) Choose(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.assess(now, candidates, r, coldShare)
+	if ticket := p.chooseEjected(now, candidates, r, coldShare); ticket != nil {
+		return ticket
+	}
 	best, e := p.best(now, p.sample(now, candidates, r, coldShare), r, coldShare)
 	if best != nil && r.WaitLimit > 0 && e.Wait > r.WaitLimit {
 		best, e = p.best(now, candidates, r, coldShare) // the sample has none in time
@@ -481,6 +503,7 @@
 func (p *Picker) EstimateBest(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) (Estimate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.assess(now, candidates, r, coldShare)
 	best, e := p.best(now, candidates, r, coldShare)
 	return e, best != nil
 }
@@ -498,7 +521,7 @@
 		}
 		cachedTokens := p.cachedPrefix(now, p.state(t.Name()), r.Parts, t.Name() == r.PreferredTarget)
 		waitMS := p.queueMS(now, t, r) + p.targetProcessingMS(now, p.state(t.Name()), r, r.PromptTokens-cachedTokens)
-		costMS := waitMS + p.penaltyMS(now, t, r) - p.savedMS(r, cachedTokens)*affinityFactor
+		costMS := waitMS + p.penaltyMS(now, t, r) + p.failureCostMS(t.Name(), r) - p.savedMS(r, cachedTokens)*affinityFactor
 		timely := r.WaitLimit <= 0 || milliseconds(waitMS) <= r.WaitLimit
 		better := costMS < minCostMS
 		if timely != bestTimely {
@@ -523,6 +546,7 @@
 	defer p.mu.Unlock()
 	minWaitMS := math.Inf(1)
 	r := Request{Service: s}
+	p.assess(now, candidates, r, coldShare)
 	for i := range candidates {
 		if t := &candidates[i]; p.usable(now, t, r, coldShare) {
 			minWaitMS = min(minWaitMS, p.queueMS(now, t, r)+p.penaltyMS(now, t, r))
