--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -77,9 +77,10 @@
 	return Estimate{Wait: wait, Cost: wait - milliseconds(p.savedMS(r, cachedTokens)*affinityFactor)}
 }
 
-// savedMS returns the prefill time in milliseconds that cached prompt tokens save.
+// savedMS returns the milliseconds that cached prompt tokens save the target, as it takes for
+// them beside its other load.
 func (p *Picker) savedMS(r Request, cachedTokens int) float64 {
-	_, perToken := p.prefillCost(r.Service.Name())
+	_, perToken := p.service(r.Service.Name()).loadFit.coefficients(defaultAnswerMS, defaultPerTokenMS)
 	return float64(cachedTokens) * perToken
 }
 
--- a/yard/placement/linear_fit.go
+++ b/yard/placement/linear_fit.go
@@ -19,11 +19,12 @@
 
 // linearFit is a least-squares fit of a straight line, with exponentially decaying
 // sample weights. It models the time to the first byte as a fixed part plus a part
-// proportional to the number of prompt tokens. The fit minimizes relative errors, so samples
-// that took long because of load that is not known yet do not lift it above what targets with
-// little load take. count is the sum of the weights by age, n that of all weights; the
-// other fields are weighted sums of x, y and their products.
+// proportional to the number of prompt tokens. If relative is set, the fit minimizes relative
+// errors, so samples that took long because of load that is not known yet do not lift it above
+// what targets with little load take. count is the sum of the weights by age, n that of all
+// weights; the other fields are weighted sums of x, y and their products.
 type linearFit struct {
+	relative        bool
 	count           float64
 	n, x, y, xx, xy float64
 	lastAt          time.Time // of the last sample
@@ -31,7 +32,10 @@
 
 func (l *linearFit) add(now time.Time, x, y float64) {
 	decay := sampleDecay * math.Exp2(-max(now.Sub(l.lastAt).Seconds(), 0)/fitHalfLife.Seconds())
-	weight := 1 / (max(y, minWeighedMS) * max(y, minWeighedMS))
+	weight := 1.0
+	if l.relative {
+		weight = 1 / (max(y, minWeighedMS) * max(y, minWeighedMS))
+	}
 	l.count = l.count*decay + 1
 	l.n = l.n*decay + weight
 	l.x = l.x*decay + weight*x
--- a/yard/placement/state.go
+++ b/yard/placement/state.go
@@ -104,6 +104,7 @@
 type serviceState struct {
 	answer     latency.Average // duration of an answer of a plain service without queueing
 	prefillFit linearFit       // milliseconds to the first byte over prompt tokens
+	loadFit    linearFit       // the same with all errors alike, as a prompt delays the others there
 	learnedAt  time.Time       // last sample of any of them; zero if there is none
 	minGap     time.Duration   // smallest recent Request.MaxEventGap, 0 if there is none
 	minGapAt   time.Time       // when a request with that gap was last sent
@@ -119,7 +120,7 @@
 	}
 	s := p.services[name]
 	if s == nil {
-		s = &serviceState{}
+		s = &serviceState{prefillFit: linearFit{relative: true}}
 		p.services[name] = s
 	}
 	return s
--- a/yard/placement/ticket.go
+++ b/yard/placement/ticket.go
@@ -157,6 +157,7 @@
 	}
 	t.recordSlowdown(now, s)
 	fit.add(now, float64(t.ahead.WaitingTokens+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
+	service.loadFit.add(now, float64(t.ahead.WaitingTokens+t.uncachedTokens), now.Sub(t.chosenAt).Seconds()*1000)
 }
 
 // recordSlowdown records the time that the request has waited for its first byte relative to
