Gateway: memory budget for bodies and buffered responses

Bodies were read with io.ReadAll into growing buffers, without a bound on all of them together, and an announced length over the limit was only noticed after reading that much. Forty bodies of 4 MiB ended an instance of 144 MB.

Package reqbody reads bodies in pieces of 4 to 64 KiB that are reserved before they are allocated. An announced length over the limit gets 413 at once. While the budget is used up, the request that has received nothing for longest gets 408, and others wait up to 500 ms before a 503 "not run"; the connection is closed after each. A body that is not complete at the deadline gets 408. The pool writes the pieces without copying those of long bodies. Bodies from 64 KiB are released once no other target may run the request. Responses that the budget has no bytes for are sent on as they arrive, with a write deadline of 5 s after that of the request. The budget is half of what 80% of the memory limit leaves over 32 MiB; there is none without a memory limit.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -27,6 +27,7 @@
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/division"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
@@ -78,6 +79,8 @@
 	sizes       listedSizes
 	positions   positionHistory
 	budget      retry.Budget
+	memory      membudget.Budget // for requests
+	memoryLog   memoryLog
 	pool        pool.Pool
 	memberTable membership.Table
 	gossiper    *gossip.Gossiper
@@ -147,6 +150,7 @@
 	e.buildHeartbeats()
 	e.buildSuspects()
 	e.buildGateway(c.Protocol)
+	e.buildMemory()
 	e.startServers(listeners)
 	return e, nil
 }
@@ -155,6 +159,7 @@
 // with.
 func (e *Edge) Reload(s Settings) {
 	e.settings.Store(&s)
+	e.memory.SetLimit(e.now(), memoryBudget(s.MemoryLimitBytes))
 	e.logDecision("settings", "reloaded", "")
 }
 
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -241,16 +241,16 @@
 	if a.dest.remote != nil {
 		x.setForwardingHeaders(header, remaining)
 		if g.Metrics.Forwarded != nil {
-			g.Metrics.Forwarded(len(x.body))
+			g.Metrics.Forwarded(x.body.Len())
 		}
 		return g.Pool.Do(ctx, a.dest.remote.Member.Forward, &pool.Request{
-			Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Body: x.body,
+			Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Pieces: x.body.Pieces(),
 		})
 	}
 	t := a.dest.ticket.Target()
 	g.Protocol.SetTargetHeaders(header, TargetContext{Target: t.Name(), TimeLeft: remaining, Customer: x.customer.Name(), LastEventID: x.req.LastEventID})
 	return g.Pool.Do(ctx, t.Address(), &pool.Request{
-		Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Body: x.body,
+		Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Pieces: x.body.Pieces(),
 		NewConn: !x.route.Idempotent() && !x.route.Stream(),
 		Admit: func() bool {
 			now := g.Now()
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/refusal"
 )
 
@@ -61,7 +62,7 @@
 	x.req, _ = g.Protocol.ParseRequest(r)
 	err := g.resolveForwarded(x, internal)
 	if err == nil {
-		err = x.readBody(r)
+		err = g.readBody(x, r, membudget.Forwarded)
 	}
 	if err == nil {
 		err = g.checkCutoff(x)
@@ -71,6 +72,7 @@
 		err = g.dispatch(ctx, x)
 		cancel()
 	}
+	defer func() { x.body.Release(g.Now()) }() // finish may panic
 	g.finish(x, err)
 }
 
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -10,8 +10,10 @@
 
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/refusal"
@@ -171,6 +173,10 @@
 	Pool         *pool.Pool
 	Decisions    *decisionlog.Log
 	Metrics      Metrics
+	// Memory bounds the bytes that are held for requests. If it is nil, they are not bounded.
+	Memory *membudget.Budget
+	// OnBodyRefused is called for each request whose body is not read. It may be nil.
+	OnBodyRefused func(now time.Time, err *reqbody.Error)
 	// Suspects holds the requests and parts of prompts under which targets ended.
 	Suspects *suspect.Ledger
 	// TargetEnded reports whether the target at an address, whose connection broke, has
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -78,7 +78,7 @@
 		parts = append(parts, "ended=inside_event")
 	}
 	if len(x.broken) > 0 {
-		parts = append(parts, "broken="+strings.Join(x.broken, ","), "parts="+x.partIDs(), "same="+x.fingerprint().Digest())
+		parts = append(parts, "broken="+strings.Join(x.broken, ","), "parts="+x.partIDs(), "same="+x.digest())
 	}
 	if len(x.placements) > 0 {
 		parts = append(parts, "ahead="+strings.Join(x.placements, ","))
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -12,6 +12,7 @@
 
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/event"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retryafter"
@@ -30,8 +31,18 @@
 	// more than minHeldBack.
 	maxHeldBack = 16 << 20
 	minHeldBack = 64 << 10
-	// readSize is the buffer size in bytes for reading a stream.
-	readSize = 4 << 10
+	// readSize is the buffer size in bytes for reading a stream, and the size of the first
+	// piece of another response. The following ones have up to maxReadSize bytes.
+	readSize    = 4 << 10
+	maxReadSize = 64 << 10
+	// copySize is the buffer size in bytes for a response that is relayed as it arrives, if
+	// the budget has them.
+	copySize = 32 << 10
+	// heldBufferFactor is how much larger than an event its growing buffer may be.
+	heldBufferFactor = 2
+	// unreadGrace is how long after the deadline of a request its caller may still take to
+	// read the response.
+	unreadGrace = 5 * time.Second
 	// Gaps between reads that exceed the route's maximum gap divided by
 	// reportedGapDivisor are reported to the picker.
 	reportedGapDivisor = 3
@@ -42,15 +53,27 @@
 
 // heldBytes counts the bytes that a stream holds back until its event is complete.
 type heldBytes struct {
-	total *gauge // of all streams
-	own   int64
+	total    *gauge // of all streams
+	own      int64
+	memory   *membudget.Reservation
+	reserved int
 }
 
 // set changes the number of bytes, and reports whether the stream may hold back so many.
-func (h *heldBytes) set(n int) bool {
+func (h *heldBytes) set(now time.Time, n int) bool {
 	total := h.total.Add(int64(n) - h.own)
 	h.own = int64(n)
-	return n <= maxEvent && (total <= maxHeldBack || n <= minHeldBack)
+	reserved := true
+	switch want := heldBufferFactor * n; {
+	case n <= readSize && h.reserved > 0:
+		h.memory.Return(now, h.reserved)
+		h.reserved = 0
+	case n > readSize && want > h.reserved:
+		if reserved = h.memory.TryReserve(want - h.reserved); reserved {
+			h.reserved = want
+		}
+	}
+	return n <= maxEvent && (total <= maxHeldBack && reserved || n <= minHeldBack)
 }
 
 // errNotFromTarget is the error of a response with a success status that is not
@@ -174,13 +197,55 @@
 	return false, refusal.Unknown(resp.Status, "remote_failed", "the other region gave no answer")
 }
 
+// bufferedBody holds the first bytes of a response that may still be replaced.
+type bufferedBody struct {
+	pieces [][]byte
+	length int
+	whole  bool // there are no more bytes
+	memory *membudget.Reservation
+}
+
+// read reads up to maxBufferedBody bytes, or as many as the budget allows.
+func (b *bufferedBody) read(source io.Reader, expected int64) error {
+	for size := readSize; b.length < maxBufferedBody; size = min(2*size, maxReadSize) {
+		if left := expected - int64(b.length); left > 0 {
+			size = int(min(left, int64(size)))
+		}
+		size = min(size, maxBufferedBody-b.length)
+		if !b.memory.TryReserve(size) && b.length > 0 {
+			return nil
+		}
+		piece := make([]byte, 0, size)
+		var err error
+		for err == nil && len(piece) < size {
+			var n int
+			n, err = source.Read(piece[len(piece):size])
+			piece = piece[:len(piece)+n]
+		}
+		b.pieces = append(b.pieces, piece)
+		b.length += len(piece)
+		if errors.Is(err, io.EOF) {
+			b.whole = true
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // relayBuffered relays a response after reading it in full, or as it arrives if its
-// body has maxBufferedBody bytes or more. It returns true if the request may be
-// sent to another destination.
+// body has maxBufferedBody bytes or more, or the budget has no bytes for it. It returns true if
+// the request may be sent to another destination.
 func (g *Gateway) relayBuffered(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
-	body, err := io.ReadAll(io.LimitReader(&firstByteReader{Reader: resp, mark: func() bool { return g.markFirstByte(a, g.Now()) }}, maxBufferedBody))
-	if len(body) < maxBufferedBody {
+	g.releaseBody(x, resp, x.mayRunAgain())
+	b := bufferedBody{memory: g.Memory.Open(g.Now(), membudget.Responses, nil)}
+	defer func() { b.memory.Close(g.Now()) }()
+	source := &firstByteReader{Reader: resp, mark: func() bool { return g.markFirstByte(a, g.Now()) }}
+	err := b.read(source, resp.Length)
+	if b.whole || err != nil {
 		g.recordEnd(x, resp, err)
 	}
 	if err != nil {
@@ -188,8 +253,8 @@
 	}
 	now := g.Now()
 	failure := resp.Status >= http.StatusInternalServerError
-	if len(body) == maxBufferedBody {
-		return false, g.relayUnbuffered(ctx, a, resp, body)
+	if !b.whole {
+		return false, g.relayUnbuffered(ctx, a, resp, &b)
 	}
 	outcome := placement.Answered
 	if failure {
@@ -201,11 +266,20 @@
 		x.detail = "status " + strconv.Itoa(resp.Status)
 		return true, nil
 	}
-	x.writeHeader(resp, int64(len(body)))
-	x.writeBody(body)
+	g.releaseBody(x, resp, false)
+	x.writeHeader(resp, int64(b.length))
+	x.writeBuffered(&b)
 	return false, nil
 }
 
+// writeBuffered writes the body, and forgets what the caller has taken.
+func (x *exchange) writeBuffered(b *bufferedBody) {
+	for i, piece := range b.pieces {
+		x.writeBody(piece)
+		b.pieces[i] = nil
+	}
+}
+
 // canRetry reports whether a failed request may be retried: its latency objective
 // has not passed, it has a destination, and the retry budget allows it. If not, the
 // response at hand is returned to the caller.
@@ -229,13 +303,20 @@
 	return true
 }
 
-// relayUnbuffered relays a body of at least maxBufferedBody bytes, of which prefix
-// has already been read.
-func (g *Gateway) relayUnbuffered(ctx context.Context, a *attempt, resp *pool.Response, prefix []byte) error {
+// relayUnbuffered relays a body whose first bytes have already been read.
+func (g *Gateway) relayUnbuffered(ctx context.Context, a *attempt, resp *pool.Response, first *bufferedBody) error {
 	x := a.x
+	g.releaseBody(x, resp, false)
+	defer x.limitWrites()()
 	x.writeHeader(resp, resp.Length)
-	x.writeBody(prefix)
-	_, err := io.Copy(x.w, resp)
+	x.writeBuffered(first)
+	first.memory.Close(g.Now())
+	size := copySize
+	if !first.memory.TryReserve(size) {
+		size = readSize
+	}
+	// The buffer is used, and not one that the writer has: struct hides its ReadFrom.
+	_, err := io.CopyBuffer(struct{ io.Writer }{x.w}, resp, make([]byte, size))
 	g.recordEnd(x, resp, err)
 	if err != nil {
 		return g.failBroken(ctx, a, err)
@@ -244,14 +325,26 @@
 	return nil
 }
 
+// limitWrites ends writes to the caller some time after the deadline, and returns a function
+// that lets later responses on the connection take longer. A caller that does not read would
+// otherwise keep the response.
+func (x *exchange) limitWrites() (reset func()) {
+	control := http.NewResponseController(x.w)
+	// Test recorders have no deadlines.
+	_ = control.SetWriteDeadline(x.deadline.Add(unreadGrace))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // relayStream relays an event stream as it arrives. On a resumable route it sends
 // only complete events until the stream ends, since a resumed stream continues after
 // an event.
 func (g *Gateway) relayStream(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
+	g.releaseBody(x, resp, x.route.Resumable() && x.mayRunAgain())
+	defer x.limitWrites()()
 	var events event.Splitter
-	held := heldBytes{total: &g.heldBack}
-	defer held.set(0)
+	held := heldBytes{total: &g.heldBack, memory: g.Memory.Open(g.Now(), membudget.Responses, nil)}
+	defer func() { held.set(g.Now(), 0) }()
 	buf := make([]byte, readSize)
 	for {
 		n, err := resp.Read(buf)
@@ -267,7 +360,7 @@
 			out := buf[:n]
 			if x.route.Resumable() {
 				out = events.Add(out)
-				if !held.set(len(events.Remainder())) && err == nil {
+				if !held.set(now, len(events.Remainder())) && err == nil {
 					err = errEventTooLong
 				}
 			}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -4,15 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/customer"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/route"
 	"chervilyard.example/yard/suspect"
@@ -57,7 +59,7 @@
 	method        string
 	host          string
 	requestTarget string // as received in the request line
-	body          []byte
+	body          reqbody.Body
 
 	catalog       *catalog.Catalog
 	route         route.Route
@@ -67,6 +69,7 @@
 	chargedTokens float64
 
 	parts        []string        // names of the parts of the prompt that other requests may share
+	releasedName string          // fullName, once the body has been released
 	shape, name  string          // of the request itself, from package fingerprint; "" while they are not needed
 	trial        bool            // sent although its parts block it
 	endedTargets int             // how many targets ended as they began to answer
@@ -119,6 +122,7 @@
 		err = g.dispatch(ctx, x)
 		cancel()
 	}
+	defer func() { x.body.Release(g.Now()) }() // finish may panic
 	g.finish(x, err)
 }
 
@@ -165,7 +169,7 @@
 	if x.service == "" {
 		return refusal.NotRun(http.StatusServiceUnavailable, "service_none", "the route has no service").WithRetryAfter(time.Second)
 	}
-	if err := x.readBody(r); err != nil {
+	if err := g.readBody(x, r, membudget.Bodies); err != nil {
 		return err
 	}
 	if err := g.checkCutoff(x); err != nil {
@@ -227,23 +231,52 @@
 }
 
 // readBody reads the whole body into memory, since a retry needs it again.
-func (x *exchange) readBody(r *http.Request) error {
-	limit := x.catalog.Limits().MaxBodyBytes
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(x.w, r.Body, limit)
-	}
-	body, err := io.ReadAll(r.Body)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body_large", "the body is longer than the limit")
-	case err != nil:
-		return refusal.NotRun(http.StatusBadRequest, "body_torn", "the body could not be read").WithCause(err)
+func (g *Gateway) readBody(x *exchange, r *http.Request, kind membudget.Kind) error {
+	reader := reqbody.Reader{Budget: g.Memory, Now: g.Now, OnRefused: g.OnBodyRefused}
+	body, err := reader.Read(x.w, r, reqbody.Limits{Kind: kind, MaxBytes: x.catalog.Limits().MaxBodyBytes, Deadline: x.deadline})
+	var failed *reqbody.Error
+	if errors.As(err, &failed) {
+		return bodyRefusal(failed)
 	}
 	x.body = body
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body was not read.
+func bodyRefusal(err *reqbody.Error) error {
+	switch err.Reason {
+	case reqbody.TooLong:
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body_large", "the body is longer than the limit")
+	case reqbody.Stalled:
+		return refusal.NotRun(http.StatusRequestTimeout, "body_stalled", "the body did not arrive while the memory for bodies was used up").WithCause(err)
+	case reqbody.Late:
+		return refusal.NotRun(http.StatusRequestTimeout, "body_late", "the body did not arrive before the deadline").WithCause(err)
+	case reqbody.Exhausted:
+		return refusal.NotRun(http.StatusServiceUnavailable, "memory", "the memory for bodies is used up").WithRetryAfter(reqbody.RetryAfter).WithCause(err)
+	}
+	return refusal.NotRun(http.StatusBadRequest, "body_torn", "the body could not be read").WithCause(err)
+}
+
+// releasedSize is the size in bytes from which a body is released before the request ends. Its
+// digest has to be calculated for that.
+const releasedSize = 64 << 10
+
+// releaseBody releases a body that is not sent again, or else counts it as kept for that.
+func (g *Gateway) releaseBody(x *exchange, resp *pool.Response, mayRunAgain bool) {
+	now := g.Now()
+	switch {
+	case x.body.Len() < releasedSize || x.releasedName != "":
+	case mayRunAgain || !resp.RequestSent():
+		x.body.Keep(now)
+	default:
+		if x.shape == "" {
+			x.shape = x.fingerprint().Shape()
+		}
+		x.releasedName = x.fullName()
+		x.body.Release(now)
+	}
+}
+
 // finish writes the refusal of a request that was not served, refunds the tokens
 // of a request that did not run, and logs the outcome.
 func (g *Gateway) finish(x *exchange, err error) {
--- a/chervilyard/gateway/suspects.go
+++ b/chervilyard/gateway/suspects.go
@@ -43,10 +43,25 @@
 // fingerprint returns what makes another request the same as this one.
 func (x *exchange) fingerprint() fingerprint.Request {
 	return fingerprint.Request{
-		Service: x.service, Method: x.method, Host: x.host, Target: x.requestTarget, Customer: x.customer.Name(), Body: x.body,
+		Service: x.service, Method: x.method, Host: x.host, Target: x.requestTarget, Customer: x.customer.Name(), Pieces: x.body.Pieces(),
 	}
 }
 
+// fullName returns the name of the request itself.
+func (x *exchange) fullName() string {
+	if x.releasedName != "" {
+		return x.releasedName
+	}
+	return x.fingerprint().Name()
+}
+
+// digest returns a digest of the request that is equal for requests that differ in ID and
+// header only.
+func (x *exchange) digest() string {
+	name := x.fullName()
+	return name[strings.LastIndexByte(name, '/')+1:]
+}
+
 // suspectParts returns the parts that an end of a target may be attributed to. The request
 // itself is one of them if targets ended under requests of its shape.
 func (g *Gateway) suspectParts(x *exchange) []string {
@@ -54,7 +69,7 @@
 		x.shape = x.fingerprint().Shape()
 	}
 	if x.name == "" && g.Suspects.Tracks(x.shape) {
-		x.name = x.fingerprint().Name()
+		x.name = x.fullName()
 	}
 	if x.name == "" {
 		return x.parts
@@ -142,7 +157,7 @@
 		return
 	}
 	if x.name == "" {
-		x.name = x.fingerprint().Name()
+		x.name = x.fullName()
 	}
 	t := a.dest.ticket.Target()
 	end := suspect.End{Target: t.Name(), At: now, Begun: phase == phaseBeginning, Trial: x.trial}
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -85,6 +85,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_part_refusals_total{service=%q,confirmed="%t"}`, service, confirmed)).Inc()
 }
 
+// CountBodyRefusal counts a request whose body was not read, by the kind of the body and the
+// reason.
+func (m *Meter) CountBodyRefusal(kind, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_body_refusals_total{kind=%q,reason=%q}`, kind, reason)).Inc()
+}
+
 // CountLeavingTarget counts a run of a target that said in a response that it leaves.
 func (m *Meter) CountLeavingTarget() {
 	m.set.GetOrCreateCounter(`chervil_leaving_targets_total`).Inc()
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -90,8 +90,12 @@
 func (c *conn) roundTrip(r *Request) (*Response, error) {
 	header := encodeHeader(r)
 	var bodyWritten chan error
-	if len(r.Body) <= maxInlineBody {
-		n, err := c.raw.Write(append(header, r.Body...))
+	if r.bodyLength() <= maxInlineBody {
+		message := append(header, r.Body...)
+		for _, piece := range r.Pieces {
+			message = append(message, piece...)
+		}
+		n, err := c.raw.Write(message)
 		r.written()
 		if err != nil && !c.responseAvailable() {
 			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
@@ -105,6 +109,11 @@
 		bodyWritten = make(chan error, 1)
 		go func() {
 			_, err := c.raw.Write(r.Body)
+			for _, piece := range r.Pieces {
+				if err == nil {
+					_, err = c.raw.Write(piece)
+				}
+			}
 			bodyWritten <- err
 		}()
 	}
@@ -159,14 +168,17 @@
 }
 
 // encodeHeader returns the request line and the header. The buffer has room for
-// the body.
+// a body that is written with it.
 func encodeHeader(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	length := r.bodyLength()
+	if length <= maxInlineBody {
+		b.Grow(1024 + length)
+	}
 	b.WriteString(r.Method + " " + r.RequestTarget + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // a bytes.Buffer accepts every write
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -63,6 +63,8 @@
 	Host          string
 	Header        http.Header
 	Body          []byte
+	// Pieces follow Body. They must not be modified until the response has ended.
+	Pieces [][]byte
 	// NewConn requests a new connection, on which the request cannot cross a close by
 	// the server.
 	NewConn bool
@@ -78,6 +80,15 @@
 	Accepts func(h http.Header, kept bool) bool
 }
 
+// bodyLength returns the length of the body in bytes.
+func (r *Request) bodyLength() int {
+	n := len(r.Body)
+	for _, piece := range r.Pieces {
+		n += len(piece)
+	}
+	return n
+}
+
 // Pool holds idle connections by address. The zero value is ready to use. A Pool is
 // safe for concurrent use.
 type Pool struct {
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -184,6 +184,10 @@
 	r.release(r.conn)
 }
 
+// RequestSent reports whether the body of the request has been written in full, or its write
+// has failed.
+func (r *Response) RequestSent() bool { return r.bodyWritten == nil || len(r.bodyWritten) > 0 }
+
 // bodyWriteErr returns an error if the request body was not written in full.
 func (r *Response) bodyWriteErr() error {
 	if r.bodyWritten == nil {
--- a/yard/fingerprint/fingerprint.go
+++ b/yard/fingerprint/fingerprint.go
@@ -27,6 +27,7 @@
 	Target   string // path and query, as received
 	Customer string // "" on public routes
 	Body     []byte
+	Pieces   [][]byte // follow Body
 }
 
 // Shape returns the name of all requests that differ in their bodies only, and not in the
@@ -54,11 +55,18 @@
 		_, _ = h.Write([]byte(field))
 	}
 	_, _ = h.Write(r.Body)
+	for _, piece := range r.Pieces {
+		_, _ = h.Write(piece)
+	}
 	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
 
 func (r Request) fields() []string {
-	return []string{r.Service, r.Method, r.Host, r.Target, r.Customer, strconv.Itoa(len(r.Body))}
+	length := len(r.Body)
+	for _, piece := range r.Pieces {
+		length += len(piece)
+	}
+	return []string{r.Service, r.Method, r.Host, r.Target, r.Customer, strconv.Itoa(length)}
 }
 
 // ShapeOf returns the shape in the name of a request, and false if it is not the name of one.
