Chervilyard: memory budget on the project's own surface

Bodies of callers were read into growing buffers without a bound on their sum; 60 bodies of 4 MiB took 302.6 to 578.7 MiB. A new setting, [limits] memory, bounds what bodies hold together and sets the soft limit of the Go runtime; without it nothing is bounded. Bodies that announce their length are read into one buffer, so that they are not copied. A body that is not complete within the read timeout now gets 408, not 400, so that callers repeat it.

--- a/chervilyard/accept/accept.go
+++ b/chervilyard/accept/accept.go
@@ -6,13 +6,14 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"chervilyard.example/chervilyard/call"
+	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/chervilyard/sink"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/refusal"
 )
 
@@ -26,6 +27,7 @@
 	ReadTimeout  time.Duration // time limit for receiving the body
 	WriteTimeout time.Duration // time limit for each write of the answer
 	Region       func() string // returns the region of this instance
+	Bodies       reqbody.Reader
 }
 
 // Run reads the request and returns its call. The call is not nil even if the
@@ -47,24 +49,31 @@
 			return c, refusal.NotRun(http.StatusBadRequest, "reserved_header", "the header "+name+" is reserved for instances")
 		}
 	}
-	controller := http.NewResponseController(w)
-	// The deadline applies to the body only; if it expired later, it would cut
-	// a long answer. Errors are ignored, since test recorders do not support
-	// deadlines.
-	_ = controller.SetReadDeadline(now.Add(s.ReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.MaxBodyBytes)))
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return c, refusal.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
-	case err != nil:
-		return c, refusal.NotRun(http.StatusBadRequest, "body_broken", "the body could not be read whole").WithCause(err)
+	body, err := s.Bodies.Read(w, r, reqbody.Limits{
+		Kind: membudget.Bodies, MaxBytes: int64(s.MaxBodyBytes), Deadline: now.Add(s.ReadTimeout), Whole: true,
+	})
+	var failed *reqbody.Error
+	if errors.As(err, &failed) {
+		return c, bodyRefusal(failed)
 	}
-	c.Body = body
+	c.Body = body.Bytes()
+	c.ReleaseBody = func() { body.Release(s.Bodies.Now()) }
 	return c, nil
 }
 
+// bodyRefusal returns the refusal of a request whose body was not read.
+func bodyRefusal(err *reqbody.Error) error {
+	switch err.Reason {
+	case reqbody.TooLong:
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
+	case reqbody.Stalled, reqbody.Late:
+		return refusal.NotRun(http.StatusRequestTimeout, "body_late", "the body did not arrive in time").WithCause(err)
+	case reqbody.Exhausted:
+		return refusal.NotRun(http.StatusServiceUnavailable, "memory", "the memory for bodies is used up").WithRetryAfter(reqbody.RetryAfter).WithCause(err)
+	}
+	return refusal.NotRun(http.StatusBadRequest, "body_broken", "the body could not be read whole").WithCause(err)
+}
+
 // newID returns a random identifier of 96 bits.
 func newID() string {
 	raw := make([]byte, 12)
--- a/chervilyard/call/call.go
+++ b/chervilyard/call/call.go
@@ -28,6 +28,7 @@
 	Sink         *sink.Sink
 	Hops         int    // 0 for a caller's request, 1 for a forwarded one
 	OriginRegion string // region in which the request arrived
+	ReleaseBody  func() // returns the memory of Body; nil for a forwarded request
 
 	// Set by authenticate, or by peerserver for a forwarded request, which has no
 	// KeyHash.
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -159,7 +159,7 @@
 // with.
 func (e *Edge) Reload(s Settings) {
 	e.settings.Store(&s)
-	e.memory.SetLimit(e.now(), memoryBudget(s.MemoryLimitBytes))
+	e.memory.SetLimit(e.now(), membudget.Share(s.MemoryLimitBytes))
 	e.logDecision("settings", "reloaded", "")
 }
 
--- a/chervilyard/edge/memory.go
+++ b/chervilyard/edge/memory.go
@@ -10,30 +10,8 @@
 	"chervilyard.example/yard/membudget"
 )
 
-const (
-	// processMemory is what an instance uses without requests, with the largest lists that were
-	// measured (25 to 30 MB).
-	processMemory = 32 << 20
-	// softMemoryRatio is the part of the memory limit from which the collector works harder.
-	softMemoryRatio = 0.8
-	// garbageFactor is how much memory a held byte needs at most, with what the collector has
-	// not freed yet and with the buffers of its connections.
-	garbageFactor = 2
-	// minBudgetRatio is the least part of the memory limit for requests. Below a limit of
-	// about 45 MB the instance needs more memory than it has anyway.
-	minBudgetRatio = 0.125
-	// memoryLogInterval is the time between two log lines on refusals for lack of memory.
-	memoryLogInterval = time.Second
-)
-
-// memoryBudget returns how many bytes all requests together may hold, 0 for no bound.
-func memoryBudget(limit int64) int64 {
-	if limit <= 0 {
-		return 0
-	}
-	left := int64(softMemoryRatio*float64(limit)) - processMemory
-	return max(left/garbageFactor, int64(minBudgetRatio*float64(limit)))
-}
+// memoryLogInterval is the time between two log lines on refusals for lack of memory.
+const memoryLogInterval = time.Second
 
 // memoryLog limits the rate of log lines on refused bodies. The zero value is ready to use.
 type memoryLog struct {
@@ -56,7 +34,7 @@
 
 // buildMemory sets up the budget for requests.
 func (e *Edge) buildMemory() {
-	e.memory.SetLimit(e.now(), memoryBudget(e.Settings().MemoryLimitBytes))
+	e.memory.SetLimit(e.now(), membudget.Share(e.Settings().MemoryLimitBytes))
 	e.gateway.Memory, e.gateway.OnBodyRefused = &e.memory, e.recordBodyRefused
 	for _, k := range membudget.Kinds() {
 		e.meter.Gauge(fmt.Sprintf("chervil_memory_held_bytes{kind=%q}", k), func() float64 { return float64(e.memory.Held(k)) })
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -34,6 +34,7 @@
 	"chervilyard.example/chervilyard/poll"
 	"chervilyard.example/chervilyard/rebalance"
 	"chervilyard.example/chervilyard/renewal"
+	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/chervilyard/resolve"
 	"chervilyard.example/chervilyard/session"
 	"chervilyard.example/chervilyard/settle"
@@ -42,6 +43,7 @@
 	"chervilyard.example/yard/claim"
 	"chervilyard.example/yard/lender"
 	"chervilyard.example/yard/memberlist"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/setting"
 	"chervilyard.example/yard/store"
 )
@@ -63,6 +65,7 @@
 	peers        *peerclient.Client
 	sessions     *session.Registry
 	decisions    *decisionlog.Log
+	memory       membudget.Budget // for requests of callers
 	meter        *meter.Meter
 	targetClient *targetclient.Client
 	liveness     liveness.Checker
@@ -192,7 +195,11 @@
 
 func (i *Instance) buildStages() {
 	limits := i.settings.Limits()
+	i.memory.SetLimit(i.now(), membudget.Share(int64(limits.MemoryBytes)))
 	i.accept = accept.Stage{MaxBodyBytes: limits.MaxBodyBytes, ReadTimeout: limits.ReadTimeout, WriteTimeout: limits.WriteTimeout, Region: i.regionName}
+	i.accept.Bodies = reqbody.Reader{Budget: &i.memory, Now: i.now, OnRefused: func(_ time.Time, err *reqbody.Error) {
+		i.meter.CountBodyRefusal(err.Kind.String(), err.Reason)
+	}}
 	i.resolve = resolve.Stage{Region: i.regionName}
 	i.authenticate = authenticate.Stage{Document: i.keeper.FreshDocument}
 	i.admit = admit.Stage{
--- a/chervilyard/instance/operators.go
+++ b/chervilyard/instance/operators.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"time"
 
 	"chervilyard.example/yard/loan"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/refusal"
 )
 
@@ -105,6 +107,10 @@
 }
 
 func (i *Instance) registerGauges() {
+	for _, k := range membudget.Kinds() {
+		i.meter.Gauge(fmt.Sprintf("chervil_memory_held_bytes{kind=%q}", k), func() float64 { return float64(i.memory.Held(k)) })
+	}
+	i.meter.Gauge("chervil_memory_budget_bytes", func() float64 { return float64(i.memory.Limit()) })
 	i.meter.Gauge("chervil_open_calls", func() float64 { return float64(i.openCalls.Load()) })
 	i.meter.Gauge("chervil_waiting_calls", func() float64 { return float64(i.dispatch.Waiting()) })
 	i.meter.Gauge("chervil_members", func() float64 { return float64(len(i.members(i.now()))) })
--- a/chervilyard/instance/stages.go
+++ b/chervilyard/instance/stages.go
@@ -44,6 +44,9 @@
 	}
 	c, err := i.accept.Run(i.now(), w, r)
 	defer i.recoverCall(c)
+	if c.ReleaseBody != nil {
+		defer c.ReleaseBody()
+	}
 	if err == nil {
 		err = i.serveCall(r.Context(), c, w)
 	}
--- a/chervilyard/main.go
+++ b/chervilyard/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +28,8 @@
 const (
 	exitInvalidInput = 2 // invalid arguments or settings
 	exitStartFailed  = 1
+	softMemoryRatio  = 0.8 // fraction of the memory setting that is the soft limit of the Go runtime
+	gcPercent        = 50  // with a memory setting; bodies would otherwise leave as much garbage again
 )
 
 func main() { os.Exit(run()) }
@@ -61,6 +64,10 @@
 // exit status.
 func serve(settings setting.Settings) int {
 	log := hclog.New(&hclog.LoggerOptions{Name: "chervilyard", Level: hclog.LevelFromString(settings.LogLevel()), Output: os.Stdout, JSONFormat: true})
+	if memory := settings.Limits().MemoryBytes; memory > 0 {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(float64(memory) * softMemoryRatio))
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	inst, err := instance.Start(context.Background(), settings, log)
--- a/chervilyard/reqbody/reqbody.go
+++ b/chervilyard/reqbody/reqbody.go
@@ -87,27 +87,31 @@
 	b.reservation = nil
 }
 
-// Bytes returns the body in one piece, which counts towards the budget until Release. It
-// fails with an *Error.
-func (b *Body) Bytes(ctx context.Context, rd Reader, kind membudget.Kind) ([]byte, error) {
-	if len(b.pieces) > 1 {
-		if err := rd.reserve(ctx, b.reservation, b.length, kind); err != nil {
-			b.Release(rd.Now())
-			return nil, err
-		}
-		whole := make([]byte, 0, b.length)
-		held := 0
-		for _, piece := range b.pieces {
-			whole = append(whole, piece...)
-			held += cap(piece)
-		}
-		b.pieces = [][]byte{whole}
-		b.reservation.Return(rd.Now(), held)
-	}
+// Bytes returns a body that was read with Limits.Whole.
+func (b *Body) Bytes() []byte {
 	if len(b.pieces) == 0 {
-		return []byte{}, nil
+		return []byte{}
+	}
+	return b.pieces[0]
+}
+
+// join makes a body one piece. Until it has, it needs twice its length.
+func (rd Reader) join(ctx context.Context, b *Body, kind membudget.Kind) *Error {
+	if len(b.pieces) < 2 {
+		return nil
+	}
+	if err := rd.reserve(ctx, b.reservation, b.length, kind); err != nil {
+		return err
+	}
+	whole := make([]byte, 0, b.length)
+	held := 0
+	for _, piece := range b.pieces {
+		whole = append(whole, piece...)
+		held += cap(piece)
 	}
-	return b.pieces[0], nil
+	b.pieces = [][]byte{whole}
+	b.reservation.Return(rd.Now(), held)
+	return nil
 }
 
 // Reader reads bodies. Now must be set.
@@ -124,6 +128,7 @@
 	Kind     membudget.Kind
 	MaxBytes int64     // 0 for no limit
 	Deadline time.Time // by which it must be complete; zero for none
+	Whole    bool      // the body is needed in one piece
 }
 
 // Read reads the body of a request. The error is an *Error; the response to the request must
@@ -166,13 +171,23 @@
 	}
 	b.reservation = rd.Budget.Open(rd.Now(), l.Kind, func() { _ = control.SetReadDeadline(past) })
 	for size, ended := firstPiece, false; !ended; size = min(2*size, maxPiece) {
-		if left > 0 {
+		whole := l.Whole && left > 0 && b.length > 0
+		switch {
+		case whole:
+			size = int(r.ContentLength)
+		case left > 0:
 			size = int(min(int64(size), left))
 		}
 		if err := rd.reserve(r.Context(), b.reservation, size, l.Kind); err != nil {
 			return err
 		}
 		piece := make([]byte, 0, size)
+		if whole {
+			first := b.pieces[0]
+			piece = append(piece, first...)
+			b.pieces, b.length, left = nil, 0, r.ContentLength
+			b.reservation.Return(rd.Now(), cap(first))
+		}
 		for !ended && len(piece) < size {
 			n, err := source.Read(piece[len(piece):size])
 			piece = piece[:len(piece)+n]
@@ -190,6 +205,9 @@
 	if !b.reservation.Settle() {
 		return rd.classify(b, l, os.ErrDeadlineExceeded)
 	}
+	if l.Whole {
+		return rd.join(r.Context(), b, l.Kind)
+	}
 	return nil
 }
 
--- a/yard/setting/setting.go
+++ b/yard/setting/setting.go
@@ -36,6 +36,7 @@
 type Limits struct {
 	MaxHeaderBytes         int           // maximum size of a request header, in bytes
 	MaxBodyBytes           int           // maximum size of a request body, in bytes
+	MemoryBytes            int           // memory of the process, in bytes; 0 for no limit
 	ReadTimeout            time.Duration // timeout for receiving a request header, and again for the body
 	WriteTimeout           time.Duration // timeout for each write of a response to the caller
 	IdleTimeout            time.Duration // timeout of an idle connection
@@ -100,6 +101,7 @@
 	return Limits{
 		MaxHeaderBytes:         s.Int("header", 16<<10, 1<<10, 1<<20),
 		MaxBodyBytes:           s.Int("body", 8<<20, 1<<10, 1<<30),
+		MemoryBytes:            s.Int("memory", 0, 0, 1<<40),
 		ReadTimeout:            s.Duration("read", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
 		WriteTimeout:           s.Duration("write", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
 		IdleTimeout:            s.Duration("idle", 2*time.Minute, time.Second, time.Hour),
