--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -91,11 +91,11 @@
 	header := encodeHeader(r)
 	var bodyWritten chan error
 	if r.bodyLength() <= maxInlineBody {
-		message := append(header, r.Body...)
+		header = append(header, r.Body...)
 		for _, piece := range r.Pieces {
-			message = append(message, piece...)
+			header = append(header, piece...)
 		}
-		n, err := c.raw.Write(message)
+		n, err := c.raw.Write(header)
 		r.written()
 		if err != nil && !c.responseAvailable() {
 			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
