--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -44,7 +44,7 @@
 //	part N END FRAMING TYPE A,B  the first N bytes of a response with the events as its body,
 //	                 then END: "close" or "reset"; FRAMING is one of package pool's
 type fakeTarget struct {
-	t        *testing.T
+	t        testing.TB
 	listener net.Listener
 	name     string
 	// beforeResponse is called before each response. It may be nil.
@@ -57,7 +57,7 @@
 	ended     chan string // IDs of unanswered requests whose connection ended
 }
 
-func newFakeTarget(t *testing.T, name string, responses ...string) *fakeTarget {
+func newFakeTarget(t testing.TB, name string, responses ...string) *fakeTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -111,7 +111,7 @@
 	internal *httptest.Server
 }
 
-func newTestInstance(t *testing.T, region string, fakes []*fakeTarget, remotes ...*testInstance) *testInstance {
+func newTestInstance(t testing.TB, region string, fakes []*fakeTarget, remotes ...*testInstance) *testInstance {
 	t.Helper()
 	var targets []target.Target
 	for _, f := range fakes {
