--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -267,6 +267,9 @@
 		return true, nil
 	}
 	g.releaseBody(x, resp, false)
+	if b.length > readSize { // a shorter one is taken by the kernel
+		defer x.limitWrites()()
+	}
 	x.writeHeader(resp, int64(b.length))
 	x.writeBuffered(&b)
 	return false, nil
