--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -10,9 +10,11 @@
 
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/pool"
+	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/fairshare"
 	"chervilyard.example/yard/membership"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/placement"
 	"chervilyard.example/yard/ratelimit"
 	"chervilyard.example/yard/refusal"
@@ -181,6 +183,10 @@
 	// Shares counts the tokens of requests to engines by customer. If it is nil, customers do
 	// not share the capacity.
 	Shares *fairshare.Ledger
+	// Memory bounds the bytes that are held for requests. If it is nil, they are not bounded.
+	Memory *membudget.Budget
+	// OnBodyRefused is called for each request whose body is not read. It may be nil.
+	OnBodyRefused func(now time.Time, err *reqbody.Error)
 	// Suspects holds the requests and parts of prompts under which targets ended.
 	Suspects *suspect.Ledger
 	// TargetEnded reports whether the target at an address, whose connection broke, has
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -103,8 +103,12 @@
 	c.onReceived = r.OnReceived
 	header := encodeHeader(r)
 	var bodyWritten chan error
-	if len(r.Body) <= maxInlineBody {
-		n, err := c.raw.Write(append(header, r.Body...))
+	if r.bodyLength() <= maxInlineBody {
+		header = append(header, r.Body...)
+		for _, piece := range r.Pieces {
+			header = append(header, piece...)
+		}
+		n, err := c.raw.Write(header)
 		r.written()
 		if err != nil && !c.responseAvailable() {
 			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
@@ -118,6 +122,11 @@
 		bodyWritten = make(chan error, 1)
 		go func() {
 			_, err := c.raw.Write(r.Body)
+			for _, piece := range r.Pieces {
+				if err == nil {
+					_, err = c.raw.Write(piece)
+				}
+			}
 			bodyWritten <- err
 		}()
 	}
@@ -172,14 +181,17 @@
 }
 
 // encodeHeader returns the request line and the header. The buffer has room for
-// the body.
+// a body that is written with it.
 func encodeHeader(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	length := r.bodyLength()
+	if length <= maxInlineBody {
+		b.Grow(1024 + length)
+	}
 	b.WriteString(r.Method + " " + r.RequestTarget + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // a bytes.Buffer accepts every write
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
