Catalog: limits on headers and idle connections

Cause: MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the configuration are not read. Nothing uses them yet. Result: TestCatalog passes.

--- a/yard/catalog/catalog.go
+++ b/yard/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"chervilyard.example/yard/customer"
 	"chervilyard.example/yard/route"
@@ -14,7 +15,10 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxBodyBytes int64 // maximum size of a request body in bytes; 0 means no limit
+	MaxBodyBytes   int64         // maximum size of a request body in bytes; 0 means no limit
+	MaxHeaderBytes int64         // maximum size of a request header in bytes; 0 if it is not named
+	HeaderTimeout  time.Duration // for receiving a request header; 0 if it is not named
+	IdleTimeout    time.Duration // of an idle connection; 0 if it is not named
 }
 
 // Catalog is one version of the configuration. It is immutable and therefore safe
