Handover: bound tracked connections with a Limiter

Cause: the states of connections are known here, to close idle ones without losing a request. Change: a Tracker with a Limiter tells it what was received and sent, closes the connections that it chooses, and refuses headers above the limit with 431. A connection is not closed as idle or silent while unread bytes have arrived, and a request on a connection that is being closed is not run. Accept closes a connection and goes on when the process has no descriptor left. Without a Limiter nothing changes.

--- a/chervilyard/handover/conn.go
+++ b/chervilyard/handover/conn.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -8,11 +9,24 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"chervilyard.example/chervilyard/connlimit"
 )
 
 // nextGrace is how long bytes that were received during a response count as the begin of
 // a next request.
-const nextGrace = 500 * time.Millisecond
+const nextGrace = connlimit.NextGrace
+
+const (
+	// lastChunk ends a chunked body without trailers.
+	lastChunk = "\r\n0\r\n\r\n"
+	// tooLargeResponse is sent in place of the server's, whose limit of a header is fixed.
+	tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n431 Request Header Fields Too Large"
+	// tooLargeLinger is how long the rest of a header that is too large is discarded after
+	// the response. Closing the connection with unread data would discard the response.
+	tooLargeLinger      = 500 * time.Millisecond
+	tooLargeLingerBytes = 1 << 20
+)
 
 // conn is a tracked connection. Bytes are received with mu held, so that a connection
 // is closed as idle either before a byte of a request is received or not at all.
@@ -20,6 +34,7 @@
 	net.Conn
 	tracker *Tracker
 	raw     syscall.RawConn // nil if Conn has no file descriptor
+	limited *connlimit.Conn // nil if the tracker has no limiter
 
 	mu         sync.Mutex
 	openedAt   time.Time // zero once a byte has been received
@@ -27,7 +42,7 @@
 	responding bool      // a byte of that response was sent
 	next       bool      // a byte was received after that, perhaps of the next request
 	idleSince  time.Time // when the last response ended; zero while a request is active
-	closing    bool      // closed as idle; no more bytes may be received
+	closing    bool      // closed as idle or by the limiter; no more bytes may be received
 }
 
 func newConn(c net.Conn, t *Tracker) *conn {
@@ -37,42 +52,68 @@
 			tracked.raw = raw
 		}
 	}
+	if t.Limiter != nil {
+		tracked.limited = t.Limiter.Add(tracked.openedAt, tracked.closeFor)
+	}
 	return tracked
 }
 
-// Read reads from the connection and records that a request is arriving.
+// Read reads from the connection and records that a request is arriving. A header above the
+// limit of the tracker is refused.
 func (c *conn) Read(p []byte) (int, error) {
+	n, verdict, err := c.read(p)
+	switch verdict {
+	case connlimit.TooLarge:
+		c.refuseHeader()
+		return 0, c.readError(net.ErrClosed)
+	case connlimit.MustEnforce:
+		c.tracker.Limiter.Enforce(c.tracker.now())
+	}
+	return n, err
+}
+
+// refuseHeader answers a header that is too large. The connection is closed afterwards.
+func (c *conn) refuseHeader() {
+	c.tracker.Limiter.Count(connlimit.HeaderLarge)
+	_ = c.SetDeadline(time.Now().Add(tooLargeLinger)) // an error shows in the write
+	if _, err := io.WriteString(c.Conn, tooLargeResponse); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, tooLargeLingerBytes) // ends with an error if the client leaves, or in time
+}
+
+func (c *conn) read(p []byte) (int, connlimit.Verdict, error) {
 	if c.raw == nil || len(p) == 0 {
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.recordReceived(n)
-		return n, err
+		return n, c.recordReceived(p[:n]), err
 	}
 	var n int
+	var verdict connlimit.Verdict
 	var readErr error
 	err := c.raw.Read(func(fd uintptr) bool {
-		n, readErr = c.receive(int(fd), p)
+		n, verdict, readErr = c.receive(int(fd), p)
 		return !errors.Is(readErr, syscall.EAGAIN)
 	})
 	if err != nil {
-		return 0, c.readError(err)
+		return 0, connlimit.Within, c.readError(err)
 	}
 	if readErr != nil {
-		return 0, c.readError(readErr)
+		return 0, connlimit.Within, c.readError(readErr)
 	}
 	if n == 0 {
-		return 0, io.EOF
+		return 0, connlimit.Within, io.EOF
 	}
-	return n, nil
+	return n, verdict, nil
 }
 
 // receive reads from the descriptor without blocking.
-func (c *conn) receive(fd int, p []byte) (int, error) {
+func (c *conn) receive(fd int, p []byte) (int, connlimit.Verdict, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return 0, net.ErrClosed
+		return 0, connlimit.Within, net.ErrClosed
 	}
 	for {
 		n, err := syscall.Read(fd, p)
@@ -80,21 +121,24 @@
 			continue
 		}
 		if err != nil {
-			return 0, err
+			return 0, connlimit.Within, err
 		}
-		c.recordReceived(n)
-		return n, nil
+		return n, c.recordReceived(p[:n]), nil
 	}
 }
 
-// recordReceived records the receipt of n bytes. The caller must hold mu.
-func (c *conn) recordReceived(n int) {
-	if n <= 0 {
-		return
+// recordReceived records the receipt of bytes. The caller must hold mu.
+func (c *conn) recordReceived(p []byte) connlimit.Verdict {
+	if len(p) == 0 {
+		return connlimit.Within
 	}
 	c.openedAt = time.Time{}
 	c.received, c.idleSince = true, time.Time{}
 	c.next = c.next || c.responding
+	if c.limited == nil {
+		return connlimit.Within
+	}
+	return c.limited.Received(c.tracker.now(), len(p), bytes.HasSuffix(p, []byte(lastChunk)))
 }
 
 // readError returns an error as (*net.TCPConn).Read does.
@@ -115,6 +159,10 @@
 	c.mu.Lock()
 	c.responding = true
 	c.mu.Unlock()
+	if c.limited != nil {
+		c.limited.WriteBegan(c.tracker.now())
+		defer c.limited.WriteEnded()
+	}
 	return c.Conn.Write(p)
 }
 
@@ -139,6 +187,9 @@
 // Close closes the connection, which is not tracked any more.
 func (c *conn) Close() error {
 	c.tracker.remove(c)
+	if c.limited != nil {
+		c.limited.Closed()
+	}
 	return c.Conn.Close()
 }
 
@@ -148,15 +199,69 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.idleSince = true, time.Time{}
+	if c.limited != nil {
+		c.limited.HeaderEnded()
+	}
+}
+
+// beginService records the size of the header and of the body of a request, -1 for chunks. It
+// returns false if the connection is being closed; the request must not run then.
+func (c *conn) beginService(headerBytes, bodyBytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.limited.BodyExpected(headerBytes, bodyBytes)
+	return true
 }
 
 // endResponse records that a response ended at now.
 func (c *conn) endResponse(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.limited != nil {
+		c.limited.ResponseEnded(now, c.next)
+	}
 	c.received, c.responding, c.next, c.idleSince = c.next, false, false, now
 }
 
+// closeFor closes the connection for a reason of the limiter and reports whether it was closed.
+func (c *conn) closeFor(now time.Time, r connlimit.Reason) bool {
+	if !c.beginCloseFor(now, r) {
+		return false
+	}
+	_ = c.Close() // as in closeIfIdle
+	return true
+}
+
+// refuse closes a new connection that was not returned by Accept yet, and reports whether it
+// was open.
+func (c *conn) refuse() bool {
+	c.mu.Lock()
+	open := !c.closing
+	c.closing = true
+	c.mu.Unlock()
+	_ = c.Close() // as in closeIfIdle
+	return open
+}
+
+func (c *conn) beginCloseFor(now time.Time, r connlimit.Reason) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keep := c.limited.Progressed()
+	switch r {
+	case connlimit.LimitIdle, connlimit.IdleTimeout:
+		keep = keep || c.inUse(now) || c.hasUnreadData()
+	case connlimit.LimitSilent:
+		keep = keep || c.hasUnreadData() // it was not read yet, the caller is not silent
+	case connlimit.LimitUnread:
+		keep = keep || !c.limited.WriteStalled(now)
+	}
+	c.closing = !keep
+	return !keep
+}
+
 // inUse reports whether a request is arriving or being served. Bytes received during a
 // response count as a request for nextGrace only, as they may have been the rest of the
 // request before. The caller must hold mu.
--- a/chervilyard/handover/handover.go
+++ b/chervilyard/handover/handover.go
@@ -3,10 +3,14 @@
 package handover
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"chervilyard.example/chervilyard/connlimit"
 )
 
 // newConnGrace is how long a new connection is kept open for its first request.
@@ -20,6 +24,9 @@
 type Tracker struct {
 	// Now returns the present time. If it is nil, time.Now is used.
 	Now func() time.Time
+	// Limiter bounds the connections. If it is nil, they are not bounded. The server must use
+	// Handler and ConnContext too.
+	Limiter *connlimit.Limiter
 
 	mu    sync.Mutex
 	conns map[*conn]struct{} // open connections
@@ -37,6 +44,9 @@
 	case !ok:
 	case s == http.StateActive:
 		tracked.beginRequest()
+		if t.Limiter != nil {
+			t.Limiter.Enforce(t.now()) // a request in service counts for two descriptors
+		}
 	case s == http.StateIdle:
 		tracked.endResponse(t.now())
 	}
@@ -65,6 +75,13 @@
 	_ = c.Close() // it may be closed already
 }
 
+// Open returns the number of open connections.
+func (t *Tracker) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
 func (t *Tracker) now() time.Time {
 	if t.Now == nil {
 		return time.Now()
@@ -104,7 +121,32 @@
 	accepting sync.RWMutex
 }
 
+// Accept returns the next connection within the limits. Those above are closed.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		limiter := l.tracker.Limiter
+		if err != nil && limiter != nil && outOfDescriptors(err) && limiter.Reclaim(l.tracker.now()) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if limiter == nil || limiter.Enforce(l.tracker.now()) {
+			return c, nil
+		}
+		if c.refuse() {
+			limiter.Count(connlimit.LimitRefused)
+		}
+	}
+}
+
+// outOfDescriptors reports whether the process or the machine has no descriptor left.
+func outOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+func (l *listener) accept() (*conn, error) {
 	l.accepting.RLock()
 	defer l.accepting.RUnlock()
 	raw, err := l.Listener.Accept()
