Edge: bound the connections of callers, directory, readiness and metrics

Cause: 500 connections of one client take 519 to 559 descriptors of a process that may have 400. The limits on headers and idling were fixed when the server was created. Change: Settings.MaxDescriptors (Limits.MaxFds without 200 for files) bounds the connections of each address, through connlimit. The limits of headers and of idling come from the configuration, every 0.1 s, in place of http.Server's fixed ones; their defaults are the former values. Forwarded requests may have headers of up to 1 MiB and 48 KB for the fields that the instance adds. Metrics count connections by kind and closed ones by reason, and one line a second and kind tells of them. Result: the tests of platform/connections_test.go, which all failed, pass (20 s for all tests of the package).

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -116,6 +116,7 @@
 	callerServer, forwardServer *http.Server      // for callers and for instances of other regions
 	callerListener              net.Listener      // closed first on shutdown
 	callerConns, forwardConns   handover.Tracker
+	boundedConns                boundedConnections
 	peerServer                  *grpc.Server
 }
 
@@ -259,9 +260,11 @@
 
 const (
 	contentPollInterval = 10 * time.Millisecond // between two checks for the first configuration and target list
-	readHeaderTimeout   = 3 * time.Second       // to read a caller's header; a slower caller would only occupy a connection
-	idleTimeout         = 60 * time.Second      // of an idle caller connection; longer than the idle timeouts allowed for callers
-	maxHeaderBytes      = 16 << 10              // of a request from a caller
+	readHeaderTimeout   = 3 * time.Second       // to read the header of a forwarded request
+	idleTimeout         = 60 * time.Second      // of an idle connection of another instance
+	// forwardHeaderReserve is the size of the fields that an instance adds to the header of
+	// a request that it forwards.
+	forwardHeaderReserve = 48 << 10
 )
 
 // startServers starts the servers and the background tasks. The listeners are those for
@@ -269,12 +272,10 @@
 func (e *Edge) startServers(listeners []net.Listener) {
 	e.callerConns.Now, e.forwardConns.Now = e.now, e.now
 	e.callerListener = e.callerConns.Listener(listeners[0])
-	e.callerServer = &http.Server{
-		Handler: abort.Handler(&e.gateway), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: e.callerConns.ConnState,
-	}
+	e.callerServer = &http.Server{Handler: abort.Handler(&e.gateway)}
+	e.buildConnections()
 	e.forwardServer = &http.Server{
-		Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 4 * maxHeaderBytes,
+		Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: largestHeaderLimit + forwardHeaderReserve,
 		ConnState: e.forwardConns.ConnState,
 	}
 	e.peerServer = gossip.NewServer(e.gossiper, e.content)
@@ -286,6 +287,7 @@
 		e.keepSuspects(e.ctx),
 		e.confirmIssuers(e.ctx),
 		e.keepChecking(e.ctx),
+		e.keepConnectionsBounded(e.ctx),
 		e.maintain(e.ctx))
 	for _, r := range e.readers() {
 		e.taskDone = append(e.taskDone, r.Run(e.ctx))
--- a/chervilyard/edge/settings.go
+++ b/chervilyard/edge/settings.go
@@ -23,6 +23,7 @@
 	DirectoryTTL         time.Duration // how long callers may cache an answer of the directory
 	TargetReportInterval time.Duration // interval at which targets report to the store
 	MemoryLimitBytes     int64         // memory limit of the process in bytes; 0 means no limit
+	MaxDescriptors       int           // open file descriptors of the process, without those of files; 0 means no limit
 	Capacity             int64         // of the processor, in thousandths of a core; 0 means unknown
 
 	RetryLimits       retry.Limits
--- a/chervilyard/meter/meter.go
+++ b/chervilyard/meter/meter.go
@@ -99,6 +99,11 @@
 // CountConnection counts a new connection to a target or to another instance.
 func (m *Meter) CountConnection() { m.set.GetOrCreateCounter(`chervil_connections_total`).Inc() }
 
+// CountClosedConnection counts a connection that the instance has closed, by kind and reason.
+func (m *Meter) CountClosedConnection(kind, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chervil_closed_connections_total{kind=%q,reason=%q}`, kind, reason)).Inc()
+}
+
 // CountQuotaRefusal counts a call that was refused because the quota of its
 // customer was exhausted.
 func (m *Meter) CountQuotaRefusal(customer string) {
