Connlimit: write the report on closed connections

Cause: the project's own surface needs the line that edge writes. Change: TakeReport of the Limiter has the text. No change of behaviour.

--- a/chervilyard/connlimit/connlimit.go
+++ b/chervilyard/connlimit/connlimit.go
@@ -6,7 +6,10 @@
 import (
 	"cmp"
 	"container/list"
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -119,6 +122,23 @@
 	return closed
 }
 
+// TakeReport returns a text that says how many connections were closed since the last call of
+// TakeReport or TakeClosed, by reason, and how many are open. It is empty if none were closed
+// but those that were idle for the timeout, which is usual.
+func (l *Limiter) TakeReport() string {
+	closed := l.TakeClosed()
+	delete(closed, IdleTimeout)
+	if len(closed) == 0 {
+		return ""
+	}
+	var text strings.Builder
+	for _, r := range slices.Sorted(maps.Keys(closed)) {
+		fmt.Fprintf(&text, "%s=%d ", r, closed[r])
+	}
+	fmt.Fprintf(&text, "open=%d limit=%d", l.Open(), l.Limits().Descriptors)
+	return text.String()
+}
+
 // Count counts a connection that its owner has closed for a reason.
 func (l *Limiter) Count(r Reason) {
 	l.mu.Lock()
--- a/chervilyard/connlimit/connlimit_test.go
+++ b/chervilyard/connlimit/connlimit_test.go
@@ -199,8 +199,14 @@
 	s.wantClosed(t, "next header_timeout")
 	s.limiter.Expire(at(10099))
 	s.wantClosed(t)
+	if got := s.limiter.TakeReport(); got != "header_timeout=1 open=1 limit=0" {
+		t.Errorf("report %q", got)
+	}
 	s.limiter.Expire(at(10100))
 	s.wantClosed(t, "rest idle_timeout")
+	if got := s.limiter.TakeReport(); got != "" {
+		t.Errorf("report %q of an idle timeout", got)
+	}
 }
 
 // The load: many headers of legal size at once. Guards against headers that together take the
--- a/chervilyard/edge/connections.go
+++ b/chervilyard/edge/connections.go
@@ -4,16 +4,13 @@
 	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"chervilyard.example/chervilyard/connlimit"
-	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/yard/pause"
 	"chervilyard.example/yard/refusal"
@@ -135,26 +132,12 @@
 		for _, k := range kinds {
 			k.limiter.SetLimits(e.connectionLimits(k.share))
 			k.limiter.Expire(now)
-			if due {
-				e.logClosed(now, k)
+			if !due {
+				continue
+			}
+			if report := k.limiter.TakeReport(); report != "" {
+				e.logDecision("connections", "closed", k.name+": "+report)
 			}
 		}
 	})
 }
-
-// logClosed logs how many connections of a kind were closed, by reason, except after their
-// time of idling.
-func (e *Edge) logClosed(now time.Time, k *boundedKind) {
-	closed := k.limiter.TakeClosed()
-	delete(closed, connlimit.IdleTimeout)
-	if len(closed) == 0 {
-		return
-	}
-	var reason strings.Builder
-	fmt.Fprintf(&reason, "%s:", k.name)
-	for _, r := range slices.Sorted(maps.Keys(closed)) {
-		fmt.Fprintf(&reason, " %s=%d", r, closed[r])
-	}
-	fmt.Fprintf(&reason, " open=%d limit=%d", k.limiter.Open(), k.limiter.Limits().Descriptors)
-	e.decisions.Record(decisionlog.Decision{Time: now, Kind: "connections", Choice: "closed", Reason: reason.String(), Centre: e.Settings().Centre})
-}
