Instance: bound the connections of callers and operators

Change: descriptors in [limits] of the settings, 0 (no limit) by default, bounds the connections of callers and operators through connlimit. Timeouts and the limit of a header stay with http.Server, since they do not change while the process runs.

--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -85,6 +85,7 @@
 	operatorListener net.Listener
 	callerServer     *http.Server
 	callerConns      handover.Tracker
+	operatorConns    handover.Tracker
 	operatorServer   *http.Server
 	peerServer       *grpc.Server
 
@@ -249,17 +250,16 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ConnContext:       i.sessions.ConnContext,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			i.sessions.ConnState(c, state)
-			i.callerConns.ConnState(c, state)
-		},
-		ErrorLog: i.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ConnState:         i.sessions.ConnState,
+		ErrorLog:          i.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	i.operatorServer = &http.Server{Handler: i.operatorsHandler(), ReadHeaderTimeout: limits.ReadTimeout}
+	i.boundConnections(kindCallers, callerShare, &i.callerConns, i.callerServer)
+	i.boundConnections(kindOperators, operatorShare, &i.operatorConns, i.operatorServer)
 	i.peerServer = i.newPeerServer(creds)
 	i.doneChans = append(i.doneChans,
 		runServer(func() error { return i.callerServer.Serve(i.callerConns.Listener(i.callerListener)) }, i.log, "callers"),
-		runServer(func() error { return i.operatorServer.Serve(i.operatorListener) }, i.log, "operators"),
+		runServer(func() error { return i.operatorServer.Serve(i.operatorConns.Listener(i.operatorListener)) }, i.log, "operators"),
 		runServer(func() error { return i.peerServer.Serve(i.peerListener) }, i.log, "peers"),
 		i.decisions.Run(ctx),
 		i.ledger.Start(ctx),
@@ -270,6 +270,7 @@
 		i.targetClient.RunIdleSweep(ctx),
 		(&rebalance.Rebalancer{Lender: i.lender, SendLoans: i.peers.SendLoans, Now: i.now, Decisions: i.decisions}).Run(ctx),
 		i.publish(ctx),
+		i.keepConnectionsBounded(ctx),
 	)
 }
 
--- a/yard/setting/setting.go
+++ b/yard/setting/setting.go
@@ -43,6 +43,7 @@
 	MaxQueuedPerCustomer   int           // maximum number of requests of one customer that wait for a target
 	MaxStoredResponseBytes int           // maximum size of a response that is stored for an idempotency key, in bytes
 	ShutdownTimeout        time.Duration // timeout of a graceful shutdown
+	MaxDescriptors         int           // maximum number of open file descriptors; 0 means no limit
 }
 
 // Parse parses and validates settings. The name identifies the text in errors. A
@@ -107,6 +108,7 @@
 		MaxQueuedPerCustomer:   s.Int("queue", 256, 1, 1<<20),
 		MaxStoredResponseBytes: s.Int("outcome", 4<<10, 0, 64<<10),
 		ShutdownTimeout:        s.Duration("drain", time.Minute, time.Second, time.Hour),
+		MaxDescriptors:         s.Int("descriptors", 0, 0, 1<<20),
 	}
 }
 
