Handover: a connection can be chosen for closing as soon as the Limiter has it

Cause: the Limiter may close a connection from another goroutine before the connection has the reference to its entry, and a connection that is to stay open for the Limiter could lose the mark that a stop is closing it. The race detector showed the first in TestRunRequestsAreAnsweredAtLimit. Change: the lock of the connection is held while it is added, and the mark is only set.

--- a/chervilyard/handover/conn.go
+++ b/chervilyard/handover/conn.go
@@ -53,6 +53,8 @@
 		}
 	}
 	if t.Limiter != nil {
+		tracked.mu.Lock() // the limiter may choose the connection at once
+		defer tracked.mu.Unlock()
 		tracked.limited = t.Limiter.Add(tracked.openedAt, tracked.closeFor)
 	}
 	return tracked
@@ -258,8 +260,11 @@
 	case connlimit.LimitUnread:
 		keep = keep || !c.limited.WriteStalled(now)
 	}
-	c.closing = !keep
-	return !keep
+	if c.closing || keep {
+		return false
+	}
+	c.closing = true
+	return true
 }
 
 // inUse reports whether a request is arriving or being served. Bytes received during a
