Chervilyard: loopback address of its own in the test of connections

Cause: as on the platform, a port of 127.0.0.1 can be taken between its choice and its use. Change: the test uses an address that follows from the process's number.

--- a/chervilyard/connections_test.go
+++ b/chervilyard/connections_test.go
@@ -62,12 +62,15 @@
 	return command.Process, addresses[0], addresses[2]
 }
 
-// freeAddresses returns n loopback addresses with ports that are free now.
+// freeAddresses returns n addresses with ports that are free now, at a loopback address of
+// this process: connections of other tests from 127.0.0.1 may take a port before its use.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+pid>>16%100, pid>>8%256, 1+pid%254)
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
