--- a/chervilyard/process_test.go
+++ b/chervilyard/process_test.go
@@ -41,14 +41,14 @@
 [customer x]
 rate = 200000
 burst = 1000000
-[route work]
+[route orders]
 kind = service
 repeatable = yes
 deadline = 10s
 [target t]
 centre = c
 address = %s
-serves = work
+serves = orders
 capacity = 256
 [key k]
 customer = x
@@ -122,7 +122,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitTime}
 	last := ""
 	for deadline := time.Now().Add(waitTime); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		r, err := http.NewRequest(http.MethodPost, "http://"+callers+"/s/work/x", bytes.NewReader(body))
+		r, err := http.NewRequest(http.MethodPost, "http://"+callers+"/s/orders/x", bytes.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -183,7 +183,7 @@
 				}
 				conns = append(conns, c)
 				all.Go(func() {
-					_, err := fmt.Fprintf(c, "POST /s/work/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n%s\r\n\r\n", tc.framing)
+					_, err := fmt.Fprintf(c, "POST /s/orders/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n%s\r\n\r\n", tc.framing)
 					for left := tc.send; left > 0 && err == nil; left -= len(piece) {
 						data := piece[:min(len(piece), left)]
 						if strings.HasSuffix(tc.framing, "chunked") {
