Release request bodies once they have been written

The goroutine that writes a body could record its result after the first bytes of the response had arrived, and the body was not looked at again. The result was also lost once it had been read, so a body that was kept for a retry was never released.

The body is now detached from the request and released by whichever comes later, the decision or the end of the write.

--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -265,19 +265,20 @@
 // digest has to be calculated for that.
 const releasedSize = 64 << 10
 
-// releaseBody releases a body that is not sent again, or else counts it as kept for that.
+// releaseBody releases a body that is not sent again once it has been written, or else counts
+// it as kept for that.
 func (g *Gateway) releaseBody(x *exchange, resp *pool.Response, mayRunAgain bool) {
-	now := g.Now()
 	switch {
 	case x.body.Len() < releasedSize || x.releasedName != "":
-	case mayRunAgain || !resp.RequestSent():
-		x.body.Keep(now)
+	case mayRunAgain:
+		x.body.Keep(g.Now())
 	default:
 		if x.shape == "" {
 			x.shape = x.fingerprint().Shape()
 		}
 		x.releasedName = x.fullName()
-		x.body.Release(now)
+		body := x.body.Detach()
+		resp.WhenRequestSent(func() { body.Release(g.Now()) })
 	}
 }
 
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -102,7 +102,7 @@
 func (c *conn) roundTrip(r *Request) (*Response, error) {
 	c.onReceived = r.OnReceived
 	header := encodeHeader(r)
-	var bodyWritten chan error
+	var write *bodyWrite
 	if r.bodyLength() <= maxInlineBody {
 		header = append(header, r.Body...)
 		for _, piece := range r.Pieces {
@@ -119,7 +119,7 @@
 		if err != nil {
 			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
 		}
-		bodyWritten = make(chan error, 1)
+		write = &bodyWrite{}
 		go func() {
 			_, err := c.raw.Write(r.Body)
 			for _, piece := range r.Pieces {
@@ -127,14 +127,14 @@
 					_, err = c.raw.Write(piece)
 				}
 			}
-			bodyWritten <- err
+			write.end(err)
 		}()
 	}
 	resp, err := c.readResponse(r)
 	if err != nil {
 		return nil, &Error{Op: "read", MaybeSent: true, Err: err}
 	}
-	resp.bodyWritten = bodyWritten
+	resp.bodyWrite = write
 	return resp, nil
 }
 
--- a/chervilyard/pool/pool_test.go
+++ b/chervilyard/pool/pool_test.go
@@ -175,6 +175,41 @@
 	}
 }
 
+// Guards against a body that is taken for written while a target that responded early has not
+// read it, and against one that is never taken for written.
+func TestWhenRequestSent(t *testing.T) {
+	proceed := make(chan struct{})
+	address, _ := server(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, okResponse)
+		<-proceed
+		_, _ = io.Copy(io.Discard, r)
+	})
+	var p pool.Pool
+	body := strings.Repeat("x", 32<<20)
+	resp, err := p.Do(t.Context(), address, &pool.Request{Method: http.MethodPost, RequestTarget: "/", Host: "h", Header: http.Header{}, Body: []byte(body)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	sent := make(chan struct{})
+	resp.WhenRequestSent(func() { close(sent) })
+	select {
+	case <-sent:
+		t.Fatal("the body counts as sent although the target has not read it")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(proceed)
+	<-sent
+	again := false
+	resp.WhenRequestSent(func() { again = true })
+	if !again {
+		t.Error("a body that has been written does not count as sent")
+	}
+}
+
 // The connection is closed as soon as the context is canceled.
 func TestCancel(t *testing.T) {
 	ended := make(chan struct{})
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -63,16 +63,16 @@
 	// Kept states that the connection had a request before.
 	Kept bool
 
-	conn        *conn
-	body        io.ReadCloser
-	framing     string
-	events      *boundary.Finder // follows an event stream; nil for other bodies
-	size        int64            // bytes of the body that have been read
-	reusable    bool
-	bodyWritten chan error  // receives the result of a concurrent write of the request body; nil if there is none
-	stopClose   func() bool // keeps the connection open when the context is done
-	release     func(*conn) // returns the connection to the pool
-	ended       bool        // the connection was closed or released
+	conn      *conn
+	body      io.ReadCloser
+	framing   string
+	events    *boundary.Finder // follows an event stream; nil for other bodies
+	size      int64            // bytes of the body that have been read
+	reusable  bool
+	bodyWrite *bodyWrite  // of the request, beside the response; nil if the body has been written
+	stopClose func() bool // keeps the connection open when the context is done
+	release   func(*conn) // returns the connection to the pool
+	ended     bool        // the connection was closed or released
 }
 
 func newResponse(c *conn, r *http.Response) *Response {
@@ -184,19 +184,20 @@
 	r.release(r.conn)
 }
 
-// RequestSent reports whether the body of the request has been written in full, or its write
-// has failed.
-func (r *Response) RequestSent() bool { return r.bodyWritten == nil || len(r.bodyWritten) > 0 }
+// WhenRequestSent calls f once the body of the request has been written in full, or its write
+// has failed: at once if it has, and from another goroutine otherwise.
+func (r *Response) WhenRequestSent(f func()) {
+	if r.bodyWrite == nil {
+		f()
+		return
+	}
+	r.bodyWrite.whenEnded(f)
+}
 
 // bodyWriteErr returns an error if the request body was not written in full.
 func (r *Response) bodyWriteErr() error {
-	if r.bodyWritten == nil {
+	if r.bodyWrite == nil {
 		return nil
 	}
-	select {
-	case err := <-r.bodyWritten:
-		return err
-	default:
-		return errIncompleteWrite
-	}
+	return r.bodyWrite.result()
 }
--- a/chervilyard/reqbody/reqbody.go
+++ b/chervilyard/reqbody/reqbody.go
@@ -71,12 +71,20 @@
 // Pieces returns the bytes of the body in order.
 func (b *Body) Pieces() [][]byte { return b.pieces }
 
-// Len returns the length in bytes, also after Release.
+// Len returns the length in bytes, also after Release and Detach.
 func (b *Body) Len() int { return b.length }
 
 // Keep records that the body is kept only in case that it has to be sent again.
 func (b *Body) Keep(now time.Time) { b.reservation.Move(now, membudget.Retries) }
 
+// Detach returns a body that holds the bytes and their reservation in place of this one, which
+// keeps its length.
+func (b *Body) Detach() Body {
+	detached := *b
+	b.pieces, b.reservation = nil, nil
+	return detached
+}
+
 // Release forgets the bytes and returns them to the budget.
 func (b *Body) Release(now time.Time) {
 	if b.reservation == nil && b.pieces == nil {
