Keep shared prompt parts at one engine, and overflow to one other

The bound of waiting tokens no longer holds at the preferred target, since the request would read more elsewhere. A request that stays in its region prefers the targets by the region's own order, and the second in it is worth half of what the first is.

--- a/chervilyard/edge/targets.go
+++ b/chervilyard/edge/targets.go
@@ -135,7 +135,7 @@
 	if reachable(e.Settings().Region) {
 		list = e.targets.usable(service)
 	}
-	preferred, ok := placement.PreferredTarget(append(list, e.targets.usableRemote(service, reachable)...), parts)
+	preferred, _, ok := placement.PreferredTargets(append(list, e.targets.usableRemote(service, reachable)...), parts)
 	if !ok {
 		return "", ""
 	}
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -80,6 +80,10 @@
 			g.Picker.DescribeLoad(now, candidates, dest.request))
 		return destination{}, g.refuse(x, codeOverloaded, "the targets would not answer in time", g.retryDelay(now, x, local.Wait, max(local.Wait/2, x.remoteRetryAfter)))
 	}
+	dest.request.PreferredTarget, dest.request.OverflowTarget = "", ""
+	if first, second, ok := placement.PreferredTargets(candidates, dest.request.Parts); ok {
+		dest.request.PreferredTarget, dest.request.OverflowTarget = first.Name(), second.Name()
+	}
 	return dest, nil
 }
 
--- a/yard/placement/comparison.go
+++ b/yard/placement/comparison.go
@@ -21,6 +21,19 @@
 	averageAnswerMS float64 // of a complete answer
 }
 
+// overflowFraction is the value of shared parts at the target to which a prompt overflows, in parts of
+// that at the preferred one. It makes instances that find no room there choose the same other one.
+const overflowFraction = 0.5
+
+// sharedTokens returns the prompt tokens of the shared parts: all but the last.
+func sharedTokens(parts []Part) int {
+	tokens := 0
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // compare returns the comparison for a request. The caller must hold p.mu.
 func (p *Picker) compare(now time.Time, r Request) comparison {
 	s := p.service(r.Service.Name())
@@ -71,7 +84,11 @@
 	k.queueMS += p.queuedTokens(c.now, s, load, readMS) * readMS
 	k.waitMS = k.queueMS + c.baseMS*slowdown + uncachedMS
 	k.penaltyMS = c.penaltyMS(s, load, crowding, failures, slowdown)
-	k.costMS = k.waitMS + k.penaltyMS + p.failureCostMS(t.Name(), r) - float64(cached)*c.savedMS*affinityFactor
+	saved := float64(cached)
+	if t.Name() == r.OverflowTarget {
+		saved = max(saved, overflowFraction*float64(sharedTokens(r.Parts)))
+	}
+	k.costMS = k.waitMS + k.penaltyMS + p.failureCostMS(t.Name(), r) - saved*c.savedMS*affinityFactor
 	return k
 }
 
@@ -133,9 +150,14 @@
 	return l
 }
 
+// slotsUsed reports whether lesser requests hold as many of the engine's slots as they may.
+func (l classLimits) slotsUsed(load Load, slots int) bool {
+	return load.LesserOpen >= classmix.Slots(l.slotShare, slots)
+}
+
 // full reports whether lesser requests hold as many of the engine's slots, or have as many prompt
 // tokens waiting there, as they may.
 func (l classLimits) full(load Load, slots, promptTokens int, slowdown float64) bool {
-	return load.LesserOpen >= classmix.Slots(l.slotShare, slots) ||
+	return l.slotsUsed(load, slots) ||
 		l.bounded && load.LesserWaiting > 0 && float64(load.LesserWaiting+promptTokens) > l.tokens/slowdown
 }
--- a/yard/placement/estimate.go
+++ b/yard/placement/estimate.go
@@ -10,23 +10,36 @@
 	"chervilyard.example/yard/target"
 )
 
-// PreferredTarget returns the preferred target of a prompt: the candidate that
-// every instance prefers for its shared parts. It is chosen by rendezvous hashing,
-// so that each part is processed at few targets. It returns false if no part is
-// shared or there are no candidates.
-func PreferredTarget(candidates []target.Target, parts []Part) (target.Target, bool) {
-	var preferred target.Target
-	if len(parts) < 2 {
-		return preferred, false
-	}
-	key := parts[len(parts)-2].ID // the last part belongs to this request alone
-	found, top := false, uint64(0)
-	for _, t := range candidates {
-		if h := xxhash.Sum64String(key + "\x00" + t.Name()); !found || h > top {
-			preferred, found, top = t, true, h
+// PreferredTargets returns the preferred target of a prompt and the one to which it overflows: the
+// candidates that every instance prefers for its shared parts. They are chosen by rendezvous
+// hashing, so that each part is processed at few targets. It returns false if no part is
+// shared or there are no candidates; the second is empty if there is only one.
+func PreferredTargets(candidates []target.Target, parts []Part) (first, second target.Target, ok bool) {
+	if len(parts) < 2 || len(candidates) == 0 {
+		return first, second, false
+	}
+	key := xxhash.Sum64String(parts[len(parts)-2].ID) // the last part belongs to this request alone
+	firstAt, secondAt, firstScore, secondScore := -1, -1, uint64(0), uint64(0)
+	for i := range candidates {
+		switch score := mix(key ^ xxhash.Sum64String(candidates[i].Name())); {
+		case firstAt < 0 || score > firstScore:
+			secondAt, secondScore = firstAt, firstScore
+			firstAt, firstScore = i, score
+		case secondAt < 0 || score > secondScore:
+			secondAt, secondScore = i, score
 		}
 	}
-	return preferred, found
+	if secondAt >= 0 {
+		second = candidates[secondAt]
+	}
+	return candidates[firstAt], second, true
+}
+
+// mix spreads the bits of x, as the last step of splitmix64 does.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // ServiceLatency is the expected time from the start of processing to the first byte of an
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -100,7 +100,8 @@
 	MaxEventGap     time.Duration // longest allowed pause between events of a stream; 0 means no limit
 	Exclude         []string      // names of targets to exclude
 	Repeatable      bool          // another target may run it if this one fails
-	PreferredTarget string        // name of the target that PreferredTarget returns for the prompt; "" if there is none
+	PreferredTarget string        // name of the first target that PreferredTargets returns for the prompt; "" if there is none
+	OverflowTarget  string        // name of the second; "" if there is none
 	// Lesser is set if the request is less urgent than others of the service. Such requests hold
 	// a part of the slots of an engine only; see package classmix.
 	Lesser bool
@@ -539,7 +540,7 @@
 		if sampled {
 			n--
 		}
-		if sampled || t.Name() == r.PreferredTarget || p.hasSharedParts(now, t.Name(), r.Parts) {
+		if sampled || t.Name() == r.PreferredTarget || t.Name() == r.OverflowTarget || p.hasSharedParts(now, t.Name(), r.Parts) {
 			list = append(list, *t)
 		}
 	}
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -253,6 +253,9 @@
 		return false
 	}
 	load := p.totalLoad(now, t.Name(), s)
+	if t.Name() == r.PreferredTarget {
+		return p.lesserLimits.slotsUsed(load, max(t.Capacity(), 1)) // elsewhere it would read more tokens
+	}
 	return p.lesserLimits.full(load, max(t.Capacity(), 1), r.PromptTokens, s.slowdownFactor(now, load))
 }
 
