Derive the retry delay from the backlog where no target may serve a request

A region without a target that may serve a request took the time until its first target wants requests again for infinite: DeferralLeft returns the largest duration with no candidates, and its second result was ignored. backlog.Estimate.Drain then overflowed (drain=-2562047h in the log), and callers were told to return after 250 ms at most, whatever the backlog.

The gateway uses a deferral only if all candidates have one. Without one, and without a retry delay that another region told, the shortest expected wait of other regions is added to the backlog.

--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -72,7 +73,10 @@
 	switch {
 	case !ok:
 		x.detail = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, dest.request, dest.coldShare))
-		x.deferral, _ = g.Picker.DeferralLeft(now, candidates)
+		x.deferral, x.remoteWait = 0, shortestWait(remoteEstimates)
+		if d, deferred := g.Picker.DeferralLeft(now, candidates); deferred {
+			x.deferral = d
+		}
 		return destination{}, g.noTarget(x)
 	case local.Wait > waitLimit:
 		x.detail = fmt.Sprintf("%d targets here, the best in %v, allowed %v: %s", len(candidates), local.Wait.Round(time.Millisecond), waitLimit.Round(time.Millisecond),
@@ -143,6 +147,14 @@
 	return estimates
 }
 
+// shortestWait returns the shortest expected wait of the estimates, 0 if there are none.
+func shortestWait(estimates []spill.RemoteEstimate) time.Duration {
+	if len(estimates) == 0 {
+		return 0
+	}
+	return slices.MinFunc(estimates, func(a, b spill.RemoteEstimate) int { return cmp.Compare(a.Estimate.Wait, b.Estimate.Wait) }).Estimate.Wait
+}
+
 func (g *Gateway) request(x *exchange) placement.Request {
 	return placement.Request{
 		Service: x.catalog.Service(x.service), PromptTokens: x.req.PromptTokens, MaxOutputTokens: x.req.MaxOutputTokens,
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -436,7 +436,7 @@
 	}
 	delay := max(retryAfter, shortRetryAfter)
 	if now := g.Now(); g.Shares != nil && g.Shares.Short(now) {
-		delay = g.retryDelay(now, x, retryAfter, retryAfter)
+		delay = g.retryDelay(now, x, cmp.Or(retryAfter, x.remoteWait), retryAfter)
 	}
 	return g.refuse(x, codeNoTarget, "no target may take the request now", delay)
 }
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -106,6 +106,7 @@
 	status            int
 	detail            string        // reason of the last failure, for the log
 	deferral          time.Duration // until the first of this region's targets wants requests again, if none does now
+	remoteWait        time.Duration // shortest expected wait in other regions when no target of this one could serve the request; 0 if unknown
 	remoteRetryAfter  time.Duration // earliest retry delay that another region reported with a refusal; 0 for none
 }
 
--- a/chervilyard/gateway/shortage_test.go
+++ b/chervilyard/gateway/shortage_test.go
@@ -62,3 +62,20 @@
 		t.Errorf("counted %+v", c)
 	}
 }
+
+// Guards against a retry delay that does not depend on the backlog where the region has no target
+// that may serve the request: its wait is not known, and was taken for an infinite one.
+func TestDelayWithoutTarget(t *testing.T) {
+	n, _ := newEngineInstance(t, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	logged := n.gateway.Decisions.Run(ctx)
+	n.gateway.Shares.Admit(time.Now(), "s", "c", 2000)
+	n.gateway.Shares.Refuse(time.Now(), "s", "c", 1000)
+	status, body, _ := roundTrip(t, n, strings.Replace(getRequest("/order/x"), "Key: k", "Key: kb", 1)) // may be served in region far alone
+	cancel()
+	<-logged
+	list := n.gateway.Decisions.History("1")
+	if got := list[len(list)-1].Reason; status != http.StatusServiceUnavailable || !strings.Contains(got, "backlog=1000 admitted_a_second=1000 drain=1s") {
+		t.Errorf("%d %s, logged %q", status, body, got)
+	}
+}
