Expect a queueing time of less urgent requests of their own

QueueWait tells one wait for all requests of a service, that of the most urgent ones. Less urgent requests use only engines where their class has room (isFullForClass), so their wait in a region can be longer, or they find no room at all.

Picker.LesserQueueWait considers only targets with room for a less urgent request with as many prompt tokens as recent ones have on average; with an empty prompt, room would be found where such a request is refused. Catalog.HasLesser tells for which services that can differ.

--- a/yard/catalog/catalog.go
+++ b/yard/catalog/catalog.go
@@ -34,6 +34,7 @@
 	services      map[string]service.Service
 	defaultTokens map[string]float64 // by customer
 	mostUrgent    map[string]int     // lowest priority number of the routes to a service
+	hasLesser     map[string]bool    // services with routes of different priorities
 }
 
 // Config is the input of New.
@@ -61,13 +62,16 @@
 		services:      make(map[string]service.Service, len(cfg.Services)),
 		defaultTokens: cfg.DefaultTokens,
 		mostUrgent:    make(map[string]int),
+		hasLesser:     make(map[string]bool),
 	}
 	for _, r := range cfg.Routes {
 		host := strings.ToLower(r.Host())
 		c.routesByHost[host] = append(c.routesByHost[host], r)
 		c.routesByName[r.Name()] = r
 		for _, s := range r.Services() {
-			if lowest, ok := c.mostUrgent[s.Service]; !ok || r.Priority() < lowest {
+			lowest, ok := c.mostUrgent[s.Service]
+			c.hasLesser[s.Service] = c.hasLesser[s.Service] || ok && r.Priority() != lowest
+			if !ok || r.Priority() < lowest {
 				c.mostUrgent[s.Service] = r.Priority()
 			}
 		}
@@ -147,6 +151,9 @@
 	return ok && priority > lowest
 }
 
+// HasLesser reports whether requests to the service can be less urgent than others.
+func (c *Catalog) HasLesser(service string) bool { return c.hasLesser[service] }
+
 // DefaultTokens returns the quota tokens that a customer is charged for a request that
 // states no token count, at least 1.
 func (c *Catalog) DefaultTokens(customer string) float64 { return max(c.defaultTokens[customer], 1) }
--- a/yard/classmix/classmix.go
+++ b/yard/classmix/classmix.go
@@ -70,6 +70,16 @@
 	m.class(lesser).slotTime.Add(now, slotTime.Seconds()*1000)
 }
 
+// PromptTokens returns the average prompt tokens of recent requests of the class, 0 if there were
+// none.
+func (m *Mix) PromptTokens(lesser bool) float64 {
+	c := m.class(lesser)
+	if c.arrivals <= 0 {
+		return 0
+	}
+	return c.tokens / c.arrivals
+}
+
 // HasBoth reports whether requests of both classes have been answered.
 func (m *Mix) HasBoth() bool {
 	return !m.urgent.slotTime.LastAt().IsZero() && !m.lesser.slotTime.LastAt().IsZero()
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -544,18 +544,7 @@
 func (p *Picker) QueueWait(now time.Time, candidates []target.Target, s service.Service, coldShare ColdShare) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	minWaitMS := math.Inf(1)
-	r := Request{Service: s}
-	p.assess(now, candidates, r, coldShare)
-	for i := range candidates {
-		if t := &candidates[i]; p.usable(now, t, r, coldShare) {
-			minWaitMS = min(minWaitMS, p.queueMS(now, t, r)+p.penaltyMS(now, t, r))
-		}
-	}
-	if math.IsInf(minWaitMS, 1) {
-		return 0, false
-	}
-	return milliseconds(minWaitMS), true
+	return p.queueWait(now, candidates, Request{Service: s}, coldShare)
 }
 
 // RecordArrival records a request for a target of this region, whether it gets one or not.
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -44,7 +44,12 @@
 //	deferral A B -> 2s   when the first of the targets wants requests again; - if one of them does now
 //	old                  from now on it is not known whether listed targets are still warm
 //	ask A yes            whether a health check may be sent now
-//	peer P A 3 900       peer P reports 3 open requests and 900 waiting tokens at A
+//	peer P A 3 900 200   peer P reports 3 open requests and 900 waiting tokens at A, 200 of them of
+//	                     less urgent requests; these may be left out
+//	arrive 10 500        10 requests with 500 prompt tokens arrive; followed by "lesser" if they are
+//	                     less urgent
+//	wait urgent A -> 0s  the shortest queueing time at the targets, or none; for less urgent requests
+//	                     with "lesser" in place of "urgent"
 type player struct {
 	t       *testing.T
 	picker  placement.Picker
@@ -138,7 +143,26 @@
 			p.check.FoundWarm()
 		}
 	case "peer":
-		p.picker.UpdatePeerLoads(s.At, s.Words[1], []placement.Load{{Target: s.Words[2], Open: int(s.Number(p.t, 3)), WaitingTokens: int(s.Number(p.t, 4))}})
+		load := placement.Load{Target: s.Words[2], Open: int(s.Number(p.t, 3)), WaitingTokens: int(s.Number(p.t, 4))}
+		if len(s.Words) > 5 {
+			load.LesserWaiting = int(s.Number(p.t, 5))
+		}
+		p.picker.UpdatePeerLoads(s.At, s.Words[1], []placement.Load{load})
+	case "arrive":
+		for range int(s.Number(p.t, 1)) {
+			p.picker.RecordArrival(s.At, placement.Request{Service: checkedService, PromptTokens: int(s.Number(p.t, 2)), Lesser: len(s.Words) > 3, WaitLimit: 500 * time.Millisecond})
+		}
+	case "wait":
+		n, got, queueWait := len(s.Words), "none", p.picker.QueueWait
+		if s.Words[1] == "lesser" {
+			queueWait = p.picker.LesserQueueWait
+		}
+		if d, ok := queueWait(s.At, p.named(s.Words[2:n-2]), checkedService, p.share(s.At)); ok {
+			got = d.String()
+		}
+		if want := s.Words[n-1]; got != want {
+			p.t.Errorf("line %d: a request waits %s, want %s", s.Line, got, want)
+		}
 	default:
 		p.t.Fatalf("line %d: %q is not a step", s.Line, s.Words[0])
 	}
