Forward requests by the wait of their class

Regions told one wait for all requests of a service, so less urgent ones were forwarded where their class had no room, and refused there.

Heartbeats to other regions and the reports that hubs relay have Room.lesser where the service has routes of both classes and the waits differ. A region without room is not offered to less urgent requests. Gateway.Remotes gets the class of the request, and RemoteInstance the round trip that its wait includes.

--- a/chervilyard/edge/fleet.go
+++ b/chervilyard/edge/fleet.go
@@ -81,7 +81,8 @@
 	return list
 }
 
-// localWaits returns how long a new request would wait in this region, by service.
+// localWaits returns how long a new request would wait in this region, by service, and a less
+// urgent one where that differs.
 func (e *Edge) localWaits(now time.Time) []*fleet.Room {
 	c := e.catalog.Load()
 	if c == nil {
@@ -93,8 +94,16 @@
 		if e.unreached.Load().includes(name) {
 			continue
 		}
-		if wait, ok := e.picker.QueueWait(now, e.targets.usable(name), c.Service(name), coldShare); ok {
+		targets := e.targets.usable(name)
+		if wait, ok := e.picker.QueueWait(now, targets, c.Service(name), coldShare); ok {
 			room := &fleet.Room{Service: name, Wait: wait.Seconds() * 1000}
+			if c.HasLesser(name) {
+				w := regionWait{queue: wait, lesser: noRoom}
+				if lesser, ok := e.picker.LesserQueueWait(now, targets, c.Service(name), coldShare); ok {
+					w.lesser = lesser
+				}
+				tellLesser(room, w)
+			}
 			if l, learnedAt, ok := e.picker.ServiceLatency(c.Service(name)); ok && now.Sub(learnedAt) <= latencyMaxAge {
 				room.Base, room.Token = l.Base.Seconds()*1000, l.PerToken.Seconds()*1000
 			}
@@ -141,31 +150,39 @@
 }
 
 // remoteInstances returns the ready instances of the other permitted regions, in order
-// of the expected wait including the round trip, and those of this region that it is to use
-// while it is cut off itself. It omits those of which no waiting time for
-// the service is known that was reported within remoteWaitMaxAge. Of a region whose waiting
-// times a hub relayed it returns forwardPeersPerRegion instances.
-func (e *Edge) remoteInstances(now time.Time, service string, permits func(string) bool) []gateway.RemoteInstance {
+// of the expected wait of a request of its class including the round trip, and those of this
+// region that it is to use while it is cut off itself. It omits those of which no waiting time for
+// the service is known that was reported within remoteWaitMaxAge, and those where the class finds
+// no room. Of a region whose waiting times a hub relayed it returns forwardPeersPerRegion instances.
+func (e *Edge) remoteInstances(now time.Time, service string, lesser bool, permits func(string) bool) []gateway.RemoteInstance {
 	var list []gateway.RemoteInstance
+	add := func(w regionWait, members ...membership.Member) {
+		wait, ok := w.forClass(lesser)
+		for _, m := range members {
+			if ok {
+				list = append(list, gateway.RemoteInstance{Member: m, Wait: wait, RoundTrip: w.path, Latency: w.latency})
+			}
+		}
+	}
+	heard := make(map[string]bool) // regions
 	unheard := make(map[string][]membership.Member)
 	for _, m := range e.memberTable.Live(now, liveTimeout) {
 		if m.Region == e.Settings().Region || m.Leaving || !m.Ready || !m.Reaches(service) || !permits(m.Region) {
 			continue
 		}
 		if w, ok := e.remoteWaits.lookup(now, m.Name, service); ok {
-			list = append(list, gateway.RemoteInstance{Member: m, Wait: w.queue + e.gossiper.RoundTripTime(m.Name), Latency: w.latency})
+			heard[m.Region] = true
+			add(w.withPath(e.gossiper.RoundTripTime(m.Name)), m)
 		} else {
 			unheard[m.Region] = append(unheard[m.Region], m)
 		}
 	}
 	for region, members := range unheard {
-		if slices.ContainsFunc(list, func(r gateway.RemoteInstance) bool { return r.Member.Region == region }) {
+		if heard[region] {
 			continue
 		}
 		if w, ok := e.remoteWaits.lookupRelayed(now, region, service); ok {
-			for _, m := range hub.NearestWeighted(e.Settings().Name, members, forwardPeersPerRegion) {
-				list = append(list, gateway.RemoteInstance{Member: m, Wait: w.queue, Latency: w.latency})
-			}
+			add(w, hub.NearestWeighted(e.Settings().Name, members, forwardPeersPerRegion)...)
 		}
 	}
 	if e.unreached.Load().includes(service) && permits(e.Settings().Region) {
--- a/chervilyard/edge/reach.go
+++ b/chervilyard/edge/reach.go
@@ -129,7 +129,8 @@
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	var list []gateway.RemoteInstance
 	for _, m := range members[:min(len(members), maxBeside)] {
-		list = append(list, gateway.RemoteInstance{Member: m, Wait: e.gossiper.RoundTripTime(m.Name)})
+		path := e.gossiper.RoundTripTime(m.Name)
+		list = append(list, gateway.RemoteInstance{Member: m, Wait: path, RoundTrip: path})
 	}
 	return list
 }
--- a/chervilyard/edge/remote_waits.go
+++ b/chervilyard/edge/remote_waits.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"chervilyard.example/yard/fleet"
 	"chervilyard.example/yard/placement"
 )
@@ -28,12 +30,34 @@
 	byService map[string]regionWait
 }
 
+// noRoom is the wait of less urgent requests that find no room.
+const noRoom = time.Duration(-1)
+
 // regionWait is how long a request of a service takes in a region.
 type regionWait struct {
-	queue   time.Duration
+	queue   time.Duration            // of the most urgent requests
+	lesser  time.Duration            // of less urgent ones, or noRoom
+	path    time.Duration            // round trip that both include
 	latency placement.ServiceLatency // zero if unknown
 }
 
+// forClass returns the wait of a class, and false if its requests find no room.
+func (w regionWait) forClass(lesser bool) (time.Duration, bool) {
+	if lesser {
+		return w.lesser, w.lesser != noRoom
+	}
+	return w.queue, true
+}
+
+// withPath returns the wait with a round trip to the region added.
+func (w regionWait) withPath(path time.Duration) regionWait {
+	w.queue, w.path = w.queue+path, w.path+path
+	if w.lesser != noRoom {
+		w.lesser += path
+	}
+	return w
+}
+
 // hear records the waiting times in a heartbeat from a member of another region.
 func (r *remoteWaits) hear(now time.Time, region string, h *fleet.Heartbeat) {
 	r.mu.Lock()
@@ -91,11 +115,13 @@
 	for region, member := range newest {
 		w := r.byMember[member]
 		for service, wait := range w.byService {
-			rooms = append(rooms, &fleet.Room{
+			room := &fleet.Room{
 				Service: service, Wait: wait.queue.Seconds() * 1000, Region: region,
 				Base: wait.latency.Base.Seconds() * 1000, Token: wait.latency.PerToken.Seconds() * 1000,
 				Age: now.Sub(w.at).Milliseconds() + 1, Path: path(member).Milliseconds(),
-			})
+			}
+			tellLesser(room, wait)
+			rooms = append(rooms, room)
 		}
 	}
 	return rooms
@@ -116,8 +142,7 @@
 	defer r.mu.Unlock()
 	w := r.byRegion[region]
 	wait, ok := w.wait(now, service)
-	wait.queue += w.path
-	return wait, ok
+	return wait.withPath(w.path), ok
 }
 
 func (w reportedWaits) wait(now time.Time, service string) (regionWait, bool) {
@@ -128,7 +153,24 @@
 	return wait, ok
 }
 
+// tellLesser sets the wait of less urgent requests in room if it is another one.
+func tellLesser(room *fleet.Room, w regionWait) {
+	switch w.lesser {
+	case w.queue:
+	case noRoom:
+		room.Lesser = proto.Float64(-1)
+	default:
+		room.Lesser = proto.Float64(w.lesser.Seconds() * 1000)
+	}
+}
+
 func roomWait(room *fleet.Room) regionWait {
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-	return regionWait{queue: ms(room.GetWait()), latency: placement.ServiceLatency{Base: ms(room.GetBase()), PerToken: ms(room.GetToken())}}
+	w := regionWait{queue: ms(room.GetWait()), lesser: ms(room.GetWait()), latency: placement.ServiceLatency{Base: ms(room.GetBase()), PerToken: ms(room.GetToken())}}
+	if room.Lesser != nil {
+		if w.lesser = noRoom; room.GetLesser() >= 0 {
+			w.lesser = ms(room.GetLesser())
+		}
+	}
+	return w
 }
--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -48,7 +48,7 @@
 		x.arrivalRecorded = true
 		g.Picker.RecordArrival(now, dest.request)
 	}
-	remotes := slices.DeleteFunc(g.Remotes(now, x.service, x.permits), func(r RemoteInstance) bool {
+	remotes := slices.DeleteFunc(g.Remotes(now, x.service, dest.request.Lesser, x.permits), func(r RemoteInstance) bool {
 		return slices.Contains(x.tried, r.Member.Name)
 	})
 	remotes = g.usableHops(now, remotes, len(candidates) > 0)
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -136,8 +136,9 @@
 	ColdShare func(now time.Time) placement.ColdShare
 	// Remotes returns the instances of other regions that may serve the request, and those of
 	// this region that reach targets of which this instance is cut off, best first, with the
-	// expected wait at each.
-	Remotes func(now time.Time, service string, permits func(region string) bool) []RemoteInstance
+	// expected wait at each. Requests that are less urgent than others of the service may wait
+	// longer, or find no room: such instances are left out.
+	Remotes func(now time.Time, service string, lesser bool, permits func(region string) bool) []RemoteInstance
 	// OnRemoteLeaving is called with an instance that refused a forwarded request
 	// because it is stopping. It may be nil.
 	OnRemoteLeaving func(now time.Time, m membership.Member)
@@ -249,8 +250,9 @@
 
 // RemoteInstance is an instance that requests are forwarded to.
 type RemoteInstance struct {
-	Member membership.Member
-	Wait   time.Duration // expected queueing time there plus the network round trip
+	Member    membership.Member
+	Wait      time.Duration // expected queueing time there plus the network round trip
+	RoundTrip time.Duration // the part of Wait that is the network's
 	// Latency is that of the service in the region, zero if nothing recent is known of it.
 	Latency placement.ServiceLatency
 }
--- a/chervilyard/gateway/gateway_test.go
+++ b/chervilyard/gateway/gateway_test.go
@@ -126,7 +126,7 @@
 		ColdShare: func(time.Time) placement.ColdShare {
 			return placement.ColdShare{Position: placement.Position{Instances: 1}}
 		},
-		Remotes: func(_ time.Time, _ string, permits func(string) bool) []gateway.RemoteInstance {
+		Remotes: func(_ time.Time, _ string, _ bool, permits func(string) bool) []gateway.RemoteInstance {
 			var list []gateway.RemoteInstance
 			for i, n := range remotes {
 				if permits(n.gateway.Region) {
--- a/chervilyard/gateway/hop_test.go
+++ b/chervilyard/gateway/hop_test.go
@@ -107,7 +107,7 @@
 	near := newTestInstance(t, "near", nil)
 	near.gateway.Catalog = hopCatalog
 	near.gateway.Silence = &silence.Monitor{}
-	near.gateway.Remotes = func(now time.Time, _ string, _ func(string) bool) []gateway.RemoteInstance {
+	near.gateway.Remotes = func(now time.Time, _ string, _ bool, _ func(string) bool) []gateway.RemoteInstance {
 		var list []gateway.RemoteInstance
 		for i, address := range addresses {
 			list = append(list, gateway.RemoteInstance{Wait: time.Duration(i+1) * time.Millisecond, Member: membership.Member{
@@ -254,7 +254,7 @@
 	far := newFakeTarget(t, "far-e", "ok far")
 	address := newFarInstance(t, far)
 	near.gateway.Catalog = hopCatalog
-	near.gateway.Remotes = func(time.Time, string, func(string) bool) []gateway.RemoteInstance {
+	near.gateway.Remotes = func(time.Time, string, bool, func(string) bool) []gateway.RemoteInstance {
 		return []gateway.RemoteInstance{{Member: membership.Member{Name: "far-2", Region: "far", Forward: address, Heard: past}}}
 	}
 	if status, body := fetch(t, near, "/order/x"); status != http.StatusOK || body != "own" {
