Forward requests with what remains of their latency objective

A forwarded request got the whole objective of its route again at the other instance, although time had passed and the round trip takes more, so it could wait there until its first byte was late for the caller.

Forwarded requests carry Chervil-Objective: the objective less the time since arrival and the round trip, rounded up to milliseconds, and no shorter than the wait that the sender expects there. The receiver uses it wherever the objective of the route limits a wait. Older instances neither send nor read it; the objective of the route counts then, also if the value cannot be read.

--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -115,7 +115,7 @@
 // shortage, customers above their share wait less.
 func (g *Gateway) waitLimit(now time.Time, x *exchange) time.Duration {
 	d := time.Duration(maxWaitFraction * float64(x.deadline.Sub(now)))
-	if objective := x.route.LatencyObjective(); objective > 0 {
+	if objective := x.latencyObjective(); objective > 0 {
 		d = min(d, objective)
 	}
 	return g.fairWait(now, x, d)
--- a/chervilyard/gateway/dispatch.go
+++ b/chervilyard/gateway/dispatch.go
@@ -228,20 +228,20 @@
 // byte, or 0 for no limit. The last allowed attempt has none, nor has any attempt on
 // a route that is not idempotent or has no latency objective.
 func (g *Gateway) firstByteTimeout(x *exchange, dest destination) time.Duration {
-	if !x.route.Idempotent() || x.route.LatencyObjective() <= 0 || x.possibleRuns+1 >= x.maxAttempts {
+	if !x.route.Idempotent() || x.latencyObjective() <= 0 || x.possibleRuns+1 >= x.maxAttempts {
 		return 0
 	}
-	return max(time.Duration(firstByteObjectiveFraction*float64(x.route.LatencyObjective())), firstByteWaitFactor*dest.expectedWait())
+	return max(time.Duration(firstByteObjectiveFraction*float64(x.latencyObjective())), firstByteWaitFactor*dest.expectedWait())
 }
 
 // send sends the request to the destination and returns the response once its
 // header has been read.
 func (g *Gateway) send(ctx context.Context, a *attempt) (*pool.Response, error) {
 	x := a.x
-	remaining := x.deadline.Sub(g.Now())
+	now := g.Now()
 	header := x.req.Header.Clone()
 	if a.dest.remote != nil {
-		x.setForwardingHeaders(header, remaining)
+		x.setForwardingHeaders(header, now, a.dest)
 		if g.Name != "" {
 			header.Set(headerSender, g.Name)
 		}
@@ -254,7 +254,7 @@
 		})
 	}
 	t := a.dest.ticket.Target()
-	g.Protocol.SetTargetHeaders(header, TargetContext{Target: t.Name(), TimeLeft: remaining, Customer: x.customer.Name(), LastEventID: x.req.LastEventID})
+	g.Protocol.SetTargetHeaders(header, TargetContext{Target: t.Name(), TimeLeft: x.deadline.Sub(now), Customer: x.customer.Name(), LastEventID: x.req.LastEventID})
 	return g.Pool.Do(ctx, t.Address(), &pool.Request{
 		Method: x.method, RequestTarget: x.requestTarget, Host: x.host, Header: header, Pieces: x.body.Pieces(),
 		NewConn: !x.route.Idempotent() && !x.route.Stream(),
--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -19,6 +19,7 @@
 	headerService        = "Chervil-Service"
 	headerCustomer       = "Chervil-Customer"
 	headerTimeLeftMS     = "Chervil-Left"      // milliseconds until the deadline
+	headerObjectiveMS    = "Chervil-Objective" // milliseconds that remain of the latency objective, without the way back; optional
 	headerLastEventID    = "Chervil-After"     // ID of the last event that the caller received
 	headerAttempts       = "Chervil-Attempts"  // how many targets the request may still be sent to
 	headerPossibleRuns   = "Chervil-Sends"     // in a response: how many targets may have run the request
@@ -36,11 +37,14 @@
 
 // setForwardingHeaders sets the headers that tell the receiving instance what
 // this instance has decided.
-func (x *exchange) setForwardingHeaders(h http.Header, remaining time.Duration) {
+func (x *exchange) setForwardingHeaders(h http.Header, now time.Time, dest destination) {
 	h.Set(headerRoute, x.route.Name())
 	h.Set(headerService, x.service)
 	h.Set(headerAttempts, strconv.Itoa(1)) // the forwarding instance decides about further attempts
-	h.Set(headerTimeLeftMS, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	h.Set(headerTimeLeftMS, strconv.FormatInt(max(x.deadline.Sub(now).Milliseconds(), 1), 10))
+	if x.latencyObjective() > 0 {
+		h.Set(headerObjectiveMS, strconv.FormatInt(x.remainingObjective(now, dest).Milliseconds(), 10))
+	}
 	if name := x.customer.Name(); name != "" {
 		h.Set(headerCustomer, name)
 	}
@@ -52,6 +56,25 @@
 	}
 }
 
+// remainingObjective returns what is expected to remain of the latency objective when a request
+// sent to another instance now arrives there, without the way back. It is rounded up, and no shorter
+// than the wait that is expected there: by this the request was chosen for that instance, which
+// would otherwise refuse it because of the time since its arrival here.
+func (x *exchange) remainingObjective(now time.Time, dest destination) time.Duration {
+	remaining := x.latencyObjective() - now.Sub(x.arrived)
+	d := max(remaining, dest.remoteWait) - dest.remote.RoundTrip
+	return max((d + time.Millisecond - 1).Truncate(time.Millisecond), time.Millisecond)
+}
+
+// latencyObjective returns the latency objective of the route, or what the instance that
+// forwarded the request says remains of it; 0 for none.
+func (x *exchange) latencyObjective() time.Duration {
+	if x.objective > 0 {
+		return x.objective
+	}
+	return x.route.LatencyObjective()
+}
+
 // ServeForwarded serves a request that an instance of another region forwarded, or one of
 // this region that is cut off, using a target of this region. It never forwards the request
 // again, which prevents forwarding loops.
@@ -87,7 +110,7 @@
 }
 
 // resolveForwarded resolves the names in the internal headers against this
-// instance's configuration and reads the remaining time and attempts.
+// instance's configuration and reads the remaining time, objective and attempts.
 func (g *Gateway) resolveForwarded(x *exchange, internal http.Header) error {
 	x.catalog = g.Catalog()
 	if x.catalog == nil {
@@ -113,6 +136,10 @@
 		return refusal.NotRun(http.StatusBadRequest, "hop_malformed", "the attempts left cannot be read").WithCause(err)
 	}
 	x.deadline = x.arrived.Add(time.Duration(remaining) * time.Millisecond)
+	// Older instances do not state it, so a value that cannot be read counts as none.
+	if ms, err := strconv.ParseInt(internal.Get(headerObjectiveMS), 10, 32); err == nil {
+		x.objective = time.Duration(ms) * time.Millisecond
+	}
 	x.service = internal.Get(headerService)
 	x.req.LastEventID = internal.Get(headerLastEventID)
 	x.trial = internal.Get(headerTrial) != ""
--- a/chervilyard/gateway/hop.go
+++ b/chervilyard/gateway/hop.go
@@ -44,7 +44,7 @@
 	}
 	m := a.dest.remote.Member
 	patience := min(a.dest.expectedWait(), maxHopPatience)
-	if objective := a.x.route.LatencyObjective(); objective > 0 {
+	if objective := a.x.latencyObjective(); objective > 0 {
 		patience = min(patience, time.Duration(hopObjectiveFraction*float64(objective)))
 	}
 	patience = max(patience, 2*g.roundTrip(m))
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -288,7 +288,7 @@
 // response at hand is returned to the caller.
 func (g *Gateway) canRetry(x *exchange) bool {
 	now := g.Now()
-	if x.route.LatencyObjective() > 0 && now.Sub(x.arrived) > x.route.LatencyObjective() {
+	if objective := x.latencyObjective(); objective > 0 && now.Sub(x.arrived) > objective {
 		return false
 	}
 	if verdict := g.checkParts(now, x); verdict.Blocked() {
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -55,6 +55,7 @@
 	w             http.ResponseWriter
 	arrived       time.Time
 	deadline      time.Time
+	objective     time.Duration // what remained of the latency objective when the request was forwarded here; 0 if not stated
 	req           Request
 	method        string
 	host          string
@@ -215,7 +216,7 @@
 func (g *Gateway) borrowTokens(ctx context.Context, x *exchange, tokens float64) (bool, time.Duration) {
 	limit := time.Duration(borrowTimeoutFraction * float64(x.deadline.Sub(x.arrived)))
 	patience := limit
-	if objective := x.route.LatencyObjective(); objective > 0 {
+	if objective := x.latencyObjective(); objective > 0 {
 		patience = min(limit, time.Duration(borrowTimeoutFraction*float64(objective)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
