Merge waits by class, the remaining objective and retry delays

Regions told one wait for both classes, so long requests were forwarded and refused; a forwarded request had its whole objective again; and a refusal without targets overflowed the backlog (drain=-2562047h), so its retry delay was 250 ms at most.

Rooms tell the wait of less urgent requests, Chervil-Objective carries what remains, and an infinite wait counts as the longest delay. On merging: a region that is full of a class still takes a request whose preferred target it has, as the region itself would.

--- a/chervilyard/gateway/destination.go
+++ b/chervilyard/gateway/destination.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -47,12 +48,13 @@
 		x.arrivalRecorded = true
 		g.Picker.RecordArrival(now, dest.request)
 	}
-	remotes := slices.DeleteFunc(g.Remotes(now, x.service, x.permits), func(r RemoteInstance) bool {
+	remotes := slices.DeleteFunc(g.Remotes(now, x.service, dest.request.Lesser, x.permits), func(r RemoteInstance) bool {
 		return slices.Contains(x.tried, r.Member.Name)
 	})
 	remotes = g.usableHops(now, remotes, len(candidates) > 0)
 	preferredRegion := g.setPreferredTarget(x, &dest.request, remotes)
 	x.preferredRegion = preferredRegion
+	remotes = slices.DeleteFunc(remotes, func(r RemoteInstance) bool { return r.Full && r.Member.Region != preferredRegion })
 	local, ok := g.Picker.EstimateBest(now, candidates, dest.request, dest.coldShare)
 	spillTo := -1
 	var remoteEstimates []spill.RemoteEstimate
@@ -73,7 +75,10 @@
 	switch {
 	case !ok:
 		x.detail = fmt.Sprintf("%d targets here: %s", len(candidates), g.Picker.Explain(now, candidates, dest.request, dest.coldShare))
-		x.deferral, _ = g.Picker.DeferralLeft(now, candidates)
+		x.deferral, x.remoteWait = 0, shortestWait(remoteEstimates)
+		if d, deferred := g.Picker.DeferralLeft(now, candidates); deferred {
+			x.deferral = d
+		}
 		return destination{}, g.noTarget(x)
 	case local.Wait > waitLimit:
 		x.detail = fmt.Sprintf("%d targets here, the best in %v, allowed %v: %s", len(candidates), local.Wait.Round(time.Millisecond), waitLimit.Round(time.Millisecond),
@@ -116,7 +121,7 @@
 // shortage, customers above their share wait less.
 func (g *Gateway) waitLimit(now time.Time, x *exchange) time.Duration {
 	d := time.Duration(maxWaitFraction * float64(x.deadline.Sub(now)))
-	if objective := x.route.LatencyObjective(); objective > 0 {
+	if objective := x.latencyObjective(); objective > 0 {
 		d = min(d, objective)
 	}
 	return g.fairWait(now, x, d)
@@ -148,6 +153,14 @@
 	return estimates
 }
 
+// shortestWait returns the shortest expected wait of the estimates, 0 if there are none.
+func shortestWait(estimates []spill.RemoteEstimate) time.Duration {
+	if len(estimates) == 0 {
+		return 0
+	}
+	return slices.MinFunc(estimates, func(a, b spill.RemoteEstimate) int { return cmp.Compare(a.Estimate.Wait, b.Estimate.Wait) }).Estimate.Wait
+}
+
 func (g *Gateway) request(x *exchange) placement.Request {
 	return placement.Request{
 		Service: x.catalog.Service(x.service), PromptTokens: x.req.PromptTokens, MaxOutputTokens: x.req.MaxOutputTokens,
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -55,6 +55,7 @@
 	w             http.ResponseWriter
 	arrived       time.Time
 	deadline      time.Time
+	objective     time.Duration // what remained of the latency objective when the request was forwarded here; 0 if not stated
 	req           Request
 	method        string
 	host          string
@@ -107,6 +108,7 @@
 	status            int
 	detail            string        // reason of the last failure, for the log
 	deferral          time.Duration // until the first of this region's targets wants requests again, if none does now
+	remoteWait        time.Duration // shortest expected wait in other regions when no target of this one could serve the request; 0 if unknown
 	remoteRetryAfter  time.Duration // earliest retry delay that another region reported with a refusal; 0 for none
 }
 
@@ -215,7 +217,7 @@
 func (g *Gateway) borrowTokens(ctx context.Context, x *exchange, tokens float64) (bool, time.Duration) {
 	limit := time.Duration(borrowTimeoutFraction * float64(x.deadline.Sub(x.arrived)))
 	patience := limit
-	if objective := x.route.LatencyObjective(); objective > 0 {
+	if objective := x.latencyObjective(); objective > 0 {
 		patience = min(limit, time.Duration(borrowTimeoutFraction*float64(objective)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
