Placement: no infinite retry delay without targets

Cause: without candidates, DeferralLeft returned the largest duration, which the gateway uses as the retry delay. Change: it returns 0 without candidates.

--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -118,10 +118,13 @@
 }
 
 // DeferralLeft returns the time until the first of the candidates wants requests again, or
-// may have a permit for one, and false if one of them waits for neither.
+// may have a permit for one, and false if one of them waits for neither or there are none.
 func (p *Picker) DeferralLeft(now time.Time, candidates []target.Target) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(candidates) == 0 {
+		return 0, false // an instance that has just started may not know them yet
+	}
 	left := time.Duration(math.MaxInt64)
 	for i := range candidates {
 		wait, _ := p.rateLimit(now, &candidates[i])
@@ -131,7 +134,7 @@
 		}
 		left = min(left, d)
 	}
-	return left, len(candidates) > 0
+	return left, true
 }
 
 // Explain returns a comma-separated list of the candidates that cannot get the
