Backlog: infinite expected waits do not overflow

Cause: the backlog was added to an expected wait that may be the largest duration. The sum was negative, and the log told drain=-2562047h. Change: the wait is bounded before the sum. Result: an infinite wait counts as the longest delay. TestDelayProperty draws such waits; it failed before.

--- a/yard/backlog/estimate.go
+++ b/yard/backlog/estimate.go
@@ -37,7 +37,7 @@
 // Drain returns how long the region takes to serve its queue and the tokens that will
 // return.
 func (e Estimate) Drain() time.Duration {
-	d := max(e.shortest, 0)
+	d := min(max(e.shortest, 0), maxDelay) // the wait may be infinite, and sums with it overflow
 	switch {
 	case e.refused <= 0:
 	case e.refused >= e.perSec*maxDelay.Seconds():
--- a/yard/backlog/estimate_test.go
+++ b/yard/backlog/estimate_test.go
@@ -1,6 +1,7 @@
 package backlog_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,17 +12,17 @@
 )
 
 // Guards against delays that callers do not honour, and against ones so short that the caller
-// returns to the same queue although it has time.
+// returns to the same queue although it has time, also where the expected wait is infinite.
 func TestDelayProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		left := time.Duration(rapid.Int64Range(-int64(time.Second), int64(time.Minute)).Draw(t, "left"))
 		e := backlog.New(rapid.IntRange(0, 1e9).Draw(t, "refused"), rapid.Float64Range(0, 1e9).Draw(t, "admitted"),
-			time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "wait")))
+			time.Duration(rapid.OneOf(rapid.Int64Range(0, int64(time.Minute)), rapid.Just(int64(math.MaxInt64))).Draw(t, "wait")))
 		d := e.Delay(left, rapid.Float64Range(0, 0.999).Draw(t, "random"))
 		if d < 0 || d > max(left, 0)/3 || d > 5*time.Second {
 			t.Fatalf("%v of %v left", d, left)
 		}
-		if left >= 3*time.Second && d < min(e.Drain(), time.Second)/2-10*time.Millisecond {
+		if e.Drain() < 0 || left >= 3*time.Second && d < min(e.Drain(), time.Second)/2-10*time.Millisecond {
 			t.Fatalf("%v, the backlog lasts for %v", d, e.Drain())
 		}
 	})
