Fairshare: counts after the time of day steps back

Cause: buckets and the end of a shortage are numbered by the time of day. After a step back, tokens were added to the newest bucket and none left the window until the clock had made up for the step: the backlog only grew, so every refused caller was told the longest delay, and a shortage never ended. Change: a step back clears the counts, and a shortage that seems to last longer than a refusal counts is over. Result: TestClockStepsBack, which failed before, passes.

--- a/yard/fairshare/flow.go
+++ b/yard/fairshare/flow.go
@@ -12,9 +12,12 @@
 
 func bucketNumber(now time.Time) int64 { return now.UnixNano() / int64(bucketLength) }
 
-// advance clears the buckets that left the window.
+// advance clears the buckets that left the window, and all if the time of day stepped back.
 func (f *flow) advance(now time.Time) {
 	n := bucketNumber(now)
+	if n < f.latest-1 { // a caller may have read the clock shortly before another one
+		*f = flow{latest: n}
+	}
 	for i := max(f.latest+1, n-bucketCount+1); i <= n; i++ {
 		f.buckets[i%bucketCount] = bucket{}
 	}
--- a/yard/fairshare/ledger.go
+++ b/yard/fairshare/ledger.go
@@ -19,6 +19,9 @@
 	// reportTTL is how long the report of another instance counts. A hub passes reports on,
 	// so that none counts for longer than two seconds.
 	reportTTL = time.Second
+	// maxShortage exceeds the time for which a refusal counts. More is left only if the time of
+	// day stepped back.
+	maxShortage = 2 * window
 	// recomputeInterval is how long computed shares are used again, so that their cost does
 	// not grow with the requests.
 	recomputeInterval = 20 * time.Millisecond
@@ -109,7 +112,10 @@
 }
 
 // Short reports whether any service may have had refusals in the window.
-func (l *Ledger) Short(now time.Time) bool { return now.UnixNano() < l.shortUntil.Load() }
+func (l *Ledger) Short(now time.Time) bool {
+	left := time.Duration(l.shortUntil.Load() - now.UnixNano())
+	return left > 0 && left <= maxShortage
+}
 
 // WaitFraction returns the part of the wait limit that a request of the customer may wait: 1
 // without a shortage of the service and for a customer that asks for no more than its share,
@@ -220,7 +226,9 @@
 
 // extendShortage must be called with l.mu held.
 func (l *Ledger) extendShortage(until time.Time) {
-	l.shortUntil.Store(max(l.shortUntil.Load(), until.UnixNano()))
+	if last := l.shortUntil.Load(); last < until.UnixNano() || last > until.Add(maxShortage).UnixNano() {
+		l.shortUntil.Store(until.UnixNano())
+	}
 }
 
 // addOwn adds this instance's counts to the sums. The caller must hold l.mu.
