Outlier: failures from before the time of day stepped back

Cause: slots that lie in the future counted as of the last second, so failures at a target that got no more requests were reported until the clock had made up for the step. Change: slots later than the next one do not count. Result: TestClockStepsBack, which failed before, passes.

--- a/yard/outlier/outlier_test.go
+++ b/yard/outlier/outlier_test.go
@@ -228,3 +228,18 @@
 		}
 	})
 }
+
+// Failure: the time of day steps back by an hour. Guards against failures that stay in the window
+// until the clock has made up for it.
+func TestClockStepsBack(t *testing.T) {
+	var d outlier.Detector
+	d.Record(start, start, "t0", true)
+	now := start.Add(-time.Hour)
+	if got := d.Own(now); len(got) > 0 {
+		t.Errorf("an hour before the failure: %+v", got)
+	}
+	d.Record(now, now, "t1", true)
+	if got := d.Own(now); len(got) != 1 || got[0].Target != "t1" || got[0].Failed != 1 {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/yard/outlier/window.go
+++ b/yard/outlier/window.go
@@ -28,11 +28,12 @@
 	}
 }
 
-// counts returns the outcomes of the last second.
+// counts returns the outcomes of the last second. Those from later than the next slot are from
+// before the time of day stepped back.
 func (w *window) counts(now time.Time) (answered, failed int) {
-	oldest := slotNumber(now) - slots
+	latest := slotNumber(now) + 1
 	for i, n := range w.slot {
-		if n > oldest {
+		if n >= latest-slots && n <= latest {
 			answered += int(w.answered[i])
 			failed += int(w.failed[i])
 		}
