Edge: probes of hops know the path to regions that hubs relay

Cause: an instance that is no hub exchanges no heartbeats with other regions, so the round-trip time of a hop was 0 there, and a probe had 300 ms. At 110 ms round trip the path alone takes 220, so a busy member that needed 80 ms missed it, and after two misses the hop counted as silent: its requests were ended and the member avoided for a second and more. Answered probes lengthen the limit, so this hit instances that had just started. Change: where no heartbeat was measured, the round trip is the one that a hub told for the region.

--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -226,7 +226,7 @@
 	g.Suspects, g.TargetEnded, g.TrialRank, g.ClaimTrial = &e.suspects, e.targetEnded, e.trialRank, e.claimTrial
 	g.OnConnFailed, g.OnConnAnswered, g.OnSilent, g.IsCutOff = e.recordConnFailed, e.recordConnAnswered, e.checkSilent, e.isCutOff
 	g.Silence, g.HeartbeatsMissing, g.OnHopSilent, g.Member = &e.silence, e.heartbeatsMissing, e.recordHopSilent, e.memberTable.Get
-	g.RoundTrip = func(m membership.Member) time.Duration { return e.gossiper.RoundTripTime(m.Name) }
+	g.RoundTrip = e.hopRoundTrip
 	g.SuspectsKnown = e.suspectsLoaded
 	g.Random = rand.Float64
 	g.Cutoff = func() (time.Time, bool) {
--- a/chervilyard/edge/hop.go
+++ b/chervilyard/edge/hop.go
@@ -34,6 +34,18 @@
 	return silence.HeartbeatsMissing(age, max(others[len(others)/2], 1))
 }
 
+// hopRoundTrip returns the round-trip time of the hop to a member: that of heartbeats to it, or,
+// if it exchanges none with this instance, that which a hub told for its region. It is 0 if
+// neither is known.
+func (e *Edge) hopRoundTrip(m membership.Member) time.Duration {
+	if measured := e.gossiper.RoundTripTime(m.Name); measured > 0 {
+		return measured
+	}
+	e.remoteWaits.mu.Lock()
+	defer e.remoteWaits.mu.Unlock()
+	return e.remoteWaits.byRegion[m.Region].path
+}
+
 // recordHopSilent counts and logs a forwarded request that ended because the hop was silent.
 func (e *Edge) recordHopSilent(_ time.Time, m membership.Member) {
 	e.meter.CountSilentHop(m.Name)
