Gateway: a lack of descriptors is no sign of a silent hop

Cause: a probe or a connection that this instance could not open for lack of descriptors, ports or memory counted against the member. Such errors come at once, so two probes in a row failed within milliseconds, the hop counted as silent, and the forwarded requests over it were ended with 502 or sent again. Change: these errors count as probes withdrawn, and not as connections that failed. Result: TestLackOfDescriptorsIsNotSilence; 502 before, 200 now.

--- a/chervilyard/gateway/hop.go
+++ b/chervilyard/gateway/hop.go
@@ -124,7 +124,18 @@
 	if err == nil {
 		resp.Close()
 	}
-	g.Silence.EndProbe(g.Now(), m.Name, err == nil || closedByPeer(err), ctx.Err() != nil)
+	g.Silence.EndProbe(g.Now(), m.Name, err == nil || closedByPeer(err), ctx.Err() != nil || lacksResources(err))
+}
+
+// lacksResources reports whether this instance could not open a connection for lack of descriptors,
+// ports or memory. That says nothing of the other side.
+func lacksResources(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
 }
 
 // closedByPeer reports whether the other side refused or closed a connection. That is an answer: an
@@ -150,9 +161,9 @@
 }
 
 // recordUnreached records that a new connection for a forwarded attempt could not be made,
-// unless the attempt was canceled.
+// unless the attempt was canceled or this instance lacked resources.
 func (g *Gateway) recordUnreached(ctx context.Context, now time.Time, a *attempt, err error) {
-	if g.Silence != nil && a.dest.remote != nil && ctx.Err() == nil && !closedByPeer(err) {
+	if g.Silence != nil && a.dest.remote != nil && ctx.Err() == nil && !closedByPeer(err) && !lacksResources(err) {
 		g.Silence.Unreached(now, a.dest.remote.Member.Name)
 	}
 }
--- a/chervilyard/gateway/hop_test.go
+++ b/chervilyard/gateway/hop_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"chervilyard.example/chervilyard/gateway"
+	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/membership"
 	"chervilyard.example/yard/route"
@@ -205,6 +207,28 @@
 	}
 }
 
+// Failure: this instance has no descriptors left. Guards against its forwarded requests that are
+// ended because it cannot connect for probes, although their hop works.
+func TestLackOfDescriptorsIsNotSilence(t *testing.T) {
+	t.Parallel()
+	f := newFakeTarget(t, "far-e", "ok late")
+	f.beforeResponse = func() { time.Sleep(1500 * time.Millisecond) }
+	near := newHopInstance(t, newFarInstance(t, f))
+	var dialed atomic.Int32
+	near.gateway.Pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if dialed.Add(1) > 1 {
+			return nil, syscall.EMFILE
+		}
+		return pool.Dial(ctx, address)
+	}
+	if status, body := fetch(t, near, "/order/x"); status != http.StatusOK || body != "late" {
+		t.Errorf("response %d %q", status, body)
+	}
+	if dialed.Load() < 2 {
+		t.Error("the hop was not probed")
+	}
+}
+
 // Guards against a target that works on for a caller that has left, over a hop.
 func TestCallerLeavesOverHop(t *testing.T) {
 	t.Parallel()
