--- a/chervilyard/gateway/shortage.go
+++ b/chervilyard/gateway/shortage.go
@@ -76,6 +76,9 @@
 	if r.Code != codeOverloaded && r.Code != codeNoTarget || len(g.Targets(now, x.service)) == 0 {
 		return
 	}
+	if x.arrivalRecorded {
+		g.Picker.RecordRefusal(x.service, x.catalog.IsLesser(x.service, x.route.Priority()))
+	}
 	g.Shares.Refuse(now, x.service, x.customer.Name(), x.requestTokens())
 	if g.Metrics.CapacityRefused != nil {
 		g.Metrics.CapacityRefused(x.service, x.waitFraction > 0 && x.waitFraction < 1, r.RetryAfter)
--- a/yard/classmix/classmix.go
+++ b/yard/classmix/classmix.go
@@ -18,6 +18,11 @@
 	// urgentWeight is the weight of the demand of urgent requests. Lesser ones may wait longer, so
 	// with equal weights they are served more often where an engine's queue varies.
 	urgentWeight = 3
+	// minRefusedShare is the part of urgent requests below which their refusals do not count.
+	minRefusedShare = 0.01
+	// needMargin is by how much more often lesser requests are refused where they are not bounded
+	// for the sake of urgent ones. A deployment's long prompts may be worth ten short ones.
+	needMargin = 0.1
 	// minSlotTimeMS is the shortest time that a request is taken to hold a slot.
 	minSlotTimeMS = 1
 	// untoldShare is the part of the slots that lesser requests may hold before the slot times are
@@ -37,6 +42,7 @@
 // class is the demand of one class.
 type class struct {
 	arrivals float64 // weighted by age, as of lastAt
+	refused  float64 // of these
 	tokens   float64 // prompt tokens of these
 	lastAt   time.Time
 	slotTime latency.Average // milliseconds that a request holds a slot
@@ -63,12 +69,32 @@
 func (m *Mix) RecordArrival(now time.Time, lesser bool, promptTokens int, maxWait time.Duration) {
 	c := m.class(lesser)
 	weight := c.weight(now)
-	c.arrivals, c.tokens, c.lastAt = c.arrivals*weight+1, c.tokens*weight+float64(promptTokens), now
+	c.arrivals, c.refused, c.tokens, c.lastAt = c.arrivals*weight+1, c.refused*weight, c.tokens*weight+float64(promptTokens), now
 	if maxWait > 0 {
 		c.maxWait.Add(now, maxWait.Seconds()*1000)
 	}
 }
 
+// RecordRefusal records that a request whose arrival was recorded was refused for lack of
+// capacity.
+func (m *Mix) RecordRefusal(lesser bool) {
+	c := m.class(lesser)
+	c.refused = min(c.refused+1, c.arrivals)
+}
+
+// refusedShare returns the part of the recent requests of the class that was refused.
+func (c *class) refusedShare() float64 { return c.refused / max(c.arrivals, minArrivals) }
+
+// need returns how far urgent requests need that lesser ones wait elsewhere: 1 if as many of them
+// are refused as of the lesser ones, falling to 0 at needMargin fewer, and 0 if hardly any are.
+func (m *Mix) need() float64 {
+	urgent, lesser := m.urgent.refusedShare(), m.lesser.refusedShare()
+	if urgent < minRefusedShare {
+		return 0
+	}
+	return min(max(1-(lesser-urgent)/needMargin, 0), 1)
+}
+
 // RecordEnd records how long an answered request held its slot.
 func (m *Mix) RecordEnd(now time.Time, lesser bool, slotTime time.Duration) {
 	m.class(lesser).slotTime.Add(now, slotTime.Seconds()*1000)
@@ -113,12 +139,15 @@
 
 // LesserTokens returns how many prompt tokens of lesser requests may wait at an engine that
 // needs perTokenMS milliseconds for one: their part of the tokens that the engine reads while an
-// urgent request may wait. If it returns false, there is no bound.
+// urgent request may wait, and more the less these need it. If it returns false, there is no
+// bound.
 func (m *Mix) LesserTokens(now time.Time, perTokenMS float64) (tokens float64, bounded bool) {
-	if !m.urgent.asks(now) || m.urgent.maxWait.LastAt().IsZero() || perTokenMS <= 0 {
+	need := m.need()
+	if need <= 0 || !m.urgent.asks(now) || m.urgent.maxWait.LastAt().IsZero() || perTokenMS <= 0 {
 		return 0, false
 	}
 	share := m.lesserPart(now, m.lesser.tokens, m.urgent.tokens)
+	share += (1 - share) * (1 - need)
 	return share * m.urgent.maxWait.Mean(0) / perTokenMS, true
 }
 
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -618,6 +618,13 @@
 	p.service(r.Service.Name()).mix.RecordArrival(now, r.Lesser, r.PromptTokens, r.WaitLimit)
 }
 
+// RecordRefusal records that a request whose arrival was recorded was refused for lack of capacity.
+func (p *Picker) RecordRefusal(service string, lesser bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).mix.RecordRefusal(lesser)
+}
+
 // newTicket adds the request to the load of the target and returns its ticket. The
 // caller must hold p.mu.
 func (p *Picker) newTicket(now time.Time, t target.Target, r Request, wait time.Duration, coldShare ColdShare) *Ticket {
--- a/yard/placement/placement_test.go
+++ b/yard/placement/placement_test.go
@@ -47,6 +47,7 @@
 //	peer P A 3 900 200   peer P reports 3 open requests and 900 waiting tokens at A, 200 of them of
 //	                     less urgent requests; these may be left out
 //	arrive 10 500        10 requests with 500 prompt tokens arrive; followed by "lesser" if they are
+//	refuse 2              2 of them are refused; followed by "lesser" if they are
 //	                     less urgent
 //	wait urgent A -> 0s  the shortest queueing time at the targets, or none; for less urgent requests
 //	                     with "lesser" in place of "urgent"
@@ -152,6 +153,10 @@
 		for range int(s.Number(p.t, 1)) {
 			p.picker.RecordArrival(s.At, placement.Request{Service: checkedService, PromptTokens: int(s.Number(p.t, 2)), Lesser: len(s.Words) > 3, WaitLimit: 500 * time.Millisecond})
 		}
+	case "refuse":
+		for range int(s.Number(p.t, 1)) {
+			p.picker.RecordRefusal(checkedService.Name(), len(s.Words) > 2)
+		}
 	case "wait":
 		n, got, queueWait := len(s.Words), "none", p.picker.QueueWait
 		if s.Words[1] == "lesser" {
--- a/yard/placement/stale_loads_test.go
+++ b/yard/placement/stale_loads_test.go
@@ -154,10 +154,12 @@
 		placement.ColdShare{Position: placement.Position{Instances: len(f.pickers)}, RateFactor: 1})
 	if r.ticket == nil {
 		r.refused = true
+		f.pickers[r.instance].RecordRefusal(f.service.Name(), r.lesser)
 		return
 	}
 	if f.refuses && r.ticket.ExpectedWait() > r.objective {
 		r.refused = true
+		f.pickers[r.instance].RecordRefusal(f.service.Name(), r.lesser)
 		r.ticket.End(f.clock(), placement.Withheld)
 		return
 	}
