--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -513,30 +513,20 @@
 // returns nil if no candidate is usable. The caller must hold p.mu.
 func (p *Picker) best(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) (*target.Target, Estimate) {
 	var best *target.Target
-	bestTimely, bestWaitMS, minCostMS := false, math.Inf(1), math.Inf(1)
+	bestExpected := expectation{waitMS: math.Inf(1), costMS: math.Inf(1)}
 	for i := range candidates {
 		t := &candidates[i]
 		if slices.Contains(r.Exclude, t.Name()) || !p.usable(now, t, r, coldShare) {
 			continue
 		}
-		cachedTokens := p.cachedPrefix(now, p.state(t.Name()), r.Parts, t.Name() == r.PreferredTarget)
-		waitMS := p.queueMS(now, t, r) + p.targetProcessingMS(now, p.state(t.Name()), r, r.PromptTokens-cachedTokens)
-		costMS := waitMS + p.penaltyMS(now, t, r) + p.failureCostMS(t.Name(), r) - p.savedMS(r, cachedTokens)*affinityFactor
-		timely := r.WaitLimit <= 0 || milliseconds(waitMS) <= r.WaitLimit
-		better := costMS < minCostMS
-		if timely != bestTimely {
-			better = timely
-		} else if !timely {
-			better = waitMS < bestWaitMS
-		}
-		if better {
-			best, bestTimely, bestWaitMS, minCostMS = t, timely, waitMS, costMS
+		if e := p.expected(now, t, r); e.before(bestExpected) {
+			best, bestExpected = t, e
 		}
 	}
 	if best == nil {
 		return nil, Estimate{}
 	}
-	return best, Estimate{Wait: milliseconds(bestWaitMS), Cost: milliseconds(minCostMS)}
+	return best, Estimate{Wait: milliseconds(bestExpected.waitMS), Cost: milliseconds(bestExpected.costMS)}
 }
 
 // QueueWait returns the shortest expected queueing time of a request of the service
--- a/yard/placement/usable.go
+++ b/yard/placement/usable.go
@@ -142,31 +142,39 @@
 	p.assess(now, candidates, r, coldShare)
 	var list []string
 	for i := range candidates {
-		t := &candidates[i]
-		s := p.state(t.Name())
-		permitWait, _ := p.rateLimit(now, t)
-		switch {
-		case slices.Contains(r.Exclude, t.Name()):
-			list = append(list, t.Name()+" tried")
-		case now.Before(s.deferredUntil):
-			list = append(list, t.Name()+" wants no request for "+s.deferredUntil.Sub(now).Round(time.Millisecond).String())
-		case now.Before(s.ejectedUntil):
-			list = append(list, t.Name()+" failed "+strconv.Itoa(s.failures)+" times")
-		case p.isFullForClass(now, t, s, r):
-			list = append(list, t.Name()+" full of less urgent requests")
-		case p.leftOut[t.Name()]:
-			list = append(list, t.Name()+" fails more often than the others")
-		case permitWait > 0:
-			list = append(list, t.Name()+" has a limit and no permit for "+permitWait.Round(time.Millisecond).String())
-		case !p.usable(now, t, r, coldShare) && p.isCold(now, s):
-			list = append(list, t.Name()+" cold")
-		case !p.usable(now, t, r, coldShare):
-			list = append(list, t.Name()+" not proved or too small")
+		if reason := p.barredBy(now, &candidates[i], r, coldShare); reason != "" {
+			list = append(list, candidates[i].Name()+" "+reason)
 		}
 	}
 	return strings.Join(list, ", ")
 }
 
+// barredBy returns the reason for which the target cannot get the request now, or "" if it can.
+// The caller must hold p.mu, and assess must have been called.
+func (p *Picker) barredBy(now time.Time, t *target.Target, r Request, coldShare ColdShare) string {
+	s := p.state(t.Name())
+	permitWait, _ := p.rateLimit(now, t)
+	switch {
+	case slices.Contains(r.Exclude, t.Name()):
+		return "tried"
+	case now.Before(s.deferredUntil):
+		return "wants no request for " + s.deferredUntil.Sub(now).Round(time.Millisecond).String()
+	case now.Before(s.ejectedUntil):
+		return "failed " + strconv.Itoa(s.failures) + " times"
+	case p.isFullForClass(now, t, s, r):
+		return "full of less urgent requests"
+	case p.leftOut[t.Name()]:
+		return "fails more often than the others"
+	case permitWait > 0:
+		return "has a limit and no permit for " + permitWait.Round(time.Millisecond).String()
+	case p.usable(now, t, r, coldShare):
+		return ""
+	case p.isCold(now, s):
+		return "cold"
+	}
+	return "not proved or too small"
+}
+
 // DescribeLoad returns a list of the usable candidates for the log, each with the requests that
 // are open there, the expected time without queueing and the age of the last sample of it.
 func (p *Picker) DescribeLoad(now time.Time, candidates []target.Target, r Request) string {
--- a/yard/suspect/record.go
+++ b/yard/suspect/record.go
@@ -107,6 +107,9 @@
 	return cleared
 }
 
+// isExpired reports whether the record need not be kept any longer.
+func (r *record) isExpired(now time.Time) bool { return now.Sub(r.lastUse()) > r.retention() }
+
 // lastUse returns the last time at which the record mattered.
 func (r *record) lastUse() time.Time {
 	last := r.changedAt
--- a/yard/suspect/suspect.go
+++ b/yard/suspect/suspect.go
@@ -172,11 +172,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
+	blocked := l.blockedParts(parts)
+	for _, part := range blocked {
+		l.records[part].lastAsked = now
+	}
+	return l.worstVerdict(now, blocked)
+}
+
+// Peek returns what Check would, but does not count as a request with the parts.
+func (l *Ledger) Peek(now time.Time, parts []string) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.worstVerdict(now, slices.DeleteFunc(l.blockedParts(parts), func(part string) bool { return l.records[part].isExpired(now) }))
+}
+
+// worstVerdict returns the verdict on the blocked part that is confirmed or else blocks for
+// longest. The caller must hold l.mu.
+func (l *Ledger) worstVerdict(now time.Time, blocked []string) Verdict {
 	var worst Verdict
-	for _, part := range l.blockedParts(parts) {
-		r := l.records[part]
-		r.lastAsked = now
-		v := r.verdict(now, part)
+	for _, part := range blocked {
+		v := l.records[part].verdict(now, part)
 		if !worst.Blocked() || v.Confirmed && !worst.Confirmed || v.Confirmed == worst.Confirmed && v.RetryAfter > worst.RetryAfter {
 			worst = v
 		}
@@ -556,7 +571,7 @@
 	}
 	l.swept = now
 	for part, r := range l.records {
-		if now.Sub(r.lastUse()) > r.retention() {
+		if r.isExpired(now) {
 			l.forget(part)
 		}
 	}
