Add the command chervilctl place

Cause: Operators can see decisions only after they were made. Change: chervilctl place sends a query to an instance, which answers with gateway.Explain. Instances on the platform answer on their address for metrics, with the platform's header fields in saved requests. Result: The command prints the destination or the refusal, candidates, remote instances, quota and ages; unknown hosts, keys and instances end it with 1. The project's own surface does not answer yet.

--- a/chervilctl/main.go
+++ b/chervilctl/main.go
@@ -41,6 +41,7 @@
 	Key      keyCommand      `command:"key" description:"issue, withdraw and list keys"`
 	Status   statusCommand   `command:"status" description:"show the state of each instance"`
 	Explain  explainCommand  `command:"explain" description:"show the decisions on a request"`
+	Place    placeCommand    `command:"place" description:"show where a request would go now and why, without sending it"`
 	Cold     coldCommand     `command:"cold" description:"count the requests to cold targets and to targets with a limit, from logs"`
 }
 
--- a/chervilyard/placereport/placereport.go
+++ b/chervilyard/placereport/placereport.go
@@ -22,7 +22,7 @@
 const Path = "/place"
 
 // MaxQueryBytes bounds the body of a query, so that operators' requests need little memory.
-const MaxQueryBytes = 8 << 20
+const MaxQueryBytes = 2 << 20
 
 // Query is the request in question. The fields after Raw replace what it says.
 type Query struct {
