Answer chervilctl place on the project's own surface

Cause: Instances of the project's own surface choose by package balancer and have no gateway that could explain the choice. Change: The operators' address answers queries with the stages that find the customer and the route and with dispatch.Explain, which uses chooseDestination and Pick without starting a call. Ages that are not known are null in JSON.

--- a/chervilctl/place_test.go
+++ b/chervilctl/place_test.go
@@ -76,8 +76,8 @@
 	var b strings.Builder
 	err := placetext.Write(&b, placereport.Report{
 		Refusal: &placereport.Refusal{Status: 503, Code: "overloaded", Message: "late", RetryAfter: ms(250)}, Notes: []string{"a note"}, LatencyAge: -1,
-		Candidates: []placereport.Candidate{{Target: "e-1", Wait: ms(900), Cold: true, ColdLeft: ms(1200), ColdLimit: 2, Barred: "cold", LoadAge: ms(80), SampleAge: -1}},
-		Remotes:    []placereport.Remote{{Region: "west", Instance: "w-1", Wait: ms(700), Barred: "silent", ReportAge: ms(300)}},
+		Candidates: []placereport.Candidate{{Target: "e-1", Wait: ms(900), Cold: true, ColdLeft: ms(1200), ColdLimit: 2, Barred: "cold", LoadAge: placereport.Age(ms(80)), SampleAge: -1}},
+		Remotes:    []placereport.Remote{{Region: "west", Instance: "w-1", Wait: ms(700), Barred: "silent", ReportAge: placereport.Age(ms(300))}},
 		Quota:      &placereport.Quota{Needed: 40, Level: 30, Capacity: 100, PerSecond: 5},
 	})
 	for _, want := range []string{"503 overloaded", "Retry-After 250ms", "a note", "needs 40", "latency of the service -", "900ms", "cold for 1.2s", "80ms", "barred: silent", "300ms"} {
--- a/chervilctl/placetext/placetext.go
+++ b/chervilctl/placetext/placetext.go
@@ -47,7 +47,7 @@
 		fmt.Fprintln(table, "\nREGION\tINSTANCE\tWAIT\tCOST\tHEARD AGE\tREPORT AGE\tSTATE")
 	}
 	for _, o := range r.Remotes {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", o.Region, o.Instance, duration(o.Wait), duration(o.Cost), age(o.HeardAge), age(o.ReportAge), barred(o.Barred))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", o.Region, o.Instance, duration(o.Wait), duration(o.Cost), age(o.HeardAge), age(o.ReportAge), remoteState(o))
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -77,6 +77,13 @@
 	return list
 }
 
+func remoteState(o placereport.Remote) string {
+	if o.FreeSlots == nil {
+		return barred(o.Barred)
+	}
+	return fmt.Sprintf("%s, %d free slots", barred(o.Barred), *o.FreeSlots)
+}
+
 func barred(by string) string {
 	if by == "" {
 		return "usable"
@@ -92,11 +99,11 @@
 }
 
 // age formats an age, which is negative if nothing is known.
-func age(m placereport.Milliseconds) string {
-	if m < 0 {
+func age(a placereport.Age) string {
+	if a < 0 {
 		return "-"
 	}
-	return duration(m)
+	return duration(placereport.Milliseconds(a))
 }
 
 func duration(m placereport.Milliseconds) string {
--- a/chervilyard/admit/admit.go
+++ b/chervilyard/admit/admit.go
@@ -44,9 +44,8 @@
 // says when to retry, except if the call needs more than the customer's burst.
 func (s *Stage) Run(ctx context.Context, c *call.Call) error {
 	now := s.Now()
-	if c.MaxTokens > c.Customer.Burst() {
-		return refusal.NotRun(http.StatusRequestEntityTooLarge, "over_burst",
-			fmt.Sprintf("the request may take %.0f tokens, more than the burst of %.0f; lower max_tokens", c.MaxTokens, c.Customer.Burst()))
+	if err := CheckBurst(c); err != nil {
+		return err
 	}
 	r, ok := s.Lender.Admit(now, c.Customer.Name(), c.MaxTokens)
 	source := "held"
@@ -62,6 +61,15 @@
 	return nil
 }
 
+// CheckBurst refuses a call that needs more than the burst of its customer.
+func CheckBurst(c *call.Call) error {
+	if c.MaxTokens <= c.Customer.Burst() {
+		return nil
+	}
+	return refusal.NotRun(http.StatusRequestEntityTooLarge, "over_burst",
+		fmt.Sprintf("the request may take %.0f tokens, more than the burst of %.0f; lower max_tokens", c.MaxTokens, c.Customer.Burst()))
+}
+
 // collect requests the missing tokens from peers in rounds, nearest peers first.
 // It takes at most collectionTimeout or half of the time left until the call's
 // deadline, whichever is shorter. After the rounds it may wait for the
--- a/chervilyard/dispatch/suspects.go
+++ b/chervilyard/dispatch/suspects.go
@@ -84,6 +84,11 @@
 		s.CountPartRefusal(c.Route.Name(), v.Confirmed)
 	}
 	s.logDecision(c, "refused", describeVerdict(now, v), "", s.Centre, 0)
+	return &failure{refusal: partRefusal(c, v)}
+}
+
+// partRefusal returns the refusal of a call that the verdict blocks.
+func partRefusal(c *call.Call, v suspect.Verdict) *refusal.Refusal {
 	r := refusal.NotRun(http.StatusServiceUnavailable, codePartSuspected, "targets ended as they began to answer calls with the same start of the prompt").
 		WithRetryAfter(max(v.RetryAfter, queueRetryAfter))
 	switch _, isCall := fingerprint.ShapeOf(v.Part); {
@@ -95,7 +100,7 @@
 	if c.Result.MaybeSent {
 		r.Run = refusal.RunUnknown
 	}
-	return &failure{refusal: r}
+	return r
 }
 
 // describeVerdict formats a verdict for the log.
--- a/chervilyard/gateway/explain.go
+++ b/chervilyard/gateway/explain.go
@@ -22,7 +22,7 @@
 		return placereport.Report{}, err
 	}
 	now := g.Now()
-	x := &exchange{w: noResponse{}, arrived: now, method: r.Method, host: r.Host, requestTarget: r.RequestURI, allowedDeliveries: 1}
+	x := &exchange{w: placereport.NoResponse{}, arrived: now, method: r.Method, host: r.Host, requestTarget: r.RequestURI, allowedDeliveries: 1}
 	var key string
 	x.req, key = g.Protocol.ParseRequest(r)
 	x.req.replace(q)
@@ -35,7 +35,7 @@
 	}
 	if g.StateAges != nil {
 		configuration, targets := g.StateAges(now)
-		report.ConfigurationAge, report.TargetsAge = placereport.Milliseconds(configuration), placereport.Milliseconds(targets)
+		report.ConfigurationAge, report.TargetsAge = placereport.Age(configuration), placereport.Age(targets)
 	}
 	e := &explanation{real: g, now: now, report: &report}
 	e.copy = e.newCopy()
@@ -44,7 +44,7 @@
 		return report, nil
 	}
 	report.Service = x.service
-	report.LatencyAge = placereport.Milliseconds(g.Picker.LearnedAge(now, x.service))
+	report.LatencyAge = placereport.Age(g.Picker.LearnedAge(now, x.service))
 	e.describeQuota(x)
 	e.decide(x)
 	return report, nil
@@ -187,7 +187,7 @@
 		c := &e.report.Candidates[i]
 		j := slices.IndexFunc(e.candidates, func(t target.Target) bool { return t.Name() == c.Target })
 		if perSecond, age, ok := e.real.RateLimit(e.now, e.candidates[j]); ok {
-			c.LimitPerSecond, c.LimitAge = perSecond, placereport.Milliseconds(age)
+			c.LimitPerSecond, c.LimitAge = perSecond, placereport.Age(age)
 		}
 	}
 }
@@ -202,11 +202,11 @@
 			Wait: placereport.Milliseconds(estimates[i].Estimate.Wait), Cost: placereport.Milliseconds(estimates[i].Estimate.Cost),
 		}
 		if heard := remote.Member.Heard; !heard.IsZero() {
-			described.HeardAge = placereport.Milliseconds(e.now.Sub(heard))
+			described.HeardAge = placereport.Age(e.now.Sub(heard))
 		}
 		if e.real.WaitReportAge != nil {
 			if age, ok := e.real.WaitReportAge(e.now, remote.Member); ok {
-				described.ReportAge = placereport.Milliseconds(age)
+				described.ReportAge = placereport.Age(age)
 			}
 		}
 		switch {
@@ -249,10 +249,3 @@
 		e.note("each choice compares a random sample of the candidates")
 	}
 }
-
-// noResponse is the response writer of a request that gets no response.
-type noResponse struct{}
-
-func (noResponse) Header() http.Header         { return make(http.Header) }
-func (noResponse) Write(p []byte) (int, error) { return len(p), nil }
-func (noResponse) WriteHeader(int)             {}
--- a/chervilyard/instance/operators.go
+++ b/chervilyard/instance/operators.go
@@ -8,6 +8,7 @@
 	"net/http/pprof"
 	"time"
 
+	"chervilyard.example/chervilyard/placereport"
 	"chervilyard.example/yard/loan"
 	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/refusal"
@@ -63,6 +64,7 @@
 	mux.HandleFunc("GET /explain", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, i.decisions.History(r.URL.Query().Get("request")))
 	})
+	mux.Handle(placereport.Path, placereport.Handler(i.Explain))
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	return mux
--- a/chervilyard/placereport/placereport.go
+++ b/chervilyard/placereport/placereport.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -17,7 +18,7 @@
 	"chervilyard.example/yard/refusal"
 )
 
-// Path is the path at which an instance answers queries, on the address for its metrics. A
+// Path is the path at which an instance answers queries, on the address that has its metrics. A
 // query is the body of a POST request.
 const Path = "/place"
 
@@ -67,11 +68,47 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, fmt.Errorf("the path %q does not begin with /", r.RequestURI)
 	}
+	var err error
+	if r.URL, err = url.ParseRequestURI(r.RequestURI); err != nil {
+		return nil, fmt.Errorf("the path %q cannot be read: %w", r.RequestURI, err)
+	}
 	return r, nil
 }
 
-// Milliseconds is a duration that is encoded as a number of milliseconds. A negative age
-// stands for nothing known.
+// NoResponse is the response writer of a request that gets no response.
+type NoResponse struct{}
+
+// Header returns an empty header.
+func (NoResponse) Header() http.Header { return make(http.Header) }
+
+// Write drops p.
+func (NoResponse) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader does nothing.
+func (NoResponse) WriteHeader(int) {}
+
+// Age is the age of a piece of information, negative if there is none. It is encoded as a number
+// of milliseconds or null.
+type Age time.Duration
+
+// MarshalJSON encodes the age.
+func (a Age) MarshalJSON() ([]byte, error) {
+	if a < 0 {
+		return []byte("null"), nil
+	}
+	return Milliseconds(a).MarshalJSON()
+}
+
+// UnmarshalJSON decodes an age.
+func (a *Age) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" {
+		*a = -1
+		return nil
+	}
+	return (*Milliseconds)(a).UnmarshalJSON(text)
+}
+
+// Milliseconds is a duration that is encoded as a number of milliseconds.
 type Milliseconds time.Duration
 
 // MarshalJSON encodes the milliseconds with three decimals.
@@ -112,10 +149,10 @@
 	Candidates []Candidate `json:"candidates"`
 	Remotes    []Remote    `json:"remotes"`
 
-	Version          int64        `json:"version"` // of the configuration
-	ConfigurationAge Milliseconds `json:"configuration_age_ms"`
-	TargetsAge       Milliseconds `json:"targets_age_ms"`
-	LatencyAge       Milliseconds `json:"latency_age_ms"` // since the last sample of the service's latency
+	Version          int64 `json:"version"` // of the configuration
+	ConfigurationAge Age   `json:"configuration_age_ms"`
+	TargetsAge       Age   `json:"targets_age_ms"`
+	LatencyAge       Age   `json:"latency_age_ms"` // since the last sample of the service's latency
 }
 
 // Refusal is the response in place of a target's.
@@ -157,11 +194,11 @@
 	Limited        bool         `json:"limited"`
 	PermitWait     Milliseconds `json:"permit_wait_ms"`
 	Barred         string       `json:"barred,omitempty"` // by what; "" if it can get the request
-	LoadAge        Milliseconds `json:"load_age_ms"`
-	SampleAge      Milliseconds `json:"sample_age_ms"`
-	KnownAge       Milliseconds `json:"known_age_ms"`
+	LoadAge        Age          `json:"load_age_ms"`
+	SampleAge      Age          `json:"sample_age_ms"`
+	KnownAge       Age          `json:"known_age_ms"`
 	LimitPerSecond float64      `json:"limit_per_second"` // that the target named; 0 for none
-	LimitAge       Milliseconds `json:"limit_age_ms"`     // since it did
+	LimitAge       Age          `json:"limit_age_ms"`     // since it did
 }
 
 // NewCandidates converts candidates.
@@ -172,7 +209,7 @@
 			Target: c.Name, Wait: Milliseconds(c.Wait), Cost: Milliseconds(c.Cost), Timely: c.Timely, CachedTokens: c.CachedTokens,
 			Open: c.Load.Open, WaitingTokens: c.Load.WaitingTokens, Cold: c.Cold, ColdLeft: Milliseconds(c.ColdLeft), ColdLimit: c.ColdLimit,
 			Ejected: c.Ejected, Limited: c.RateLimited, PermitWait: Milliseconds(c.PermitWait), Barred: c.Barred,
-			LoadAge: Milliseconds(c.LoadAge), SampleAge: Milliseconds(c.SampleAge), KnownAge: Milliseconds(c.KnownAge), LimitAge: -1,
+			LoadAge: Age(c.LoadAge), SampleAge: Age(c.SampleAge), KnownAge: Age(c.KnownAge), LimitAge: -1,
 		})
 	}
 	return list
@@ -182,11 +219,12 @@
 type Remote struct {
 	Instance  string       `json:"instance"`
 	Region    string       `json:"region"`
-	Wait      Milliseconds `json:"wait_ms"` // expected time to the first byte
+	FreeSlots *int         `json:"free_slots,omitempty"` // that its centre reported; nil where it reports a wait
+	Wait      Milliseconds `json:"wait_ms"`              // expected time to the first byte
 	Cost      Milliseconds `json:"cost_ms"`
 	Barred    string       `json:"barred,omitempty"`
-	HeardAge  Milliseconds `json:"heard_age_ms"`  // of its last known heartbeat
-	ReportAge Milliseconds `json:"report_age_ms"` // of the wait that its region reported
+	HeardAge  Age          `json:"heard_age_ms"`  // of its last known heartbeat
+	ReportAge Age          `json:"report_age_ms"` // of the wait that its region reported
 }
 
 // Handler answers queries by the function explain. An error of it that is a refusal has its
--- a/yard/balancer/balancer.go
+++ b/yard/balancer/balancer.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		s := p.state(t.Name())
-		if now.Before(s.ejectedUntil) || s.report.Failed && now.Sub(s.report.At) < reportTTL {
+		if s.isFailing(now) {
 			if earliestEnd.IsZero() || s.ejectedUntil.Before(earliestEnd) {
 				earliest, earliestEnd = t, s.ejectedUntil
 			}
@@ -310,7 +310,7 @@
 	defer p.mu.Unlock()
 	for _, t := range candidates {
 		s := p.state(t.Name())
-		if t.Draining() || now.Before(s.ejectedUntil) || s.report.Failed && now.Sub(s.report.At) < reportTTL {
+		if t.Draining() || s.isFailing(now) {
 			continue
 		}
 		total += t.Capacity()
