--- a/chervilyard/dispatch/explain.go
+++ b/chervilyard/dispatch/explain.go
@@ -27,8 +27,9 @@
 		}
 		s.describeRemote(c, remote, report, heardAge)
 	}
+	mayTry := ok && verdict.Blocked() && s.TrialRank != nil && s.Suspects.MayTry(now, parts, s.TrialRank(now, verdict.Part))
 	switch {
-	case verdict.Blocked() && !(ok && s.TrialRank != nil && s.Suspects.MayTry(now, parts, s.TrialRank(now, verdict.Part))):
+	case verdict.Blocked() && !mayTry:
 		report.Refusal = placereport.NewRefusal(partRefusal(c, verdict), describeVerdict(now, verdict))
 		return
 	case verdict.Blocked():
