--- a/chervilyard/gateway/explain.go
+++ b/chervilyard/gateway/explain.go
@@ -44,6 +44,9 @@
 		return report, nil
 	}
 	report.Service = x.service
+	if n := len(x.route.Services()); n > 1 {
+		e.note("the route divides its requests among %d services by weight; this is one of them at random", n)
+	}
 	report.LatencyAge = placereport.Age(g.Picker.LearnedAge(now, x.service))
 	e.describeQuota(x)
 	e.decide(x)
