--- a/yard/coldlimit/coldlimit.go
+++ b/yard/coldlimit/coldlimit.go
@@ -21,6 +21,9 @@
 	sent     []time.Time // ascending
 }
 
+// Clone returns a copy that shares nothing with w.
+func (w *Window) Clone() Window { return Window{reserved: w.reserved, sent: slices.Clone(w.sent)} }
+
 // Reserve counts a request that is about to be sent and returns true, unless the window
 // already has limit requests. Those that were sent before since do not count. Sent or Release
 // must follow.
--- a/yard/placement/snapshot.go
+++ b/yard/placement/snapshot.go
@@ -31,10 +31,11 @@
 	return c
 }
 
-// clone returns a copy of the state with the last use of the given prompt parts only, as a
-// target may have thousands.
+// clone returns a copy of the state that shares nothing with s that either changes. It has the
+// last use of the given prompt parts only, as a target may have thousands.
 func (s *targetState) clone(parts []Part) *targetState {
 	c := *s
+	c.window = s.window.Clone()
 	c.partsUsed = make(map[string]time.Time, len(parts))
 	for _, part := range parts {
 		if used, ok := s.partsUsed[part.ID]; ok {
