--- a/yard/placement/comparison.go
+++ b/yard/placement/comparison.go
@@ -52,6 +52,8 @@
 	waitMS    float64 // queueMS and the time for the request itself
 	penaltyMS float64 // see penaltyMS
 	costMS    float64 // all of them, without what cached parts save
+
+	cachedTokens int // of the prompt, expected
 }
 
 // costs returns the costs of the request at a candidate.
@@ -80,6 +82,7 @@
 	slowdown := s.slowdownFactor(c.now, load)
 	readMS := c.readMS * slowdown
 	cached := p.cachedPrefix(c.now, s, r.Parts, t.Name() == r.PreferredTarget)
+	k.cachedTokens = cached
 	uncachedMS := float64(r.PromptTokens-cached) * readMS
 	k.queueMS += p.queuedTokens(c.now, s, load, readMS) * readMS
 	k.waitMS = k.queueMS + c.baseMS*slowdown + uncachedMS
--- a/yard/placement/placement.go
+++ b/yard/placement/placement.go
@@ -575,29 +575,21 @@
 // returns nil if no candidate is usable. The caller must hold p.mu.
 func (p *Picker) best(now time.Time, candidates []target.Target, r Request, coldShare ColdShare) (*target.Target, Estimate) {
 	var best *target.Target
-	bestTimely, bestWaitMS, minCostMS := false, math.Inf(1), math.Inf(1)
+	bestExpected := expectation{waitMS: math.Inf(1), costMS: math.Inf(1)}
 	c := p.compare(now, r)
 	for i := range candidates {
 		t := &candidates[i]
 		if slices.Contains(r.Exclude, t.Name()) || !p.usable(now, t, r, coldShare) {
 			continue
 		}
-		k := c.costs(t)
-		timely := r.WaitLimit <= 0 || milliseconds(k.waitMS) <= r.WaitLimit
-		better := k.costMS < minCostMS
-		if timely != bestTimely {
-			better = timely
-		} else if !timely {
-			better = k.waitMS < bestWaitMS
-		}
-		if better {
-			best, bestTimely, bestWaitMS, minCostMS = t, timely, k.waitMS, k.costMS
+		if e := c.expected(t); e.before(bestExpected) {
+			best, bestExpected = t, e
 		}
 	}
 	if best == nil {
 		return nil, Estimate{}
 	}
-	return best, Estimate{Wait: milliseconds(bestWaitMS), Cost: milliseconds(minCostMS)}
+	return best, Estimate{Wait: milliseconds(bestExpected.waitMS), Cost: milliseconds(bestExpected.costMS)}
 }
 
 // QueueWait returns the shortest expected queueing time of a request of the service
