--- a/chervilyard/process_test.go
+++ b/chervilyard/process_test.go
@@ -30,6 +30,8 @@
 	crowdMemory  = 96 << 20
 	crowdBody    = 4 << 20
 	crowdTime    = 700 * time.Millisecond // for which a crowd is left alone
+	longAnswer   = 2 << 20
+	targetTime   = 300 * time.Millisecond // for which the target keeps a request to "/slow"
 	waitTime     = 20 * time.Second       // for what a test waits without checking the time
 )
 
@@ -38,6 +40,8 @@
 [region r]
 [centre c]
 region = r
+[centre d]
+region = r
 [customer x]
 rate = 200000
 burst = 1000000
@@ -45,19 +49,22 @@
 kind = service
 repeatable = yes
 deadline = 10s
+[route chat]
+kind = model
+limit = 100
 [target t]
 centre = c
 address = %s
-serves = orders
+serves = orders, chat
 capacity = 256
 [key k]
 customer = x
 hash = %s
 `
 
-// startProcess builds and starts an instance with the settings, and returns its process and
-// its address for callers once it answers.
-func startProcess(t *testing.T, limits string) (pid int, callers string) {
+// startData starts a target in centre c and a store with a document that names it, and returns
+// the URL of the store.
+func startData(t *testing.T) string {
 	t.Helper()
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/load" { // it does not report its load
@@ -65,6 +72,17 @@
 			return
 		}
 		n, _ := io.Copy(io.Discard, r.Body) // a body that breaks off has no answer that counts
+		switch r.URL.Path {
+		case "/long":
+			_, _ = w.Write(make([]byte, longAnswer))
+			return
+		case "/v1/chat/completions":
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = fmt.Fprintf(w, `{"content":%q,"usage":{"total_tokens":1}}`, strings.Repeat("x", longAnswer))
+			return
+		case "/slow":
+			time.Sleep(targetTime)
+		}
 		_, _ = fmt.Fprint(w, "read ", n)
 	}))
 	t.Cleanup(target.Close)
@@ -75,6 +93,13 @@
 	if _, err := env.Apply(context.Background(), time.Now(), text, "test", 0); err != nil {
 		t.Fatal(err)
 	}
+	return data.URL
+}
+
+// startProcess builds and starts an instance of a centre with the settings, and returns its
+// process and its address for callers once it answers.
+func startProcess(t *testing.T, storeURL, centre, limits string) (pid int, callers string) {
+	t.Helper()
 	// Connections of the crowd cannot take ports of this address.
 	pid = os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.251", 1+pid%250, pid/250%250)
@@ -92,8 +117,8 @@
 		_ = l.Close() // the instance listens there
 	}
 	dir := t.TempDir()
-	settings := fmt.Sprintf("[instance]\nenvironment = test\ncentre = c\ncallers = %s\npeers = %s\noperators = %s\n", addresses...) +
-		"[store]\nurl = " + data.URL + "\n[tls]\ninsecure = yes\n[limits]\n" + limits
+	settings := fmt.Sprintf("[instance]\nenvironment = test\ncentre = "+centre+"\ncallers = %s\npeers = %s\noperators = %s\n", addresses...) +
+		"[store]\nurl = " + storeURL + "\n[tls]\ninsecure = yes\n[limits]\n" + limits
 	path := filepath.Join(dir, "settings")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
@@ -161,7 +186,7 @@
 // Guards against bodies that together need more memory than the instance has, on the
 // project's own surface.
 func TestCrowdOfBodies(t *testing.T) {
-	pid, callers := startProcess(t, fmt.Sprintf("memory = %d\nbody = %d\n", crowdMemory, crowdBody))
+	pid, callers := startProcess(t, startData(t), "c", fmt.Sprintf("memory = %d\nbody = %d\n", crowdMemory, crowdBody))
 	for _, tc := range []struct {
 		name, framing string
 		send          int // bytes of the body
