Own surface: forwarded calls and responses count in the memory budget

Cause: a forwarded call was received whole before anything bounded it, and took up to three times its size until it was decoded. gRPC lets up to 16 MB of each call and response arrive before they are read. Responses of models were read in full without a bound but 64 MiB each.

Change: the sender states the size of a call in the metadata and reserves its encoded copy. The receiver reserves twice the size before it reads the call, once until the call ends. With a memory setting, fixed windows bound what arrives earlier. Pieces stay under 32 KB. Buffers of responses are in the budget; a response without room is sent on as it arrives. Without a memory setting nothing is refused, and windows are as before.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"chervilyard.example/chervilyard/session"
 	"chervilyard.example/yard/balancer"
 	"chervilyard.example/yard/document"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/queue"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/retryafter"
@@ -63,7 +64,8 @@
 	RetryBudget           *retrybudget.Budget
 	Decisions             *decisionlog.Log
 	Now                   func() time.Time
-	MaxWaitingPerCustomer int // maximum number of calls of one customer that wait for one route
+	MaxWaitingPerCustomer int               // maximum number of calls of one customer that wait for one route
+	Memory                *membudget.Budget // for responses; nil for no bound
 
 	// Remotes returns the other data centres that serve the route, nearest first.
 	Remotes func(now time.Time, r route.Route) []RemoteCentre
--- a/chervilyard/dispatch/relay.go
+++ b/chervilyard/dispatch/relay.go
@@ -73,7 +73,7 @@
 	h := endToEndHeader(res.Header)
 	h.Set("Chervil-Centre", c.Result.Centre)
 	h.Set("Chervil-Target", res.Target)
-	r := relay.Relay{Status: res.Status, Header: h, Body: res.Body, EndsWithConnection: res.EndsWithConnection, Sink: c.Sink, OnProgress: s.progressFunc(c, w)}
+	r := relay.Relay{Status: res.Status, Header: h, Body: res.Body, EndsWithConnection: res.EndsWithConnection, Sink: c.Sink, OnProgress: s.progressFunc(c, w), Memory: s.Memory, Now: s.Now}
 	c.Result.Status, w.name = res.Status, res.Target
 	relayed, err := s.relayBody(c, &r)
 	s.recordUsage(c, relayed, res.Status)
--- a/chervilyard/instance/fleet.go
+++ b/chervilyard/instance/fleet.go
@@ -327,6 +327,7 @@
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	}
+	opts = append(opts, peerserver.Admission{Bodies: i.accept.Bodies}.Options()...)
 	if creds != nil {
 		opts = append(opts, grpc.Creds(creds))
 	}
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -176,7 +176,12 @@
 	i.memberList = &memberlist.List{Self: i.PeerAddr(), Centre: s.Centre(), LocalTimeout: localMemberTimeout, RemoteTimeout: remoteMemberTimeout, EvictAfter: memberRetention}
 	i.lender = &lender.Lender{Address: i.PeerAddr(), Centre: s.Centre(), Holders: i.quotaHolders, NewID: randomLoanID}
 	i.picker = &balancer.Picker{Random: rand.IntN}
-	i.peers = &peerclient.Client{Credentials: creds, Lender: i.lender, Now: i.now, OnSend: i.meter.CountPeerMessage}
+	i.memory.SetLimit(i.now(), membudget.Share(int64(s.Limits().MemoryBytes)))
+	bodies := reqbody.Reader{Budget: &i.memory, Now: i.now, OnRefused: func(_ time.Time, err *reqbody.Error) {
+		i.meter.CountBodyRefusal(err.Kind.String(), err.Reason)
+	}}
+	i.accept.Bodies = bodies
+	i.peers = &peerclient.Client{Credentials: creds, Lender: i.lender, Now: i.now, OnSend: i.meter.CountPeerMessage, Bodies: bodies}
 	i.ledger = i.newLedger()
 	i.keeper = i.newKeeper()
 	i.locator = &locate.Finder{Centre: s.Centre(), Region: i.regionName, Members: i.members}
@@ -196,11 +201,10 @@
 
 func (i *Instance) buildStages() {
 	limits := i.settings.Limits()
-	i.memory.SetLimit(i.now(), membudget.Share(int64(limits.MemoryBytes)))
-	i.accept = accept.Stage{MaxBodyBytes: limits.MaxBodyBytes, ReadTimeout: limits.ReadTimeout, WriteTimeout: limits.WriteTimeout, Region: i.regionName}
-	i.accept.Bodies = reqbody.Reader{Budget: &i.memory, Now: i.now, OnRefused: func(_ time.Time, err *reqbody.Error) {
-		i.meter.CountBodyRefusal(err.Kind.String(), err.Reason)
-	}}
+	i.accept = accept.Stage{
+		MaxBodyBytes: limits.MaxBodyBytes, ReadTimeout: limits.ReadTimeout, WriteTimeout: limits.WriteTimeout, Region: i.regionName,
+		Bodies: i.accept.Bodies,
+	}
 	i.resolve = resolve.Stage{Region: i.regionName}
 	i.authenticate = authenticate.Stage{Document: i.keeper.FreshDocument}
 	i.admit = admit.Stage{
@@ -209,6 +213,7 @@
 	}
 	i.idempotency = idempotency.Stage{Ledger: i.ledger, Now: i.now, Decisions: i.decisions, MaxRecordedBytes: limits.MaxStoredResponseBytes}
 	i.dispatch.Centre = i.settings.Centre()
+	i.dispatch.Memory = &i.memory
 	i.dispatch.Document = i.keeper.Document
 	i.dispatch.Picker = i.picker
 	i.dispatch.RetryBudget = newBudget()
--- a/chervilyard/peerclient/peerclient.go
+++ b/chervilyard/peerclient/peerclient.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,12 +15,16 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/chervilyard/dispatch"
+	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/yard/lender"
 	"chervilyard.example/yard/loan"
+	"chervilyard.example/yard/membudget"
 	"chervilyard.example/yard/peer"
 	"chervilyard.example/yard/refusal"
 )
@@ -29,8 +34,16 @@
 	keepaliveInterval = 10 * time.Second
 	maxMessageBytes   = 16 << 20
 	maxLoanMessages   = 64 // limit on the messages of SendLoans in flight
+	// responseWindow is how many bytes of a response may arrive before they are read, and
+	// connWindow how many of all responses of a connection may be under way, where memory is
+	// bounded. gRPC otherwise lets up to 16 MB of each response arrive.
+	responseWindow = 64 << 10
+	connWindow     = 4 << 20
 )
 
+// BodyBytesKey is the name of the metadata with the size of a forwarded call in bytes.
+const BodyBytesKey = "chervil-body-bytes"
+
 // Client sends messages to other instances. It opens one connection per address on
 // first use and keeps it until Close. The exported fields must be set before use
 // and must not change afterwards. A Client is safe for concurrent use.
@@ -44,6 +57,8 @@
 	// OnSend is called with the kind and the encoded size of each message before it
 	// is sent. Calls may be concurrent. It may be nil.
 	OnSend func(kind string, bytes int)
+	// Bodies reserves the memory of forwarded calls. Without a Budget there is no bound.
+	Bodies reqbody.Reader
 
 	initOnce  sync.Once
 	loanSlots chan struct{} // semaphore of the loan messages in flight
@@ -77,13 +92,17 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	c, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveInterval / 2}),
-	)
+	}
+	if cl.Bodies.Budget.Bounded() {
+		options = append(options, grpc.WithStaticStreamWindowSize(responseWindow), grpc.WithStaticConnWindowSize(connWindow))
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, err
 	}
@@ -214,10 +233,18 @@
 	if err != nil {
 		return nil, &dispatch.NotSentError{Err: err}
 	}
-	ctx, cancel := context.WithCancel(ctx)
 	request := callToProto(cl.Now(), c)
+	size := proto.Size(request)
+	// The encoded call is a second copy of its body until it has been sent.
+	encoded, err := cl.Bodies.Reserve(ctx, membudget.Forwarded, size)
+	var failed *reqbody.Error
+	if errors.As(err, &failed) {
+		return nil, NoMemory(failed)
+	}
+	ctx, cancel := context.WithCancel(metadata.AppendToOutgoingContext(ctx, BodyBytesKey, strconv.Itoa(size)))
 	cl.countSent("forward", request)
 	stream, err := client.Forward(ctx, request)
+	encoded.Close(cl.Now())
 	if err != nil {
 		cancel()
 		return nil, forwardError(err)
@@ -234,11 +261,19 @@
 	return &dispatch.Response{
 		Status: int(first.GetStatus()),
 		Header: headersFromProto(first.GetHeaders()),
-		Body:   &responseBody{stream: stream, buffered: first.GetBody(), complete: first.GetEnd(), cancel: cancel},
+		Body: &responseBody{
+			stream: stream, buffered: first.GetBody(), complete: first.GetEnd(), cancel: cancel,
+			window: cl.Bodies.Budget.Open(cl.Now(), membudget.Responses, nil), now: cl.Now,
+		},
 		Target: first.GetTarget(),
 	}, nil
 }
 
+// NoMemory returns the refusal of a forwarded call for whose body the budget has no bytes.
+func NoMemory(err *reqbody.Error) *refusal.Refusal {
+	return refusal.NotRun(http.StatusServiceUnavailable, "memory", "the memory for forwarded calls is used up").WithRetryAfter(reqbody.RetryAfter).WithCause(err)
+}
+
 // forwardError returns a *dispatch.NotSentError if the call cannot have reached the
 // peer, else err. gRPC uses the code Unavailable for both cases; only a failure to
 // establish the connection proves that the call was not sent.
@@ -266,6 +301,9 @@
 	buffered []byte // received but not yet read
 	complete bool   // the end mark was received
 	cancel   context.CancelFunc
+	received int                    // bytes of the body
+	window   *membudget.Reservation // for what arrives before it is read
+	now      func() time.Time
 }
 
 // Read implements io.Reader. It returns a *refusal.Refusal if the peer failed
@@ -286,6 +324,12 @@
 			return 0, RefusalFromProto(r)
 		}
 		b.buffered, b.complete = piece.GetBody(), piece.GetEnd()
+		// A short response never fills the window. For a long one the budget shows that it
+		// does, so that bodies are refused before memory is short.
+		if before := b.received; before <= responseWindow && before+len(b.buffered) > responseWindow {
+			b.window.TryReserve(responseWindow)
+		}
+		b.received += len(b.buffered)
 	}
 	n := copy(p, b.buffered)
 	b.buffered = b.buffered[n:]
@@ -295,6 +339,7 @@
 // Close implements io.Closer. It cancels the forwarded call if it still runs.
 func (b *responseBody) Close() error {
 	b.cancel()
+	b.window.Close(b.now())
 	return nil
 }
 
--- a/chervilyard/peerserver/peerserver.go
+++ b/chervilyard/peerserver/peerserver.go
@@ -7,10 +7,12 @@
 	"errors"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/chervilyard/peerclient"
+	"chervilyard.example/chervilyard/relay"
 	"chervilyard.example/chervilyard/sink"
 	"chervilyard.example/yard/document"
 	"chervilyard.example/yard/lender"
@@ -150,7 +152,12 @@
 			return stream.Send(&peer.Piece{Status: int32(status), Headers: peerclient.HeadersToProto(h), Target: c.Result.Target})
 		},
 		Send: func(data []byte) error {
-			return stream.Send(&peer.Piece{Body: data})
+			for piece := range slices.Chunk(data, relay.PieceSize) {
+				if err := stream.Send(&peer.Piece{Body: piece}); err != nil {
+					return err
+				}
+			}
+			return nil
 		},
 	}
 }
--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -12,16 +12,27 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"chervilyard.example/chervilyard/sink"
+	"chervilyard.example/yard/membudget"
 )
 
 const (
 	maxBodySize  = 64 << 20 // bytes of a response relayed by Buffered
 	maxEventSize = 4 << 20  // bytes of one event
 	bufferSize   = 32 << 10 // bytes of the read buffer
+	// minBufferSize is the size of the read buffer while the budget has no more bytes.
+	minBufferSize = 4 << 10
+	// freeEventSize is the length up to which an event is held back without a reservation.
+	freeEventSize = 64 << 10
 )
 
+// PieceSize is the size of the pieces of a response that is sent on as it arrives. As a message
+// between instances, with its framing, a piece takes a buffer of 32 KB. A longer one would take
+// one of 1 MB, since gRPC has no size between them.
+const PieceSize = bufferSize - 256
+
 // doneLine is the data of the event that closes a stream.
 var doneLine = []byte("data: [DONE]")
 
@@ -57,6 +68,10 @@
 // errEventTooLong is the cause of a stream with an event over maxEventSize.
 var errEventTooLong = errors.New("an event is over the size limit")
 
+// errNoMemory is the cause of a response for which the budget has no bytes, and which cannot be
+// sent on as it arrives.
+var errNoMemory = errors.New("the memory for responses is used up")
+
 // errIncompleteJSON is the cause of a response that ended with its connection before its
 // JSON did.
 var errIncompleteJSON = errors.New("relay: the JSON of a response without a length is incomplete")
@@ -77,6 +92,18 @@
 	EndsWithConnection bool
 	Sink               *sink.Sink
 	OnProgress         func() bool
+	// Memory is the budget for what is held of the response. It is nil for no bound.
+	Memory *membudget.Budget
+	Now    func() time.Time // needed with Memory
+}
+
+// reserve returns an empty reservation for the response, and a function that closes it.
+func (r *Relay) reserve() (*membudget.Reservation, func()) {
+	if r.Memory == nil {
+		return nil, func() {}
+	}
+	held := r.Memory.Open(r.Now(), membudget.Responses, nil)
+	return held, func() { held.Close(r.Now()) }
 }
 
 // Stream relays an event stream. Nothing is sent before the first event is
@@ -84,9 +111,15 @@
 // event that contains doneLine, and a *CallerGoneError if the sink fails.
 func (r *Relay) Stream() (Result, error) {
 	var result Result
-	in := bufio.NewReaderSize(r.Body, bufferSize)
+	held, release := r.reserve()
+	defer release()
+	size := bufferSize
+	if !held.TryReserve(size) {
+		size = minBufferSize
+	}
+	in := bufio.NewReaderSize(r.Body, size)
 	for {
-		event, err := readEvent(in)
+		event, err := r.readEvent(in, held)
 		if len(bytes.TrimSpace(event)) == 0 && err != nil {
 			return result, &IncompleteError{Err: unexpectedEOF(err)}
 		}
@@ -118,18 +151,29 @@
 
 // Buffered reads a model's response that is not a stream in full and then relays it. JSON
 // that ends with its connection has to be valid, since the end alone does not show that it
-// is complete. The errors are those of Stream.
+// is complete. Other responses for which the budget has no bytes are sent on as they arrive;
+// their usage is not reported then. The errors are those of Stream.
 func (r *Relay) Buffered() (Result, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodySize+1))
+	held, release := r.reserve()
+	defer release()
+	body, whole, err := r.readWhole(held)
 	if err == nil && len(body) > maxBodySize {
 		err = errors.New("the response is over the size limit")
 	}
-	if err == nil && r.EndsWithConnection && isJSON(r.Header) && !json.Valid(body) {
-		err = errIncompleteJSON
+	if err == nil && r.EndsWithConnection && isJSON(r.Header) {
+		switch {
+		case !whole:
+			err = errNoMemory
+		case !json.Valid(body):
+			err = errIncompleteJSON
+		}
 	}
 	if err != nil {
 		return Result{}, &IncompleteError{Err: unexpectedEOF(err)}
 	}
+	if !whole {
+		return r.copyAfter(body, held)
+	}
 	if !r.reportProgress() {
 		return Result{}, &IncompleteError{Err: errRejected}
 	}
@@ -144,11 +188,59 @@
 	return result, nil
 }
 
+// readWhole reads the body, up to one byte over maxBodySize. It returns whole=false with what it
+// has read if the budget has no bytes for more.
+func (r *Relay) readWhole(held *membudget.Reservation) (body []byte, whole bool, err error) {
+	for {
+		if len(body) == cap(body) {
+			grown := max(minBufferSize, min(2*cap(body), maxBodySize+1))
+			// Both buffers exist while one is copied.
+			if !held.TryReserve(grown) && len(body) > 0 {
+				return body, false, nil
+			}
+			before := cap(body)
+			body = append(make([]byte, 0, grown), body...)
+			if before > 0 {
+				held.Return(r.Now(), before)
+			}
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF) || err == nil && len(body) > maxBodySize:
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		}
+	}
+}
+
+// copyAfter sends the bytes that were read, and then the rest as it arrives.
+func (r *Relay) copyAfter(body []byte, held *membudget.Reservation) (Result, error) {
+	if err := r.sendPiece(body); err != nil {
+		return Result{}, err
+	}
+	if held != nil {
+		held.Close(r.Now())
+	}
+	return r.copyRest(held)
+}
+
 // Copy relays a service's response as it arrives. Nothing is sent before the first byte
 // of the body, or its end if it is empty. The errors are those of Stream.
 func (r *Relay) Copy() (Result, error) {
+	held, release := r.reserve()
+	defer release()
+	return r.copyRest(held)
+}
+
+func (r *Relay) copyRest(held *membudget.Reservation) (Result, error) {
 	var result Result
-	buf := make([]byte, bufferSize)
+	size := PieceSize
+	if !held.TryReserve(size) {
+		size = minBufferSize
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := r.Body.Read(buf)
 		ended := errors.Is(err, io.EOF)
@@ -200,10 +292,22 @@
 
 // readEvent reads up to and including the blank line that ends an event. If there is
 // an error, it returns the bytes read before.
-func readEvent(in *bufio.Reader) ([]byte, error) {
+func (r *Relay) readEvent(in *bufio.Reader, held *membudget.Reservation) ([]byte, error) {
 	var event []byte
+	reserved := 0
+	defer func() {
+		if reserved > 0 {
+			held.Return(r.Now(), reserved) // the event is written before the next one is read
+		}
+	}()
 	for {
 		line, err := in.ReadSlice('\n')
+		if n := len(event) + len(line); held != nil && n > max(freeEventSize, reserved) {
+			if !held.TryReserve(2*n - reserved) {
+				return event, errNoMemory
+			}
+			reserved = 2 * n
+		}
 		event = append(event, line...)
 		if len(event) > maxEventSize {
 			return event, errEventTooLong
--- a/chervilyard/relay/relay_test.go
+++ b/chervilyard/relay/relay_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"chervilyard.example/chervilyard/relay"
 	"chervilyard.example/chervilyard/sink"
+	"chervilyard.example/yard/membudget"
 )
 
 // Guards against a model's JSON without a length that its target broke off and that is
@@ -76,3 +78,29 @@
 		}
 	}
 }
+
+// Guards against a model's response that is held although the budget has no bytes for it, that
+// is cut off for that, and against JSON without a length that is sent on unchecked then.
+func TestBufferedWithoutRoom(t *testing.T) {
+	body := `{"text":"` + strings.Repeat("x", 64<<10) + `"}`
+	for _, endsWithConnection := range []bool{false, true} {
+		var memory membudget.Budget
+		memory.SetLimit(time.Now(), 32<<10)
+		var sent bytes.Buffer
+		r := relay.Relay{
+			Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: strings.NewReader(body),
+			EndsWithConnection: endsWithConnection, Memory: &memory, Now: time.Now,
+			Sink: &sink.Sink{SendHeader: func(int, http.Header) error { return nil }, Send: func(p []byte) error {
+				sent.Write(p)
+				return nil
+			}},
+		}
+		result, err := r.Buffered()
+		if whole := err == nil && result.Complete && sent.String() == body; whole == endsWithConnection || endsWithConnection && sent.Len() > 0 {
+			t.Errorf("endsWithConnection=%v: %+v, %v, %d bytes sent", endsWithConnection, result, err, sent.Len())
+		}
+		if n := memory.Held(membudget.Responses); n != 0 {
+			t.Errorf("%d bytes are held afterwards", n)
+		}
+	}
+}
--- a/chervilyard/reqbody/reqbody.go
+++ b/chervilyard/reqbody/reqbody.go
@@ -131,6 +131,37 @@
 	OnRefused func(now time.Time, err *Error)
 }
 
+// Reserve returns a reservation of n bytes for a body that is not read by a Reader. The error
+// is that of Extend.
+func (rd Reader) Reserve(ctx context.Context, kind membudget.Kind, n int) (*membudget.Reservation, error) {
+	if rd.Budget == nil {
+		return nil, nil
+	}
+	r := rd.Budget.Open(rd.Now(), kind, nil)
+	return r, rd.Extend(ctx, r, kind, n)
+}
+
+// Extend reserves n more bytes and waits for them as Read does. The error is an *Error, which
+// OnRefused gets too.
+func (rd Reader) Extend(ctx context.Context, r *membudget.Reservation, kind membudget.Kind, n int) error {
+	if err := rd.reserve(ctx, r, n, kind); err != nil {
+		return rd.refused(err)
+	}
+	return nil
+}
+
+// Refuse returns the error of a body for which the budget has no bytes now.
+func (rd Reader) Refuse(kind membudget.Kind) error {
+	return rd.refused(&Error{Reason: Exhausted, Kind: kind, Sums: rd.Budget.Describe()})
+}
+
+func (rd Reader) refused(err *Error) error {
+	if rd.OnRefused != nil {
+		rd.OnRefused(rd.Now(), err)
+	}
+	return err
+}
+
 // Limits bound one body.
 type Limits struct {
 	Kind     membudget.Kind
--- a/yard/membudget/membudget.go
+++ b/yard/membudget/membudget.go
@@ -22,7 +22,7 @@
 	Bodies    Kind = iota // of requests that callers send
 	Retries               // bodies that are kept while a response arrives, for a retry
 	Responses             // that are buffered, or not complete
-	Forwarded             // bodies of requests that other instances forward
+	Forwarded             // bodies of requests that instances forward to each other
 	kinds
 )
 
@@ -89,6 +89,9 @@
 	return b.limit
 }
 
+// Bounded reports whether there is a bound.
+func (b *Budget) Bounded() bool { return b != nil && b.Limit() > 0 }
+
 // Held returns the bytes that are held for a kind.
 func (b *Budget) Held(k Kind) int64 {
 	b.mu.Lock()
