End unread responses while others wait for memory

Cause: a response whose caller reads nothing kept its part of the budget until 5 s after the deadline of the request. Responses may hold half of the budget, and bodies that did not fit into the other half were refused meanwhile.

Change: while others wait for memory, the response of which the caller has taken nothing for longest is ended, from 2 s on, in one order with the requests that receive nothing. Callers that still read are told by the bytes that the kernel holds of their connections, which change with all that is taken. That is looked at only during a shortage; a write costs one atomic store more. Buffered pieces return to the budget as they are written. The own surface does the same. The metric and the log count such an end as kind responses, reason unread.

--- a/chervilyard/accept/accept.go
+++ b/chervilyard/accept/accept.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chervilyard.example/chervilyard/call"
+	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/chervilyard/sink"
 	"chervilyard.example/yard/membudget"
@@ -43,6 +44,7 @@
 		Sink:         sink.HTTP(w, s.WriteTimeout),
 		OriginRegion: s.Region(),
 	}
+	s.watchUnread(c.Sink, r)
 	w.Header().Set("X-Request-Id", c.ID)
 	for name := range r.Header {
 		if strings.HasPrefix(name, ReservedHeaderPrefix) {
@@ -61,6 +63,18 @@
 	return c, nil
 }
 
+// watchUnread lets the response be ended while memory is short, if its caller does not read it.
+func (s *Stage) watchUnread(to *sink.Sink, r *http.Request) {
+	to.UnreadSince = handover.UnreadSince(r.Context())
+	end := to.End
+	to.End = func() {
+		end()
+		if s.Bodies.OnRefused != nil {
+			s.Bodies.OnRefused(s.Bodies.Now(), &reqbody.Error{Reason: reqbody.Unread, Kind: membudget.Responses})
+		}
+	}
+}
+
 // bodyRefusal returns the refusal of a request whose body was not read.
 func bodyRefusal(err *reqbody.Error) error {
 	switch err.Reason {
--- a/chervilyard/edge/edge.go
+++ b/chervilyard/edge/edge.go
@@ -295,7 +295,7 @@
 	e.buildConnections()
 	e.forwardServer = &http.Server{
 		Handler: http.HandlerFunc(e.gateway.ServeForwarded), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: largestHeaderLimit + forwardHeaderReserve,
-		ConnState: e.forwardConns.ConnState,
+		ConnState: e.forwardConns.ConnState, ConnContext: e.forwardConns.ConnContext,
 	}
 	e.peerServer = gossip.NewServer(e.gossiper, e.content)
 	e.taskDone = append(e.taskDone, e.serve("callers", func() error { return e.callerServer.Serve(e.callerListener) }),
--- a/chervilyard/edge/memory.go
+++ b/chervilyard/edge/memory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilyard.example/chervilyard/decisionlog"
+	"chervilyard.example/chervilyard/handover"
 	"chervilyard.example/chervilyard/reqbody"
 	"chervilyard.example/yard/membudget"
 )
@@ -35,14 +36,15 @@
 // buildMemory sets up the budget for requests.
 func (e *Edge) buildMemory() {
 	e.memory.SetLimit(e.now(), membudget.Share(e.Settings().MemoryLimitBytes))
-	e.gateway.Memory, e.gateway.OnBodyRefused = &e.memory, e.recordBodyRefused
+	e.gateway.Memory, e.gateway.OnBodyRefused, e.gateway.UnreadSince = &e.memory, e.recordBodyRefused, handover.UnreadSince
 	for _, k := range membudget.Kinds() {
 		e.meter.Gauge(fmt.Sprintf("chervil_memory_held_bytes{kind=%q}", k), func() float64 { return float64(e.memory.Held(k)) })
 	}
 	e.meter.Gauge("chervil_memory_budget_bytes", func() float64 { return float64(e.memory.Limit()) })
 }
 
-// recordBodyRefused counts and logs a request whose body was not read.
+// recordBodyRefused counts and logs a request whose body was not read, or whose response was
+// ended because its caller did not read it.
 func (e *Edge) recordBodyRefused(now time.Time, err *reqbody.Error) {
 	e.meter.CountBodyRefusal(err.Kind.String(), err.Reason)
 	if skipped, ok := e.memoryLog.next(now); ok {
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -187,6 +187,9 @@
 	Memory *membudget.Budget
 	// OnBodyRefused is called for each request whose body is not read. It may be nil.
 	OnBodyRefused func(now time.Time, err *reqbody.Error)
+	// UnreadSince returns a function that reports since when the caller of a request has taken
+	// nothing of a response that waits for it, or nil if that is not known. It may be nil.
+	UnreadSince func(ctx context.Context) func(now time.Time) (time.Time, bool)
 	// Suspects holds the requests and parts of prompts under which targets ended.
 	Suspects *suspect.Ledger
 	// TargetEnded reports whether the target at an address, whose connection broke, has
--- a/chervilyard/gateway/relay.go
+++ b/chervilyard/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -268,18 +269,21 @@
 	}
 	g.releaseBody(x, resp, false)
 	if b.length > readSize { // a shorter one is taken by the kernel
-		defer x.limitWrites()()
+		defer g.limitWrites(ctx, x, b.memory)()
 	}
 	x.writeHeader(resp, int64(b.length))
-	x.writeBuffered(&b)
+	g.writeBuffered(x, &b)
 	return false, nil
 }
 
 // writeBuffered writes the body, and forgets what the caller has taken.
-func (x *exchange) writeBuffered(b *bufferedBody) {
+func (g *Gateway) writeBuffered(x *exchange, b *bufferedBody) {
 	for i, piece := range b.pieces {
 		x.writeBody(piece)
 		b.pieces[i] = nil
+		if i+1 < len(b.pieces) { // the last one is returned with the reservation
+			b.memory.Return(g.Now(), cap(piece))
+		}
 	}
 }
 
@@ -310,10 +314,10 @@
 func (g *Gateway) relayUnbuffered(ctx context.Context, a *attempt, resp *pool.Response, first *bufferedBody) error {
 	x := a.x
 	g.releaseBody(x, resp, false)
-	defer x.limitWrites()()
+	defer g.limitWrites(ctx, x, first.memory)()
 	x.writeHeader(resp, resp.Length)
-	x.writeBuffered(first)
-	first.memory.Close(g.Now())
+	g.writeBuffered(x, first)
+	first.memory.Return(g.Now(), math.MaxInt)
 	size := copySize
 	if !first.memory.TryReserve(size) {
 		size = readSize
@@ -328,14 +332,24 @@
 	return nil
 }
 
-// limitWrites ends writes to the caller some time after the deadline, and returns a function
-// that lets later responses on the connection take longer. A caller that does not read would
-// otherwise keep the response.
-func (x *exchange) limitWrites() (reset func()) {
+// limitWrites ends writes to the caller some time after the deadline, and while memory is short
+// once the caller takes nothing. It returns a function that lets later responses on the
+// connection take longer. A caller that does not read would otherwise keep the response.
+func (g *Gateway) limitWrites(ctx context.Context, x *exchange, memory *membudget.Reservation) (reset func()) {
 	control := http.NewResponseController(x.w)
 	// Test recorders have no deadlines.
 	_ = control.SetWriteDeadline(x.deadline.Add(unreadGrace))
-	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+	if g.UnreadSince != nil {
+		memory.Write(g.UnreadSince(ctx), func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
+	}
+	return func() {
+		if !memory.Settle() {
+			x.unread = true
+		}
+		if !x.unread {
+			_ = control.SetWriteDeadline(time.Time{})
+		}
+	}
 }
 
 // relayStream relays an event stream as it arrives. On a resumable route it sends
@@ -344,10 +358,10 @@
 func (g *Gateway) relayStream(ctx context.Context, a *attempt, resp *pool.Response) (bool, error) {
 	x := a.x
 	g.releaseBody(x, resp, x.route.Resumable() && x.mayRunAgain())
-	defer x.limitWrites()()
 	var events event.Splitter
 	held := heldBytes{total: &g.heldBack, memory: g.Memory.Open(g.Now(), membudget.Responses, nil)}
 	defer func() { held.set(g.Now(), 0) }()
+	defer g.limitWrites(ctx, x, held.memory)()
 	buf := make([]byte, readSize)
 	for {
 		n, err := resp.Read(buf)
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -69,6 +69,7 @@
 	chargedTokens float64
 
 	parts        []string        // names of the parts of the prompt that other requests may share
+	unread       bool            // the response was ended because its caller did not read it
 	releasedName string          // fullName, once the body has been released
 	shape, name  string          // of the request itself, from package fingerprint; "" while they are not needed
 	trial        bool            // sent although its parts block it
@@ -286,6 +287,15 @@
 // of a request that did not run, and logs the outcome.
 func (g *Gateway) finish(x *exchange, err error) {
 	now := g.Now()
+	if x.unread {
+		failed := &reqbody.Error{Reason: reqbody.Unread, Kind: membudget.Responses, Sums: g.Memory.Describe()}
+		if g.OnBodyRefused != nil {
+			g.OnBodyRefused(now, failed)
+		}
+		if err == nil { // the connection must be closed also if everything was written
+			err = &refusal.Refusal{Status: statusConnectionEnded, Code: codeCallerGone, Message: "the caller did not read the response", Run: refusal.RunYes, Cause: failed}
+		}
+	}
 	var r *refusal.Refusal
 	if err != nil && !errors.As(err, &r) {
 		r = refusal.Unknown(http.StatusBadGateway, "internal", "the instance failed").WithCause(err)
--- a/chervilyard/handover/conn.go
+++ b/chervilyard/handover/conn.go
@@ -7,8 +7,10 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"chervilyard.example/chervilyard/connlimit"
 )
@@ -43,6 +45,16 @@
 	next       bool      // a byte was received after that, perhaps of the next request
 	idleSince  time.Time // when the last response ended; zero while a request is active
 	closing    bool      // closed as idle or by the limiter; no more bytes may be received
+
+	writing atomic.Int64 // when the current write began, in Unix nanoseconds; 0 if there is none
+	unread  unreadBytes
+}
+
+// unreadBytes is what the kernel holds of a response while a write waits.
+type unreadBytes struct {
+	write int64 // when the write began
+	bytes int
+	since time.Time // when the number was seen first
 }
 
 func newConn(c net.Conn, t *Tracker) *conn {
@@ -161,13 +173,42 @@
 	c.mu.Lock()
 	c.responding = true
 	c.mu.Unlock()
+	now := c.tracker.now()
 	if c.limited != nil {
-		c.limited.WriteBegan(c.tracker.now())
+		c.limited.WriteBegan(now)
 		defer c.limited.WriteEnded()
 	}
+	c.writing.Store(now.UnixNano())
+	defer c.writing.Store(0)
 	return c.Conn.Write(p)
 }
 
+// unreadSince returns since when, as far as it was asked, the other side has taken nothing of a
+// write that waits for it. It returns false if no write waits, or something was taken since the
+// call before: the bytes that the kernel holds change with all that is taken.
+func (c *conn) unreadSince(now time.Time) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := c.writing.Load()
+	if begun == 0 || c.raw == nil {
+		return time.Time{}, false
+	}
+	held := 0
+	var errno syscall.Errno
+	err := c.raw.Control(func(fd uintptr) {
+		var n int32
+		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+		held = int(n)
+	})
+	if err != nil || errno != 0 {
+		return time.Time{}, false
+	}
+	if c.unread.write != begun || c.unread.bytes != held {
+		c.unread = unreadBytes{write: begun, bytes: held, since: now}
+	}
+	return c.unread.since, true
+}
+
 // CloseWrite shuts down the writing side if the connection supports it, as http.Server
 // does before it closes a connection with unread data.
 func (c *conn) CloseWrite() error {
--- a/chervilyard/handover/service.go
+++ b/chervilyard/handover/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"chervilyard.example/chervilyard/connlimit"
 )
@@ -25,6 +26,16 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// UnreadSince returns a function that reports since when the caller of the request with the
+// context has taken nothing of a response that waits for it, or nil if the connection is not
+// tracked.
+func UnreadSince(ctx context.Context) func(now time.Time) (time.Time, bool) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.unreadSince
+	}
+	return nil
+}
+
 // Handler returns a handler that serves the requests of tracked connections with next if
 // their headers are within the limit, and otherwise with refuse. A request whose connection is
 // being closed is not served.
--- a/chervilyard/relay/relay.go
+++ b/chervilyard/relay/relay.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -103,6 +104,7 @@
 		return nil, func() {}
 	}
 	held := r.Memory.Open(r.Now(), membudget.Responses, nil)
+	held.Write(r.Sink.UnreadSince, r.Sink.End)
 	return held, func() { held.Close(r.Now()) }
 }
 
@@ -221,7 +223,7 @@
 		return Result{}, err
 	}
 	if held != nil {
-		held.Close(r.Now())
+		held.Return(r.Now(), math.MaxInt)
 	}
 	return r.copyRest(held)
 }
--- a/chervilyard/reqbody/reqbody.go
+++ b/chervilyard/reqbody/reqbody.go
@@ -34,6 +34,7 @@
 	Stalled   = "stalled"   // nothing arrived for too long while the budget was used up
 	Exhausted = "exhausted" // the budget was used up
 	Late      = "late"      // not complete at the deadline
+	Unread    = "unread"    // not of a body: the caller took nothing of the response for too long while the budget was used up
 	Broken    = "broken"    // the connection or the framing of the body broke
 )
 
--- a/chervilyard/sink/sink.go
+++ b/chervilyard/sink/sink.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -18,6 +19,11 @@
 	// is written to the caller without the sink. It is nil in sinks that are not
 	// made by HTTP.
 	ExtendDeadline func()
+	// UnreadSince reports since when the caller has taken nothing of a write that waits for it.
+	// It is nil if that is not known.
+	UnreadSince func(now time.Time) (time.Time, bool)
+	// End ends the current write and all later ones. It may be nil if UnreadSince is.
+	End func()
 
 	started bool
 	status  int
@@ -27,10 +33,24 @@
 // within writeTimeout.
 func HTTP(w http.ResponseWriter, writeTimeout time.Duration) *Sink {
 	control := http.NewResponseController(w)
-	// The error is ignored, since a recorder in a test has no deadline to set.
-	extend := func() { _ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) }
+	var mu sync.Mutex
+	ended := false
+	// The errors are ignored, since a recorder in a test has no deadline to set.
+	extend := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		}
+	}
 	return &Sink{
 		ExtendDeadline: extend,
+		End: func() {
+			mu.Lock()
+			defer mu.Unlock()
+			ended = true
+			_ = control.SetWriteDeadline(time.Unix(1, 0))
+		},
 		SendHeader: func(status int, h http.Header) error {
 			extend()
 			for name, values := range h {
--- a/yard/membudget/membudget.go
+++ b/yard/membudget/membudget.go
@@ -38,6 +38,13 @@
 	// StallTime is how long a request may receive nothing before it can be ended in favour of
 	// others: more than a retransmission takes between regions.
 	StallTime = 250 * time.Millisecond
+	// UnreadTime is how long the caller of a response may take nothing of it before it can be
+	// ended in favour of others. A caller that reads slowly lets bytes arrive in steps of up
+	// to a sixteenth of its buffer, or of one segment.
+	UnreadTime = 2 * time.Second
+	// unreadScanInterval is the shortest time between two searches for such responses, which
+	// look at all that are being written.
+	unreadScanInterval = 100 * time.Millisecond
 	// MinProgress is how many bytes count as progress. Callers that send single bytes hold
 	// memory as long as those that send nothing.
 	MinProgress = 1 << 10
@@ -57,6 +64,9 @@
 	wanted  int64          // bytes that are waited for
 	arrival list.List      // of *Reservation that can be ended, the one that has received nothing for longest first
 	waiting []*Reservation // in the order in which they are served
+
+	written  map[*Reservation]struct{} // responses that are being written, which can be ended
+	nextScan time.Time                 // no search for unread ones before it
 }
 
 // Reservation is the memory of one request. A nil *Reservation holds nothing and is granted
@@ -72,6 +82,8 @@
 	received int           // bytes since then
 	wanted   int64
 	granted  chan struct{} // closed when wanted has been granted; nil if it does not wait
+	// unreadSince is set for a response that is being written; see Write.
+	unreadSince func(now time.Time) (time.Time, bool)
 }
 
 // SetLimit sets the bound in bytes, 0 for none. It does not affect what is held already.
@@ -238,13 +250,16 @@
 }
 
 func (b *Budget) endStalled(now time.Time) {
+	if b.wanted <= b.ending {
+		return
+	}
+	unread := b.unread(now)
 	for b.wanted > b.ending {
-		front := b.arrival.Front()
-		if front == nil {
-			return
+		r, since := b.longestStalled(now)
+		if len(unread) > 0 && (r == nil || unread[0].since.Before(since)) {
+			r, unread = unread[0].r, unread[1:]
 		}
-		r := front.Value.(*Reservation) //nolint:forcetypeassert // the list holds nothing else
-		if now.Sub(r.lastAt) < StallTime {
+		if r == nil {
 			return
 		}
 		r.unfollow()
@@ -254,6 +269,61 @@
 	}
 }
 
+// longestStalled returns the request that has received nothing for the longest time, and since
+// when, or nil if none has for StallTime.
+func (b *Budget) longestStalled(now time.Time) (*Reservation, time.Time) {
+	front := b.arrival.Front()
+	if front == nil {
+		return nil, time.Time{}
+	}
+	r := front.Value.(*Reservation) //nolint:forcetypeassert // the list holds nothing else
+	if now.Sub(r.lastAt) < StallTime {
+		return nil, time.Time{}
+	}
+	return r, r.lastAt
+}
+
+// unreadResponse is a response of which the caller takes nothing.
+type unreadResponse struct {
+	r     *Reservation
+	since time.Time
+}
+
+// unread returns the responses of which the callers have taken nothing for UnreadTime, the
+// longest first. It returns none if the last search was less than unreadScanInterval ago.
+func (b *Budget) unread(now time.Time) []unreadResponse {
+	if now.Before(b.nextScan) {
+		return nil
+	}
+	b.nextScan = now.Add(unreadScanInterval)
+	var found []unreadResponse
+	for r := range b.written {
+		if since, ok := r.unreadSince(now); ok && r.held > 0 && now.Sub(since) >= UnreadTime {
+			found = append(found, unreadResponse{r, since})
+		}
+	}
+	slices.SortFunc(found, func(a, b unreadResponse) int { return a.since.Compare(b.since) })
+	return found
+}
+
+// Write records that the bytes are held until a caller has taken them, until Settle or Close.
+// The function unreadSince returns since when the caller has taken nothing, and false if none
+// waits for it; it is asked while memory is short. The function end may be called once to end
+// the response; neither may block.
+func (r *Reservation) Write(unreadSince func(now time.Time) (time.Time, bool), end func()) {
+	if r == nil || unreadSince == nil {
+		return
+	}
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.unreadSince, r.end = unreadSince, end
+	if b.written == nil {
+		b.written = make(map[*Reservation]struct{})
+	}
+	b.written[r] = struct{}{}
+}
+
 // follow makes the reservation the one that has received something last.
 func (r *Reservation) follow(now time.Time) {
 	r.lastAt, r.received = now, 0
@@ -267,6 +337,7 @@
 }
 
 func (r *Reservation) unfollow() {
+	delete(r.budget.written, r)
 	if r.element != nil {
 		r.budget.arrival.Remove(r.element)
 		r.element = nil
@@ -288,8 +359,8 @@
 	}
 }
 
-// Settle records that the request has arrived in full. From then on it is not ended. It
-// reports false if the request was ended before.
+// Settle records that the request has arrived in full, or that the response has been written.
+// From then on it is not ended. It reports false if it was ended before.
 func (r *Reservation) Settle() bool {
 	if r == nil {
 		return true
--- a/yard/membudget/membudget_test.go
+++ b/yard/membudget/membudget_test.go
@@ -14,10 +14,12 @@
 // player runs one script. The steps are:
 //
 //	limit 800            the bound of the budget
-//	open a bodies        a request begins; the kind is "bodies" or "forwarded"
+//	open a bodies        a request begins; the kind is "bodies", "forwarded" or "responses"
 //	reserve a 100        it reserves bytes and has to get them
 //	wait a 100           it reserves bytes and has to wait
 //	progress a 2000      bytes of it arrive
+//	write a              it is a response that is being written, and its caller stops reading
+//	take a               the caller of the response takes something of it
 //	settle a             it has arrived in full
 //	close a              it returns its bytes
 //	press                ends stalled requests
@@ -29,6 +31,7 @@
 		requests := make(map[string]*membudget.Reservation)
 		waits := make(map[string]<-chan struct{})
 		ended := make(map[string]bool)
+		taken := make(map[string]time.Time)
 		for _, s := range steps {
 			name := ""
 			if len(s.Words) > 1 {
@@ -45,15 +48,24 @@
 				b.SetLimit(s.At, int64(s.Number(t, 1)))
 			case "open":
 				kind := membudget.Bodies
-				if s.Words[2] == "forwarded" {
+				end := func() { ended[name] = true }
+				switch s.Words[2] {
+				case "forwarded":
 					kind = membudget.Forwarded
+				case "responses":
+					kind, end = membudget.Responses, nil // it is given when the response is written
 				}
-				requests[name] = b.Open(s.At, kind, func() { ended[name] = true })
+				requests[name] = b.Open(s.At, kind, end)
 			case "reserve", "wait":
 				waits[name] = r.Reserve(s.At, int(s.Number(t, 2)))
 				check(s.Words[0] == "wait", waits[name] != nil)
 			case "progress":
 				r.Progress(s.At, int(s.Number(t, 2)))
+			case "write":
+				taken[name] = s.At
+				r.Write(func(time.Time) (time.Time, bool) { return taken[name], true }, func() { ended[name] = true })
+			case "take":
+				taken[name] = s.At
 			case "settle":
 				check(!ended[name], r.Settle())
 			case "close":
