Bound connections to targets

Cause: up to 64 idle connections were kept for each address for up to 4 s, whatever the settings allow. Requests that may not be repeated open a new one each.

Change: connections to targets, and of requests forwarded from here, may use half of the descriptors in the settings; above that idle ones are closed, the longest idle first. Those in use are neither closed nor refused: requests in service are bounded at five sixteenths, and a refusal would count as a failure of the target. Without the setting there is no bound. The own surface does the same. chervil_open_connections has the kinds targets and targets_idle, and chervil_closed_connections_total the kind targets.

--- a/chervilyard/edge/connections.go
+++ b/chervilyard/edge/connections.go
@@ -26,10 +26,13 @@
 	largestHeaderLimit = 1 << 20
 )
 
-// Parts of MaxDescriptors. The rest, a quarter, is reserved for idle connections to targets,
-// calls of other instances and of the store.
+// Parts of MaxDescriptors. The rest, a quarter, is reserved for idle connections to targets, at
+// most three sixteenths, and for those to other instances and the store.
 const (
 	callerShare = 5.0 / 8 // also for the connections to targets of the requests in service
+	// targetShare is for connections to targets and for requests forwarded from here. Those of
+	// requests in service take at most half of callerShare, the rest is for idle ones.
+	targetShare = 1.0 / 2
 	// DirectoryShare and StatusShare are for the connections of the directory and of each
 	// address for readiness and metrics.
 	DirectoryShare = 1.0 / 16
@@ -46,6 +49,7 @@
 	boundInterval     = 100 * time.Millisecond // between two checks of timeouts
 	closedLogInterval = time.Second            // between two lines on closed connections
 	kindCallers       = "callers"
+	kindTargets       = "targets"
 	// descriptorsOfForward are those of a forwarded request: of its connection and of that
 	// to the target.
 	descriptorsOfForward = 2
@@ -69,6 +73,10 @@
 	k := e.addKind(kindCallers, callerShare, &e.callerConns, e.callerServer)
 	k.limiter.Others = func() int { return descriptorsOfForward * e.forwardConns.Open() }
 	e.meter.Gauge(`chervil_open_connections{kind="forwarded"}`, func() float64 { return float64(e.forwardConns.Open()) })
+	e.pool.MaxOpen = func() int { return int(targetShare * float64(e.Settings().MaxDescriptors)) }
+	e.pool.OnIdleClosed = func() { e.meter.CountClosedConnection(kindTargets, string(connlimit.LimitIdle)) }
+	e.meter.Gauge(fmt.Sprintf("chervil_open_connections{kind=%q}", kindTargets), func() float64 { return float64(e.pool.Open()) })
+	e.meter.Gauge(`chervil_open_connections{kind="targets_idle"}`, func() float64 { return float64(e.pool.Idle()) })
 	e.meter.Gauge(`chervil_connections_limit`, func() float64 { return float64(k.limiter.Limits().Descriptors) })
 }
 
--- a/chervilyard/instance/connections.go
+++ b/chervilyard/instance/connections.go
@@ -19,11 +19,15 @@
 	// connections to targets, other instances and the store.
 	callerShare   = 5.0 / 8
 	operatorShare = 1.0 / 16
+	// targetShare is for connections to targets. Those of calls in service take at most half of
+	// callerShare, the rest is for idle ones.
+	targetShare = 1.0 / 2
 	// minBound is the least number of connections of an address.
 	minBound = 4
 
 	kindCallers       = "callers"
 	kindOperators     = "operators"
+	kindTargets       = "targets"
 	boundInterval     = 100 * time.Millisecond // between two checks of connections
 	closedLogInterval = time.Second            // between two lines on closed connections
 )
@@ -55,6 +59,21 @@
 	i.meter.Gauge(fmt.Sprintf("chervil_open_connections{kind=%q}", kind), func() float64 { return float64(l.Open()) })
 }
 
+// boundTargetConnections bounds the connections to targets.
+func (i *Instance) boundTargetConnections() {
+	i.targetClient.Bound(int(targetShare*float64(i.settings.Limits().MaxDescriptors)), func() {
+		i.meter.CountClosedConnection(kindTargets, string(connlimit.LimitIdle))
+	})
+	i.meter.Gauge(fmt.Sprintf("chervil_open_connections{kind=%q}", kindTargets), func() float64 {
+		all, _ := i.targetClient.Open()
+		return float64(all)
+	})
+	i.meter.Gauge(`chervil_open_connections{kind="targets_idle"}`, func() float64 {
+		_, idle := i.targetClient.Open()
+		return float64(idle)
+	})
+}
+
 // keepConnectionsBounded enforces the limits on connections and logs which were closed, until
 // the context ends.
 func (i *Instance) keepConnectionsBounded(ctx context.Context) <-chan struct{} {
--- a/chervilyard/instance/instance.go
+++ b/chervilyard/instance/instance.go
@@ -173,6 +173,7 @@
 	i.decisions = decisionlog.New(i.log)
 	i.sessions = &session.Registry{CloseIdle: func(c net.Conn) { i.callerConns.CloseConnIfIdle(i.now(), c) }}
 	i.targetClient = targetclient.New()
+	i.boundTargetConnections()
 	i.memberList = &memberlist.List{Self: i.PeerAddr(), Centre: s.Centre(), LocalTimeout: localMemberTimeout, RemoteTimeout: remoteMemberTimeout, EvictAfter: memberRetention}
 	i.lender = &lender.Lender{Address: i.PeerAddr(), Centre: s.Centre(), Holders: i.quotaHolders, NewID: randomLoanID}
 	i.picker = &balancer.Picker{Random: rand.IntN}
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -49,6 +50,19 @@
 	idleTimeout time.Duration     // how long the connection may be reused after it becomes idle
 	idleSince   time.Time         // when the connection became idle
 	expires     time.Time         // when the connection must no longer be reused
+	pool        *Pool             // counts the connection; nil in tests
+	closed      atomic.Bool
+}
+
+// close closes the connection. It may be called again, and beside its use.
+func (c *conn) close() {
+	if c.closed.Swap(true) {
+		return
+	}
+	_ = c.raw.Close() // it is not used any more
+	if c.pool != nil {
+		c.pool.open.Add(-1)
+	}
 }
 
 func newConn(raw net.Conn) *conn {
--- a/chervilyard/pool/pool.go
+++ b/chervilyard/pool/pool.go
@@ -8,7 +8,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -100,6 +102,15 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial is called with the address of each new connection. It may be nil.
 	OnDial func(address string)
+	// MaxOpen returns the number of connections above which idle ones are closed, the one that
+	// has been idle for longest first; 0 for no limit. Those in use are
+	// not closed: the number of requests has to be bounded elsewhere. It may be nil.
+	MaxOpen func() int
+	// OnIdleClosed is called for each connection that was closed because of MaxOpen. It may be
+	// nil.
+	OnIdleClosed func()
+
+	open atomic.Int64 // connections that are open or being opened
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -114,19 +125,19 @@
 		return nil, &Error{Op: "dial", Address: address, Err: err}
 	}
 	if ctx.Err() != nil {
-		_ = c.raw.Close() // nothing was sent on it
+		c.close() // nothing was sent on it
 		return nil, &Error{Op: "dial", Address: address, Err: context.Cause(ctx)}
 	}
 	if r.Admit != nil && !r.Admit() {
-		_ = c.raw.Close() // nothing was sent on it
+		c.close() // nothing was sent on it
 		return nil, &Error{Op: OpAdmit, Address: address, Err: errWithheld}
 	}
-	stopClose := context.AfterFunc(ctx, func() { _ = c.raw.Close() }) // closing twice is harmless
+	stopClose := context.AfterFunc(ctx, func() { c.close() }) // closing twice is harmless
 	start := time.Now()
 	resp, err := c.roundTrip(r)
 	if err != nil {
 		stopClose()
-		_ = c.raw.Close() // the connection has already failed
+		c.close() // the connection has already failed
 		if ctx.Err() == nil || time.Since(start) >= silenceThreshold {
 			p.closeIdleBefore(address, start)
 		}
@@ -153,20 +164,80 @@
 		if time.Now().Before(c.expires) && c.idleAndOpen() {
 			return c, nil
 		}
-		_ = c.raw.Close() // expired, closed by the server, or has unread data
+		c.close() // expired, closed by the server, or has unread data
 	}
 	dial := p.Dial
 	if dial == nil {
 		dial = Dial
 	}
+	p.open.Add(1)
+	p.closeExcess()
 	raw, err := dial(ctx, address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	return newConn(raw), nil
+	c := newConn(raw)
+	c.pool = p
+	return c, nil
+}
+
+// Open returns the number of connections that are open or being opened.
+func (p *Pool) Open() int { return int(p.open.Load()) }
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
+// aboveLimit reports whether more connections are open than MaxOpen.
+func (p *Pool) aboveLimit() bool {
+	if p.MaxOpen == nil {
+		return false
+	}
+	limit := p.MaxOpen()
+	return limit > 0 && p.Open() > limit
+}
+
+// closeExcess closes idle connections until the limit is kept or there are none.
+func (p *Pool) closeExcess() {
+	for p.aboveLimit() {
+		c := p.takeOldestIdle()
+		if c == nil {
+			return
+		}
+		c.close()
+		if p.OnIdleClosed != nil {
+			p.OnIdleClosed()
+		}
+	}
+}
+
+// takeOldestIdle removes the connection that has been idle for longest and returns it, or nil
+// if there is none.
+func (p *Pool) takeOldestIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	from := ""
+	for address, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest, from = list[0], address
+		}
+	}
+	if oldest != nil {
+		p.idle[from] = slices.Delete(p.idle[from], 0, 1)
+	}
+	return oldest
 }
 
 // Dial connects to an address with TCP. Connections whose other end is silent for seconds fail.
@@ -195,13 +266,14 @@
 func (p *Pool) putIdle(address string, c *conn) {
 	c.kept, c.idleSince, c.onReceived = true, time.Now(), nil
 	c.expires = c.idleSince.Add(c.idleTimeout)
+	defer p.closeExcess()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
 		p.idle = make(map[string][]*conn)
 	}
 	if len(p.idle[address]) >= maxIdleConns {
-		_ = c.raw.Close() // no request uses it
+		c.close() // no request uses it
 		return
 	}
 	p.idle[address] = append(p.idle[address], c)
@@ -219,7 +291,7 @@
 			newer = append(newer, c)
 			continue
 		}
-		_ = c.raw.Close() // no request uses it
+		c.close() // no request uses it
 	}
 	if len(newer) == 0 {
 		delete(p.idle, address)
@@ -242,7 +314,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			_ = c.raw.Close() // no request uses it
+			c.close() // no request uses it
 		}
 		if len(kept) == 0 {
 			delete(p.idle, address)
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -168,7 +168,7 @@
 	if r.stopClose != nil {
 		r.stopClose()
 	}
-	_ = r.conn.raw.Close() // the rest of the body is not read
+	r.conn.close() // the rest of the body is not read
 }
 
 // finish returns the connection to the pool, or closes it if it cannot be reused.
--- a/chervilyard/targetclient/targetclient.go
+++ b/chervilyard/targetclient/targetclient.go
@@ -34,6 +34,15 @@
 // New returns a client without connections.
 func New() *Client { return &Client{} }
 
+// Bound closes idle connections above a number, 0 for no limit, and calls onClose for each. It
+// must be called before the first Send.
+func (c *Client) Bound(limit int, onClose func()) {
+	c.pool.MaxOpen, c.pool.OnIdleClosed = func() int { return limit }, onClose
+}
+
+// Open returns the number of connections, and how many of them are idle.
+func (c *Client) Open() (all, idle int) { return c.pool.Open(), c.pool.Idle() }
+
 // Send sends the call to the target once, without retries, and returns the head of
 // the response. A non-idempotent call gets a new connection. The error is a
 // *dispatch.NotSentError if no byte of the call can have reached the target. The
