In a shortage, callers that come back wait no longer than in time

The objective counts from a caller's first attempt, so a caller that was refused and comes back is mostly late, and takes the place of one that would be in time. The time left that callers state tells how long they have waited (yard/callerwait); in a shortage they get a limit of what remains of their objective, at least half of the full one.

--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -61,7 +61,7 @@
 // than the wait that is expected there: by this the request was chosen for that instance, which
 // would otherwise refuse it because of the time since its arrival here.
 func (x *exchange) remainingObjective(now time.Time, dest destination) time.Duration {
-	remaining := x.latencyObjective() - now.Sub(x.arrived)
+	remaining := x.returningWait(x.latencyObjective()) - now.Sub(x.arrived)
 	d := max(remaining, dest.remoteWait) - dest.remote.RoundTrip
 	return max((d + time.Millisecond - 1).Truncate(time.Millisecond), time.Millisecond)
 }
--- a/chervilyard/gateway/gateway.go
+++ b/chervilyard/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/pool"
 	"chervilyard.example/chervilyard/reqbody"
+	"chervilyard.example/yard/callerwait"
 	"chervilyard.example/yard/catalog"
 	"chervilyard.example/yard/fairshare"
 	"chervilyard.example/yard/membership"
@@ -243,6 +244,8 @@
 	// whether it is shutting down at all.
 	Cutoff func() (cutoff time.Time, shuttingDown bool)
 
+	callerWaits callerwait.Tracker
+
 	inFlight gauge
 	heldBack gauge // bytes of incomplete events
 }
--- a/chervilyard/gateway/outcome.go
+++ b/chervilyard/gateway/outcome.go
@@ -65,6 +65,9 @@
 	if x.expectedFirstByte > 0 {
 		parts = append(parts, "expected="+x.expectedFirstByte.Round(time.Millisecond).String())
 	}
+	if x.waited > 0 {
+		parts = append(parts, "waited="+x.waited.Round(time.Millisecond).String())
+	}
 	if x.latencyTrial {
 		parts = append(parts, "latency_trial")
 	}
--- a/chervilyard/gateway/serve.go
+++ b/chervilyard/gateway/serve.go
@@ -55,6 +55,7 @@
 	w             http.ResponseWriter
 	arrived       time.Time
 	deadline      time.Time
+	waited        time.Duration // by the caller, since an earlier attempt
 	objective     time.Duration // what remained of the latency objective when the request was forwarded here; 0 if not stated
 	req           Request
 	method        string
@@ -180,6 +181,7 @@
 // prepare sets the deadline and the service, and reads the body.
 func (g *Gateway) prepare(x *exchange, r *http.Request) error {
 	x.deadline = x.arrived.Add(requestTimeout(x.req.Deadline, x.route.Timeout()))
+	x.waited = g.callerWaits.Waited(x.arrived, x.route.Name(), x.statedTimeLeft())
 	x.maxAttempts = x.route.Attempts()
 	x.service = x.route.PickService(g.Random())
 	if x.service == "" {
--- a/chervilyard/gateway/shortage.go
+++ b/chervilyard/gateway/shortage.go
@@ -27,7 +27,30 @@
 		return limit
 	}
 	x.waitFraction = g.Shares.WaitFraction(now, x.service, x.customer.Name())
-	return time.Duration(x.waitFraction * float64(limit))
+	return time.Duration(x.waitFraction * float64(x.returningWait(limit)))
+}
+
+// minReturningFraction is the part of the wait limit that a caller keeps whose objective has
+// passed. Half of the limit is still a queue, so engines stay busy with such requests alone.
+const minReturningFraction = 0.5
+
+// returningWait returns the wait limit in a shortage of a request whose caller was refused before:
+// what remains of its objective, since most of its value is lost after that. With the full limit,
+// requests that can only be late take the place of ones that would be in time.
+func (x *exchange) returningWait(limit time.Duration) time.Duration {
+	if x.waited <= 0 || x.latencyObjective() <= 0 {
+		return limit
+	}
+	return max(min(limit, x.latencyObjective()-x.waited), time.Duration(minReturningFraction*float64(limit)))
+}
+
+// statedTimeLeft returns the time that the caller says it has left, at most the timeout of its
+// route, or 0 if it does not say.
+func (x *exchange) statedTimeLeft() time.Duration {
+	if timeout := x.route.Timeout(); timeout > 0 {
+		return min(x.req.Deadline, timeout)
+	}
+	return x.req.Deadline
 }
 
 // retryDelay returns the retry delay of a request that no target can serve in time. For one
--- a/chervilyard/gateway/shortage_test.go
+++ b/chervilyard/gateway/shortage_test.go
@@ -79,3 +79,28 @@
 		t.Errorf("%d %s, logged %q", status, body, got)
 	}
 }
+
+// Load: a shortage in which callers come back that were refused. Guards against requests that can
+// only be late and take the place of ones that would be in time: the queue at the engine is within
+// the limit of a new caller, and above that of one that has waited longer than the objective. Without
+// a shortage both are served.
+func TestReturningCallerWaitsLess(t *testing.T) {
+	for _, short := range []bool{false, true} {
+		n, f := newEngineInstance(t, 20_000) // 250 ms, of 400 and 157 allowed
+		if short {
+			n.gateway.Shares.Refuse(time.Now(), "s", "other", 1000)
+		}
+		for _, c := range []struct {
+			left   string
+			served bool
+		}{{"Wait: 700", true}, {"Wait: 450", !short}} {
+			status, body, _ := roundTrip(t, n, getRequest("/order/x", c.left))
+			if served := status == http.StatusOK; served != c.served {
+				t.Errorf("shortage %v, %s: %d %s, want served %v", short, c.left, status, body, c.served)
+			}
+		}
+		if len(f.requests()) == 0 {
+			t.Error("no request reached the engine")
+		}
+	}
+}
