Callers that come back: the region that serves them decides

The time that the caller has waited now goes along in Chervil-Waited, and a region that may not serve a request shortens nothing. The objective that goes along is not shortened any more.

--- a/chervilyard/gateway/forwarding.go
+++ b/chervilyard/gateway/forwarding.go
@@ -20,6 +20,7 @@
 	headerCustomer       = "Chervil-Customer"
 	headerTimeLeftMS     = "Chervil-Left"      // milliseconds until the deadline
 	headerObjectiveMS    = "Chervil-Objective" // milliseconds that remain of the latency objective, without the way back; optional
+	headerWaitedMS       = "Chervil-Waited"    // milliseconds that the caller has waited before this attempt; optional
 	headerLastEventID    = "Chervil-After"     // ID of the last event that the caller received
 	headerAttempts       = "Chervil-Attempts"  // how many targets the request may still be sent to
 	headerPossibleRuns   = "Chervil-Sends"     // in a response: how many targets may have run the request
@@ -45,6 +46,9 @@
 	if x.latencyObjective() > 0 {
 		h.Set(headerObjectiveMS, strconv.FormatInt(x.remainingObjective(now, dest).Milliseconds(), 10))
 	}
+	if x.waited >= time.Millisecond {
+		h.Set(headerWaitedMS, strconv.FormatInt(x.waited.Milliseconds(), 10))
+	}
 	if name := x.customer.Name(); name != "" {
 		h.Set(headerCustomer, name)
 	}
@@ -61,7 +65,7 @@
 // than the wait that is expected there: by this the request was chosen for that instance, which
 // would otherwise refuse it because of the time since its arrival here.
 func (x *exchange) remainingObjective(now time.Time, dest destination) time.Duration {
-	remaining := x.returningWait(x.latencyObjective()) - now.Sub(x.arrived)
+	remaining := x.latencyObjective() - now.Sub(x.arrived)
 	d := max(remaining, dest.remoteWait) - dest.remote.RoundTrip
 	return max((d + time.Millisecond - 1).Truncate(time.Millisecond), time.Millisecond)
 }
@@ -140,6 +144,9 @@
 	if ms, err := strconv.ParseInt(internal.Get(headerObjectiveMS), 10, 32); err == nil {
 		x.objective = time.Duration(ms) * time.Millisecond
 	}
+	if ms, err := strconv.ParseInt(internal.Get(headerWaitedMS), 10, 32); err == nil {
+		x.waited = time.Duration(ms) * time.Millisecond
+	}
 	x.service = internal.Get(headerService)
 	x.req.LastEventID = internal.Get(headerLastEventID)
 	x.trial = internal.Get(headerTrial) != ""
--- a/chervilyard/gateway/shortage.go
+++ b/chervilyard/gateway/shortage.go
@@ -21,9 +21,10 @@
 }
 
 // fairWait returns the wait limit of a request by its customer's share of the capacity. A
-// request that a target may have run keeps its limit, since what it used counts already.
+// request that a target may have run keeps its limit, since what it used counts already, and so
+// does one that this region may not serve, since what others lack is not known here.
 func (g *Gateway) fairWait(now time.Time, x *exchange, limit time.Duration) time.Duration {
-	if g.Shares == nil || !g.Shares.Short(now) || x.possibleRuns > 0 || !g.sharesCapacity(x) {
+	if g.Shares == nil || !g.Shares.Short(now) || x.possibleRuns > 0 || !g.sharesCapacity(x) || !x.permits(g.Region) {
 		return limit
 	}
 	x.waitFraction = g.Shares.WaitFraction(now, x.service, x.customer.Name())
