--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,7 +19,7 @@
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func(record string, trouble bool) (bool, error){
-		"cold": coldCase, "crash": crashCase, "brittle": brittleCase, "crowd": crowdCase,
+		"cold": coldCase, "crash": crashCase, "brittle": brittleCase, "crowd": crowdCase, "trickle": trickleCase,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
