--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -26,6 +26,7 @@
 	seed     int64
 	prefix   func(n int) string // X-Prefix-Hash of the n-th request
 	body     string             // of all requests; "" for one that differs each time
+	counted  bool               // the query of each request has its number
 	wg       sync.WaitGroup
 }
 
@@ -64,7 +65,11 @@
 	if body == "" {
 		body = fmt.Sprintf("%s %0600d", id, n)
 	}
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.front+c.path, strings.NewReader(body))
+	path := c.path
+	if c.counted {
+		path += "?n=" + strconv.Itoa(n)
+	}
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.front+path, strings.NewReader(body))
 	req.Host = c.host
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Model", "m")
--- a/review/stand-3/crash.go
+++ b/review/stand-3/crash.go
@@ -241,8 +241,9 @@
 )
 
 // deadlyRequest: a request crashes each engine that begins to run it, and comes again with the same
-// path, caller and body, at any machine. Its route is split over services by weights.
-func deadlyRequest(backends map[string]float64) func(ctx context.Context, d *deployment) (outcome, error) {
+// path, caller and body, at any machine. Its route is split over services by weights. If counted is
+// set, the query differs each time.
+func deadlyRequest(backends map[string]float64, counted bool) func(ctx context.Context, d *deployment) (outcome, error) {
 	return func(ctx context.Context, d *deployment) (outcome, error) {
 		config := streamConfig()
 		route := config["Routes"].([]any)[0].(map[string]any)
@@ -277,7 +278,7 @@
 			return outcome{}, err
 		}
 		sound := &clients{rec: d.rec, gates: d.gates, host: "ficu95.example", path: "/lohu930/2f", key: "i9n73hh2b9wu3fexd9dn", tokens: "1460,80", deadline: 12 * time.Second, perS: 10, seed: 1}
-		sick := &clients{rec: d.rec, gates: d.gates, host: "ficu95.example", path: "/lohu930/2f", key: "i9n73hh2b9wu3fexd9dn", tokens: "1460,80", deadline: 12 * time.Second, perS: 2, seed: 2, body: deadlyBody}
+		sick := &clients{rec: d.rec, gates: d.gates, host: "ficu95.example", path: "/lohu930/2f", key: "i9n73hh2b9wu3fexd9dn", tokens: "1460,80", deadline: 12 * time.Second, perS: 2, seed: 2, body: deadlyBody, counted: counted}
 		sending, stop := context.WithCancel(ctx)
 		defer stop()
 		var wg sync.WaitGroup
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -33,8 +33,9 @@
 var cases = map[string]func(ctx context.Context, d *deployment) (outcome, error){
 	"permit-wait": permitWait,
 	"check-wait":  checkWait,
-	"split-route": deadlyRequest(map[string]float64{"model-citac": 80, "model-novi": 10, "model-proba": 10}),
-	"one-service": deadlyRequest(map[string]float64{"model-citac": 100}),
+	"split-route": deadlyRequest(map[string]float64{"model-citac": 80, "model-novi": 10, "model-proba": 10}, false),
+	"one-service": deadlyRequest(map[string]float64{"model-citac": 100}, false),
+	"other-query": deadlyRequest(map[string]float64{"model-citac": 100}, true),
 	"unlimited":   unlimitedOutput,
 	"store-moved": storeMoved,
 	"late-part":   deadlyPart(140, 134),
