--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -20,8 +20,8 @@
 	work                    time.Duration
 	born                    int64
 	rec                     *record
-	// answer decides about a request or a health check that reached the engine. It may be nil.
-	answer func(e *engine, now time.Time, health bool, from string) verdict
+	// answer decides about a request or a health check that reaches the engine. It may be nil.
+	answer func(now time.Time) verdict
 
 	mu      sync.Mutex
 	seq     int
@@ -70,14 +70,8 @@
 	}
 }
 
-func host(addr string) string {
-	h, _, _ := net.SplitHostPort(addr)
-	return h
-}
-
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	from := host(r.RemoteAddr)
 	health := r.URL.Path == "/healthz"
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
@@ -94,7 +88,7 @@
 	}
 	var v verdict
 	if e.answer != nil {
-		v = e.answer(e, now, health, from)
+		v = e.answer(now)
 	}
 	if v.limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(v.limit, 'f', -1, 64))
@@ -114,11 +108,11 @@
 		if v.retryAfter > 0 {
 			h.Set("Retry-After", strconv.FormatFloat(v.retryAfter.Seconds(), 'f', 1, 64))
 		}
-		e.rec.add(event{at: now, what: kind, engine: e.id, from: from, id: id, result: "503", retryAfter: v.retryAfter})
+		e.rec.add(event{at: now, what: kind, engine: e.id, id: id, result: "503", retryAfter: v.retryAfter})
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.rec.add(event{at: now, what: kind, engine: e.id, from: from, id: id, result: "taken"})
+	e.rec.add(event{at: now, what: kind, engine: e.id, id: id, result: "taken"})
 	if health {
 		w.WriteHeader(http.StatusOK)
 		return
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -192,10 +192,9 @@
 	}
 }
 
-// countUnwanted returns the most requests, health checks included if checks is set, that reached
-// an engine from one machine between half a second after it had answered that machine 503 with
-// Retry-After and the end of that time.
-func countUnwanted(events []event, checks bool) (int, event) {
+// countUnwanted returns the most requests that reached an engine from one machine between half a
+// second after it had answered that machine 503 with Retry-After and the end of that time.
+func countUnwanted(events []event) (int, event) {
 	most, first := 0, event{}
 	for i, told := range events {
 		if told.retryAfter <= 0 {
@@ -207,7 +206,7 @@
 			if after >= told.retryAfter {
 				break
 			}
-			if (e.what == "request" || checks && e.what == "health") && e.engine == told.engine && e.from == told.from && after > 500*time.Millisecond {
+			if e.what == "request" && e.engine == told.engine && e.from == told.from && after > 500*time.Millisecond {
 				n++
 			}
 		}
--- a/review/stand-3/waits.go
+++ b/review/stand-3/waits.go
@@ -15,7 +15,7 @@
 	const limit, fullFor = 20, 2 * time.Second
 	var inNeed atomic.Bool
 	var fullUntil atomic.Int64
-	answer := func(_ *engine, now time.Time, _ bool, _ string) verdict {
+	answer := func(now time.Time) verdict {
 		var v verdict
 		if inNeed.Load() {
 			v.limit = limit
@@ -61,7 +61,7 @@
 	}
 	stop()
 	<-ended
-	n, told := countUnwanted(d.rec.sorted(), false)
+	n, told := countUnwanted(d.rec.sorted())
 	text := fmt.Sprintf("BUDGET: at most %d requests reached an engine from one machine later than 0.5 s after its 503 with Retry-After and before the end of that time (2 allowed)", n)
 	if n > 0 {
 		text += fmt.Sprintf("; 503 at %.3f s to %s", told.at.Sub(d.rec.start).Seconds(), told.from)
@@ -79,7 +79,7 @@
 		retryAfter = 2 * time.Second
 	)
 	var full atomic.Bool
-	answer := func(_ *engine, _ time.Time, _ bool, _ string) verdict {
+	answer := func(time.Time) verdict {
 		if full.Swap(false) {
 			return verdict{turnAway: true, retryAfter: retryAfter}
 		}
@@ -122,7 +122,7 @@
 	}
 	stop()
 	<-ended
-	n, told := countUnwanted(d.rec.sorted(), false)
+	n, told := countUnwanted(d.rec.sorted())
 	text := fmt.Sprintf("BUDGET: at most %d requests of clients reached the engine from the machine later than 0.5 s after its 503 with Retry-After and before the end of that time (2 allowed)", n)
 	if n > 0 {
 		text += fmt.Sprintf("; 503 at %.3f s to a %s", told.at.Sub(d.rec.start).Seconds(), told.what)
