pool: refuse responses with a status below 100

What callers saw: a target answered with the status 000 (or 001 to 099). The caller's connection was cut without an answer, on the platform's surface, on the own one, and on kept connections after a sound answer; a route that may be repeated was not repeated. The target counted as one that had answered, and no decision was logged. A request that was forwarded got 502, since the cut reached the instance before it, but the target's failure was recorded nowhere.

Cause: http.ReadResponse takes any three characters that strconv.Atoi can read, so 000 and +20 are statuses for it. The handler panicked in http.ResponseWriter.WriteHeader, which allows 100 to 999.

Statuses that are too long, too short or negative were refused before, as http.ReadResponse reports them; their lines stay.

Why this works: all responses of targets, hops and stores that come over HTTP on the platform's surface, and of targets on the own one, are read by conn.readResponse. An error there is the failure of the attempt like a broken connection: retried where the route allows it, 502 otherwise, logged once with its cause. Statuses from 600 on are passed on as before, and count as 5xx, as RFC 9110 recommends.

--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -177,6 +177,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		c.limit.N = 1<<63 - 1
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -36,6 +36,23 @@
 // Unwrap returns io.ErrUnexpectedEOF.
 func (e *IncompleteError) Unwrap() error { return io.ErrUnexpectedEOF }
 
+// MalformedError is the error of a response whose head does not follow RFC 9112.
+type MalformedError struct{ Status int }
+
+// Error returns what is malformed.
+func (e *MalformedError) Error() string {
+	return "malformed response: invalid status code " + strconv.Itoa(e.Status)
+}
+
+// checkHead returns a *MalformedError if the head is one that http.ReadResponse accepts but that
+// must not be passed on.
+func checkHead(r *http.Response) error {
+	if r.StatusCode < http.StatusContinue {
+		return &MalformedError{Status: r.StatusCode}
+	}
+	return nil
+}
+
 // maxUndelimitedBody is the longest body in bytes that is read if its length is not stated.
 // What a faulty target sends may never end.
 const maxUndelimitedBody = 64 << 20
