pool: refuse responses whose field names are not tokens

What callers saw: a target sent a head in which the name of a field held a blank, as in "X A: 1" or "Content-Length : 4". The caller got it as an answer. Where the field frames the body, the body was not the target's: with "Transfer-Encoding : chunked" it got the sizes of the chunks with the data, with "Content-Length : 4" also what followed the body, such as a response to another request. The line itself was dropped by net/http.

So http.ReadResponse reports no error, and takes a body without a sound framing field for one that ends with its connection.

Handled already: names with control bytes, tabs, bytes over 127, other characters that no token has, and empty ones; lines without a colon.

--- a/chervilstand/dev/malformed_head_test.go
+++ b/chervilstand/dev/malformed_head_test.go
@@ -21,6 +21,11 @@
 		{"HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway, ""},
 		{"HTTP/1.1 099 None\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway, ""},
 		{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n\r\nbody", http.StatusBadGateway, ""},
+		{"HTTP/1.1 201 Created\r\nX A: 1\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway, ""},
+		{"HTTP/1.1 201 Created\r\nContent-Length : 2\r\n\r\nbody", http.StatusBadGateway, ""},
+		{"HTTP/1.1 201 Created\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", http.StatusBadGateway, ""},
+		{"HTTP/1.1 201 Created\r\nX\x01A: 1\r\nContent-Length: 4\r\n\r\nbody", http.StatusBadGateway, ""},
+		{"HTTP/1.1 201 Created\r\n!#$%&'*+-.^_`|~09: 1\r\nContent-Length: 4\r\n\r\nbody", http.StatusCreated, "body"},
 		{"HTTP/1.1 226 IM Used\r\nContent-Length: 4\r\n\r\nbody", http.StatusIMUsed, "body"},
 		{"HTTP/1.1 499 Custom\r\nContent-Length: 4\r\n\r\nbody", 499, "body"},
 	} {
