pool: a body that ends with its connection needs a whole upload

What callers saw: a target answered a long upload at once, with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer, on each kind of route, directly and over a hop; an event stream too, if it was cut between two events.

Cause: the upload is written beside the read of the response, and the kernel reports a reset once, to the call that meets it first. If the write does, the read gets the data that had arrived and then the end of the connection, as if it had been closed in order. Nobody looked at the write. The same happened to a short request, whose failed write was dropped if a response had arrived.

Handled already: early responses with a length or chunks, whose framing shows their end.

Why this works: a body without length or chunks is complete only at an orderly end of its connection. If the request was written in full, no write can have taken the error of a reset, and the read reports it. So Response.Read waits at the end of such a body for the end of the write, and fails with an UnsentError if the write failed. A target that reads the upload to its end and closes in order is passed on as before, also if it closes its side first. One that closes its side and leaves the upload unread now fails at the deadline of the request, since nothing shows that its answer is complete.

--- a/chervilyard/gateway/broken_header_test.go
+++ b/chervilyard/gateway/broken_header_test.go
@@ -37,6 +37,9 @@
 	listener  net.Listener
 	responses []string
 	reset     bool
+	// onEarly, if not nil, is called after a response, which is sent before the body of the request
+	// is read.
+	onEarly func(c *net.TCPConn, body io.Reader)
 }
 
 func newRawTarget(t *testing.T, reset bool, responses ...string) *rawTarget {
@@ -47,18 +50,20 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	target := &rawTarget{listener: l, responses: responses, reset: reset}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go target.serve(c)
-		}
-	}()
+	go target.accept()
 	return target
 }
 
+func (r *rawTarget) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
 func (r *rawTarget) serve(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
@@ -67,6 +72,11 @@
 		if err != nil {
 			return
 		}
+		if r.onEarly != nil {
+			_, _ = io.WriteString(c, response)
+			r.onEarly(c.(*net.TCPConn), req.Body)
+			return
+		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = io.WriteString(c, response)
 	}
--- a/chervilyard/pool/body_write.go
+++ b/chervilyard/pool/body_write.go
@@ -2,8 +2,8 @@
 
 import "sync"
 
-// bodyWrite is the write of a request body that goes on while the response is read. The zero
-// value is a write that has not ended. It is safe for concurrent use.
+// bodyWrite is the write of a request body that goes on while the response is read, or that failed
+// before. The zero value is a write that has not ended. It is safe for concurrent use.
 type bodyWrite struct {
 	mu    sync.Mutex
 	ended bool
@@ -35,6 +35,14 @@
 	f()
 }
 
+// wait waits until the write has ended and returns its error.
+func (w *bodyWrite) wait() error {
+	ended := make(chan struct{})
+	w.whenEnded(func() { close(ended) })
+	<-ended
+	return w.result()
+}
+
 // result returns errIncompleteWrite if the write has not ended, and otherwise its error.
 func (w *bodyWrite) result() error {
 	w.mu.Lock()
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -124,8 +124,12 @@
 		}
 		n, err := c.raw.Write(header)
 		r.written()
-		if err != nil && !c.responseAvailable() {
-			return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
+		if err != nil {
+			if !c.responseAvailable() {
+				return nil, &Error{Op: "write", MaybeSent: n > 0, Err: err}
+			}
+			write = &bodyWrite{}
+			write.end(err)
 		}
 	} else {
 		n, err := c.raw.Write(header)
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -85,6 +85,18 @@
 	return "pool: the body did not end within " + strconv.FormatInt(e.Limit, 10) + " bytes"
 }
 
+// UnsentError is the error of a body that ended with its connection although the request was not
+// sent in full. It wraps io.ErrUnexpectedEOF.
+type UnsentError struct{ Err error } // of the write of the request
+
+// Error returns the message, which includes the cause.
+func (e *UnsentError) Error() string {
+	return "pool: the connection ended before the request was sent in full: " + e.Err.Error()
+}
+
+// Unwrap returns io.ErrUnexpectedEOF.
+func (e *UnsentError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 var errIncompleteWrite = errors.New("pool: the response ended before the request was sent in full")
 
 // Response is a response whose body has not been read yet. It is not safe for
@@ -105,7 +117,7 @@
 	events    *boundary.Finder // follows an event stream; nil for other bodies
 	size      int64            // bytes of the body that have been read
 	reusable  bool
-	bodyWrite *bodyWrite  // of the request, beside the response; nil if the body has been written
+	bodyWrite *bodyWrite  // of the request, beside the response; nil if it was written before
 	stopClose func() bool // keeps the connection open when the context is done
 	release   func(*conn) // returns the connection to the pool
 	ended     bool        // the connection was closed or released
@@ -150,7 +162,8 @@
 func (r *Response) IsEventStream() bool { return isEventStream(r.Header) }
 
 // Read reads the body. It returns io.EOF only if the body is complete, an *IncompleteError
-// if an event stream ended without an error of the connection but is not complete, and a
+// if an event stream ended without an error of the connection but is not complete, an
+// *UnsentError if a body ended with its connection before the request was sent, and a
 // *TooLongError if a body of unknown length does not end.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
@@ -163,6 +176,10 @@
 		r.events.Add(p[:n])
 	}
 	if errors.Is(err, io.EOF) {
+		if e := r.unsent(); e != nil {
+			r.Close()
+			return n, e
+		}
 		r.finish()
 		if e := r.incomplete(); e != nil {
 			return n, e
@@ -185,6 +202,19 @@
 	return nil
 }
 
+// unsent returns an error if the body has ended with its connection and the request was not sent
+// in full. The kernel reports a reset only once: if the write gets the error, reads end as if the
+// connection had been closed in order. It waits for the end of the write.
+func (r *Response) unsent() error {
+	if r.framing != FramedByClose || r.bodyWrite == nil {
+		return nil
+	}
+	if err := r.bodyWrite.wait(); err != nil {
+		return &UnsentError{Err: err}
+	}
+	return nil
+}
+
 // Buffered returns the number of bytes received but not yet read, including the
 // framing of a chunked body. It is 0 after the end of the body.
 func (r *Response) Buffered() int {
--- a/chervilyard/targetclient/targetclient_test.go
+++ b/chervilyard/targetclient/targetclient_test.go
@@ -110,3 +110,44 @@
 		t.Errorf("error = %v, want *dispatch.NotSentError", err)
 	}
 }
+
+// TestResetDuringUpload guards against a part of a response that looks complete after the target
+// has reset the connection during the upload.
+func TestResetDuringUpload(t *testing.T) {
+	const rounds = 50 // whether the write or the read finds the reset first differs
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			in := bufio.NewReader(c)
+			if _, err := http.ReadRequest(in); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				_, _ = io.CopyN(io.Discard, in, 1<<20) // so that the response has arrived
+			}
+			_ = c.(*net.TCPConn).SetLinger(0) // Close then sends a reset
+			_ = c.Close()
+		}
+	}()
+	client := targetclient.New()
+	request := newCall("upload")
+	request.Method, request.TargetBody, request.NonIdempotent = http.MethodPost, make([]byte, 32<<20), true
+	for range rounds {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		res, err := client.Send(ctx, target.New("t", "c", l.Addr().String(), nil, 1, 1, false), request)
+		if err == nil {
+			var body []byte
+			if body, err = io.ReadAll(res.Body); err == nil {
+				t.Errorf("the part %q looks complete", body)
+			}
+			_ = res.Body.Close()
+		}
+		cancel()
+	}
+}
