store, poll, chervilctl: refuse responses with a malformed head

What was seen: a load report whose head had a blank in the name of a field counted as one, also where the name was a framing field; a 404 with such a head counted as a target without load. The store's client took such a response as a value, as no value (404), as a conflict (409) or as a write that was done. chervilctl printed it. A status 000 was no success for any of them.

Cause: they read responses with http.Client, which accepts the names that package pool now refuses.

Handled already: control bytes in names, chunks or a length that were overlooked and left no valid JSON, bodies that are cut, and an informational response before.

Why this works: the check moves from package pool to package head, and each of the three calls it before anything else of the response is used. A report counts as failed, a read of the store as unreachable, a write as one whose result is unknown.

--- a/chervilctl/fleet.go
+++ b/chervilctl/fleet.go
@@ -20,6 +20,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/instance"
 	"chervilyard.example/yard/environment"
+	"chervilyard.example/yard/head"
 	"chervilyard.example/yard/store"
 )
 
@@ -66,6 +67,9 @@
 		return err
 	}
 	defer res.Body.Close()
+	if err := head.Check(res.StatusCode, res.Header); err != nil {
+		return err
+	}
 	if res.StatusCode != http.StatusOK {
 		return errors.New(res.Status)
 	}
--- a/chervilctl/place.go
+++ b/chervilctl/place.go
@@ -15,6 +15,7 @@
 
 	"chervilyard.example/chervilctl/placetext"
 	"chervilyard.example/chervilyard/placereport"
+	"chervilyard.example/yard/head"
 )
 
 type placeCommand struct {
@@ -112,6 +113,9 @@
 		return report, err
 	}
 	defer res.Body.Close()
+	if err := head.Check(res.StatusCode, res.Header); err != nil {
+		return report, err
+	}
 	if res.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes)) // what arrived is shown
 		return report, fmt.Errorf("%s: %s", res.Status, strings.TrimSpace(string(text)))
--- a/chervilyard/poll/poll.go
+++ b/chervilyard/poll/poll.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilyard.example/yard/balancer"
+	"chervilyard.example/yard/head"
 	"chervilyard.example/yard/target"
 )
 
@@ -148,6 +149,9 @@
 		return loadStatus{}, err
 	}
 	defer res.Body.Close()
+	if err := head.Check(res.StatusCode, res.Header); err != nil {
+		return loadStatus{}, err
+	}
 	var status loadStatus
 	switch {
 	case res.StatusCode == http.StatusNotFound:
--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"chervilyard.example/yard/head"
 )
 
 const (
@@ -181,7 +183,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := checkHead(resp); err != nil {
+		if err := head.Check(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
 		c.limit.N = 1<<63 - 1
--- a/chervilyard/pool/response.go
+++ b/chervilyard/pool/response.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
 	"chervilyard.example/yard/boundary"
 )
 
@@ -38,40 +36,6 @@
 // Unwrap returns io.ErrUnexpectedEOF.
 func (e *IncompleteError) Unwrap() error { return io.ErrUnexpectedEOF }
 
-// MalformedError is the error of a response whose head does not follow RFC 9112.
-type MalformedError struct {
-	Status    int
-	FieldName string // a name that is invalid; "" if the status is
-}
-
-// Error returns what is malformed.
-func (e *MalformedError) Error() string {
-	if e.FieldName != "" {
-		return "malformed response: invalid field name " + strconv.Quote(e.FieldName)
-	}
-	return "malformed response: invalid status code " + strconv.Itoa(e.Status)
-}
-
-// checkHead returns a *MalformedError if the head is one that http.ReadResponse accepts but that
-// must not be passed on.
-func checkHead(r *http.Response) error {
-	if r.StatusCode < http.StatusContinue {
-		return &MalformedError{Status: r.StatusCode}
-	}
-	return checkFieldNames(r.StatusCode, r.Header)
-}
-
-// checkFieldNames returns a *MalformedError if a name in the header is not a token. Package
-// net/textproto accepts blanks, so that a recipient may overlook a field that frames the body.
-func checkFieldNames(status int, h http.Header) error {
-	for name := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &MalformedError{Status: status, FieldName: name}
-		}
-	}
-	return nil
-}
-
 // maxUndelimitedBody is the longest body in bytes that is read if its length is not stated.
 // What a faulty target sends may never end.
 const maxUndelimitedBody = 64 << 20
--- a/yard/store/store.go
+++ b/yard/store/store.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"chervilyard.example/yard/head"
 )
 
 // The kinds of Error.
@@ -191,7 +193,15 @@
 		return nil, err
 	}
 	req.GetBody = nil // prevents the transport from retrying a write
-	return c.http.Do(req)
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := head.Check(res.StatusCode, res.Header); err != nil {
+		_ = res.Body.Close() // nothing of it is used
+		return nil, err
+	}
+	return res, nil
 }
 
 // errorKind returns Unreachable if the connection could not be established, so that the
