peerclient: refuse malformed heads that an instance passes on

What was seen: an instance of a version that does not check heads may pass on the status 000 of a target, or a field name with a blank, in answer to a forwarded call. The instance that forwarded it panicked in WriteHeader, as it did for its own targets.

Cause: the status and the fields of a peer's message were used as they came.

Evidence: three of four cases of TestMalformedHeadOfPeer failed on the code before, each of 20 runs: Forward returned a response with status 0, 99, or the field "X A".

Why this works: Forward checks the head like that of any response.

Result: TestMalformedHeadOfPeer passes.

--- a/chervilyard/peerclient/peerclient.go
+++ b/chervilyard/peerclient/peerclient.go
@@ -22,6 +22,7 @@
 	"chervilyard.example/chervilyard/call"
 	"chervilyard.example/chervilyard/dispatch"
 	"chervilyard.example/chervilyard/reqbody"
+	"chervilyard.example/yard/head"
 	"chervilyard.example/yard/lender"
 	"chervilyard.example/yard/loan"
 	"chervilyard.example/yard/membudget"
@@ -258,9 +259,15 @@
 		cancel()
 		return nil, RefusalFromProto(r)
 	}
+	header := headersFromProto(first.GetHeaders())
+	// Instances of older versions pass on what a target sent.
+	if err := head.Check(int(first.GetStatus()), header); err != nil {
+		cancel()
+		return nil, err
+	}
 	return &dispatch.Response{
 		Status: int(first.GetStatus()),
-		Header: headersFromProto(first.GetHeaders()),
+		Header: header,
 		Body: &responseBody{
 			stream: stream, buffered: first.GetBody(), complete: first.GetEnd(), cancel: cancel,
 			window: cl.Bodies.Budget.Open(cl.Now(), membudget.Responses, nil), now: cl.Now,
