pool: pass on responses after any number of informational ones

What callers saw: a sound response that came after three or more informational ones, such as 102 Processing of a long request, was a broken answer: a retry or 502.

Cause: informational responses shared the limit of two with responses to other requests.

Why this works: only responses to other requests count. The heads of the informational responses and the one after them together have the 64 KB of one head, so that interim responses without end still end the attempt (TestEndlessResponse, kind interim).

--- a/chervilyard/pool/conn.go
+++ b/chervilyard/pool/conn.go
@@ -19,10 +19,11 @@
 
 const (
 	readBufferSize = 4096 // bytes; fits a response header and a small body
-	// maxHeaderBytes is the largest response header in bytes.
+	// maxHeaderBytes is the largest response header in bytes, with the informational responses
+	// before it.
 	maxHeaderBytes = 64 << 10
-	// maxStaleResponses is how many responses are skipped before the one to the
-	// request: informational responses and those to other requests.
+	// maxStaleResponses is how many responses to other requests are skipped before the one to
+	// the request.
 	maxStaleResponses = 2
 	// A response to another request is skipped only if its body is shorter than
 	// maxStaleBody bytes.
@@ -176,9 +177,9 @@
 // readResponse reads the header of the response that belongs to the request. It
 // skips informational responses and those to other requests.
 func (c *conn) readResponse(r *Request) (*Response, error) {
+	c.limit.N = maxHeaderBytes
 	skipped := 0
-	for range maxStaleResponses + 1 {
-		c.limit.N = maxHeaderBytes
+	for skipped <= maxStaleResponses {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller reads the body to its end or closes the connection
 		if err != nil {
 			return nil, err
@@ -186,10 +187,10 @@
 		if err := head.Check(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
-		c.limit.N = 1<<63 - 1
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
+			continue // the limit holds for its header and the next one together
 		}
+		c.limit.N = 1<<63 - 1
 		if r.Accepts == nil || r.Accepts(resp.Header, c.kept) {
 			response := newResponse(c, resp)
 			response.Skipped = skipped
@@ -199,6 +200,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody)); err != nil || n == maxStaleBody || resp.Close {
 			return nil, fmt.Errorf("%w: %w", errStaleResponses, errors.Join(err, io.ErrUnexpectedEOF))
 		}
+		c.limit.N = maxHeaderBytes
 	}
 	return nil, errStaleResponses
 }
