--- a/chervilyard/gateway/fake_target_test.go
+++ b/chervilyard/gateway/fake_target_test.go
@@ -28,6 +28,7 @@
 //	half A,B         the events and half of another in chunks that end properly
 //	reset            a connection reset after the request was read
 //	silent           no response after the request was read
+//	malformed A,B    a complete event stream whose header has a blank in the name of a field
 //	foreign          the response to another request, then the right one
 //	copied A,B       a refusal that names no request, as if to an earlier one, and 50 ms later a
 //	                 complete event stream
@@ -149,6 +150,8 @@
 		return write(c, "HTTP/1.1 503 Busy\r\nId: "+id+"\r\nNot-Run: 1\r\nRetry-After: "+rest+"\r\nContent-Length: 0\r\n\r\n")
 	case "events":
 		return write(c, head("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
+	case "malformed":
+		return write(c, head("200 OK", "X A: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunked(events(rest))+"0\r\n\r\n")
 	case "rest":
 		_, left, _ := strings.Cut(","+rest, ","+req.Header.Get("After")+",")
 		if req.Header.Get("After") == "" {
--- a/chervilyard/gateway/heads_test.go
+++ b/chervilyard/gateway/heads_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
@@ -121,6 +123,43 @@
 	}
 }
 
+// TestRandomHeads guards against a handler that panics on what a target sends. It changes bytes
+// of the responses of testdata/heads.txt at random.
+func TestRandomHeads(t *testing.T) {
+	const (
+		rounds       = 20
+		replacements = "\x00\t\r\n 0019:;-Z\xff"
+	)
+	random := rand.New(rand.NewPCG(61, 0))
+	for _, c := range headCases(t) {
+		for range rounds {
+			response := []byte(c.response)
+			for range 1 + random.IntN(3) {
+				response[random.IntN(len(response))] = replacements[random.IntN(len(replacements))]
+			}
+			serving := newTestInstance(t, "near", nil)
+			useRawTargets(serving, newRawTarget(t, false, string(response)))
+			serve(t, serving.gateway, string(response))
+		}
+	}
+}
+
+// serve lets the gateway handle a request, and reports a panic other than that with which a
+// handler cuts the connection.
+func serve(t *testing.T, g *gateway.Gateway, response string) {
+	t.Helper()
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler { //nolint:errorlint // net/http also compares this value by identity
+			t.Errorf("panic on %q: %v", response, v)
+		}
+	}()
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(request("read"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.ServeHTTP(httptest.NewRecorder(), r)
+}
+
 // checkUnchanged compares what the caller got with the last response in the text.
 func checkUnchanged(t *testing.T, text string, status int, body string, header http.Header) {
 	t.Helper()
