--- a/chervilyard/gateway/early_response_test.go
+++ b/chervilyard/gateway/early_response_test.go
@@ -49,10 +49,10 @@
 	return text + strings.Repeat("x", uploadSize)
 }
 
-// TestEarlyResponse guards against a part of a response that reaches the caller as a complete one
+// TestEarlyResponses guards against a part of a response that reaches the caller as a complete one
 // when its target resets the connection during the upload, and against early responses that are
 // complete and do not reach the caller.
-func TestEarlyResponse(t *testing.T) {
+func TestEarlyResponses(t *testing.T) {
 	const rounds = 10 // whether the write or the read finds the reset first differs
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: e\r\n"
 	for _, c := range []struct {
