idempotency: do not replay an invalid status

What was seen: a recorded outcome with the status 0, as versions before the check of heads wrote it when a service answered with 000, makes the handler of a repeat panic in WriteHeader.

Cause: replay used the status as it was recorded.

Evidence: TestInvalidRecordedStatus panics on the code before ("invalid WriteHeader code 0").

Why this works: such an outcome counts as unknown, so the repeat gets 409 idempotency_open and nothing runs again. Valid statuses are replayed as before.

Result: TestInvalidRecordedStatus passes.

--- a/chervilyard/idempotency/idempotency.go
+++ b/chervilyard/idempotency/idempotency.go
@@ -14,6 +14,7 @@
 	"chervilyard.example/chervilyard/decisionlog"
 	"chervilyard.example/chervilyard/sink"
 	"chervilyard.example/yard/claim"
+	"chervilyard.example/yard/head"
 	"chervilyard.example/yard/refusal"
 )
 
@@ -81,7 +82,7 @@
 	case r.RequestHash != requestHash:
 		s.logDecision(c, "refuse", "other body")
 		return refusal.NotRun(http.StatusUnprocessableEntity, "idempotency_mismatch", "the Idempotency-Key was used for another call")
-	case r.State != claim.Done:
+	case r.State != claim.Done || head.Check(r.Outcome.Status, nil) != nil: // older versions recorded any status
 		s.logDecision(c, "refuse", r.State)
 		return refusal.Unknown(http.StatusConflict, "idempotency_open", "a call with this Idempotency-Key was begun, and its outcome is not known").WithRetryAfter(claimRetryAfter)
 	}
