--- a/chervilstand/dev/malformed_head_test.go
+++ b/chervilstand/dev/malformed_head_test.go
@@ -46,3 +46,15 @@
 		}
 	}
 }
+
+// TestValueBytesOverHop guards against a sound response that does not reach the caller from
+// another data centre because a value has bytes that are not UTF-8.
+func TestValueBytesOverHop(t *testing.T) {
+	d := start(t)
+	d.Booking.SetRawResponse([]byte("HTTP/1.1 201 Created\r\nX-A: \xe9\r\nContent-Length: 4\r\n\r\nbody"))
+	for instance := range 2 {
+		if status, body := (call{instance: instance, path: "/s/booking/x", key: "dev-key", body: "{}"}).do(t, d); status != http.StatusCreated || body != "body" {
+			t.Errorf("at instance %d: got %d %q", instance, status, body)
+		}
+	}
+}
--- a/chervilyard/peerclient/peerclient_test.go
+++ b/chervilyard/peerclient/peerclient_test.go
@@ -50,7 +50,9 @@
 			go func() { stopped <- s.Serve(l) }()
 			defer func() {
 				s.Stop()
-				<-stopped
+				if err := <-stopped; err != nil {
+					t.Error(err)
+				}
 			}()
 			cl := peerclient.Client{Now: time.Now}
 			defer cl.Close()
