dispatch: log the cause of a failed attempt

What was seen: on the own surface no line of the log told why an attempt failed, such as a malformed head or a reset; the line of the call ("settle") has the code alone.

Cause: the refusal has the cause, and nothing logged it.

Evidence: TestCauseOfFailureIsLogged failed on the code before, both cases in each of 20 runs (no line).

Why this works: each failed attempt with a cause gets one line, with the target, also if the call is retried. A caller that left is no failure of a target.

Result: 5 runs of the tests of dispatch pass.

--- a/chervilyard/dispatch/dispatch.go
+++ b/chervilyard/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	maxAttempts      = 4
 	queueRetryAfter  = time.Second
 	targetRetryAfter = time.Second
+	codeCallerGone   = "caller_gone"
 	blockTokens      = balancer.BlockBytes / 4 // prompt tokens in one cached block, at four bytes per token
 )
 
@@ -135,6 +136,7 @@
 			return nil
 		}
 		last = f.refusal
+		s.logFailure(c, last)
 		if !f.retryable || c.Trial && c.Result.MaybeSent || c.Result.EndedTargets >= maxEndedTargets || ctx.Err() != nil || !s.RetryBudget.AllowRetry() {
 			break
 		}
@@ -480,6 +482,18 @@
 	return n
 }
 
+// logFailure logs the cause of a failed attempt.
+func (s *Stage) logFailure(c *call.Call, r *refusal.Refusal) {
+	if r.Cause == nil || r.Code == codeCallerGone {
+		return
+	}
+	targetName := c.Result.Target
+	if c.Result.Centre != s.Centre { // it is that of an earlier attempt, or not known
+		targetName = ""
+	}
+	s.logDecision(c, "failed", r.Code+": "+r.Cause.Error(), targetName, c.Result.Centre, 0)
+}
+
 func (s *Stage) logDecision(c *call.Call, choice, reason, targetName, centre string, score time.Duration) {
 	s.Decisions.Record(decisionlog.Decision{
 		Time: s.Now(), RequestID: c.ID, Kind: "route", Customer: c.Customer.Name(), Route: c.Route.Name(),
--- a/chervilyard/dispatch/dispatch_test.go
+++ b/chervilyard/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,7 @@
 	"chervilyard.example/chervilyard/sink"
 	"chervilyard.example/yard/balancer"
 	"chervilyard.example/yard/document"
+	"chervilyard.example/yard/head"
 	"chervilyard.example/yard/refusal"
 	"chervilyard.example/yard/route"
 	"chervilyard.example/yard/target"
@@ -264,6 +266,53 @@
 	})
 }
 
+// Guards against failed attempts whose cause is not logged, or is logged more than once.
+func TestCauseOfFailureIsLogged(t *testing.T) {
+	d, err := document.Parse("x", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, nonIdempotent := range []bool{false, true} {
+		log := decisionlog.NewWithHistory(hclog.NewNullLogger(), 100)
+		sends := 0
+		s := dispatch.Stage{
+			Centre: "c", Document: func() *document.Document { return d }, Now: time.Now,
+			Picker:      &balancer.Picker{Random: func(int) int { return 0 }},
+			RetryBudget: &retrybudget.Budget{}, Decisions: log,
+			MaxWaitingPerCustomer: 10,
+			Remotes:               func(time.Time, route.Route) []dispatch.RemoteCentre { return nil },
+			Send: func(context.Context, target.Target, *call.Call) (*dispatch.Response, error) {
+				sends++
+				return nil, &head.MalformedError{Status: sends - 1}
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := log.Run(ctx)
+		r, _ := d.Route("s")
+		customer, _ := d.Customer("k")
+		c := &call.Call{ID: "1", Document: d, Customer: customer, Route: r, NonIdempotent: nonIdempotent, Deadline: time.Now().Add(timeLeft), Sink: &sink.Sink{}}
+		var refused *refusal.Refusal
+		if err := s.Run(ctx, c); !errors.As(err, &refused) || refused.Status != http.StatusBadGateway {
+			t.Errorf("unexpected error: %v", err)
+		}
+		cancel()
+		<-stopped
+		var got []string
+		for _, d := range log.History("1") {
+			if strings.Contains(d.Reason, "malformed") {
+				got = append(got, d.Choice+" "+d.Target+" "+d.Reason)
+			}
+		}
+		want := []string{"failed a target_failed: malformed response: invalid status code 0", "failed b target_failed: malformed response: invalid status code 1"}
+		if nonIdempotent {
+			want = want[:1]
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("logged %q, want %q", got, want)
+		}
+	}
+}
+
 // Guards against more retries over the instances than their budgets, because a call that
 // is forwarded earns retries at the instance that it is forwarded to as well.
 func TestForwardedCallEarnsNoRetry(t *testing.T) {
--- a/chervilyard/dispatch/relay.go
+++ b/chervilyard/dispatch/relay.go
@@ -168,7 +168,7 @@
 func (s *Stage) brokenResponse(ctx context.Context, c *call.Call, err error) *failure {
 	var gone *relay.CallerGoneError
 	if errors.As(err, &gone) {
-		return &failure{refusal: &refusal.Refusal{Status: 499, Code: "caller_gone", Message: "the caller did not take the answer", Run: refusal.RunYes, Cause: err}}
+		return &failure{refusal: &refusal.Refusal{Status: 499, Code: codeCallerGone, Message: "the caller did not take the answer", Run: refusal.RunYes, Cause: err}}
 	}
 	if !c.Sink.Started() {
 		return s.noUsableResponse(ctx, c, err)
