pool, gateway: tests of resets begin after the response has arrived

Cause: the targets of these tests reset the connection after they had read a part of the upload, which does not show that the response had arrived. A reset discards what has not, so a sound early response with a length could have been lost on a busy machine, and the test failed. None was seen to fail.

Change: the connection of the test tells when the first bytes have been read, and the target resets it only then. In newRawTarget, start is split off, so that early targets need no copy of it. The checks are the same.

--- a/chervilyard/gateway/broken_header_test.go
+++ b/chervilyard/gateway/broken_header_test.go
@@ -43,15 +43,21 @@
 }
 
 func newRawTarget(t *testing.T, reset bool, responses ...string) *rawTarget {
+	t.Helper()
+	return (&rawTarget{responses: responses, reset: reset}).start(t)
+}
+
+// start listens until the test ends, and returns the target.
+func (r *rawTarget) start(t *testing.T) *rawTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	target := &rawTarget{listener: l, responses: responses, reset: reset}
-	go target.accept()
-	return target
+	r.listener = l
+	go r.accept()
+	return r
 }
 
 func (r *rawTarget) accept() {
--- a/chervilyard/gateway/early_response_test.go
+++ b/chervilyard/gateway/early_response_test.go
@@ -14,35 +14,37 @@
 // uploadSize in bytes is more than a connection of an early target holds.
 const uploadSize = 900 << 10
 
-// newEarlyTarget returns a target that answers each request before it has read the body, and then
-// calls end and closes the connection.
-func newEarlyTarget(t *testing.T, response string, end func(c *net.TCPConn, body io.Reader)) *rawTarget {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	early := &rawTarget{listener: l, responses: []string{response}, onEarly: end}
-	go early.accept()
-	return early
+// earlyConn is a connection that does not hold a long request body, and that tells when the first
+// bytes of the response have been read. A target that resets it after that cannot discard them.
+type earlyConn struct {
+	net.Conn
+	received chan struct{} // gets a value after the first read; has room for it
+	read     bool
 }
 
-// dialWithShortBuffer connects so that a long request body is not held by the kernel.
-func dialWithShortBuffer(ctx context.Context, address string) (net.Conn, error) {
-	c, err := pool.Dial(ctx, address)
-	if err == nil {
-		err = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+func (c *earlyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.read {
+		c.read = true
+		c.received <- struct{}{}
 	}
-	return c, err
+	return n, err
 }
 
-func resetEarly(c *net.TCPConn, body io.Reader) {
-	_, _ = io.CopyN(io.Discard, body, 16<<10)
-	reset(c)
+// dialEarly connects to the target at early with an earlyConn, and to others as usual.
+func dialEarly(early string, received chan struct{}) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := pool.Dial(ctx, address)
+		if err != nil || address != early {
+			return c, err
+		}
+		return &earlyConn{Conn: c, received: received}, c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	}
 }
 
-func readEarly(_ *net.TCPConn, body io.Reader) { _, _ = io.Copy(io.Discard, body) }
+func resetUnread(c *net.TCPConn, _ io.Reader) { reset(c) }
+
+func readUpload(_ *net.TCPConn, body io.Reader) { _, _ = io.Copy(io.Discard, body) }
 
 func upload(path string) string {
 	text := strings.Replace(getRequest("/"+path+"/x", "Content-Length: "+itoa(uploadSize)+"\r\n"), "GET", "POST", 1)
@@ -57,21 +59,26 @@
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: e\r\n"
 	for _, c := range []struct {
 		name, response string
-		end            func(c *net.TCPConn, body io.Reader)
-		want           string // "" if the response is broken
+		end            func(c *net.TCPConn, body io.Reader) // once the response has arrived
+		want           string                               // "" if the response is broken
 	}{
-		{"close_reset", head + "\r\npart", resetEarly, ""},
-		{"stream_reset", head + "Content-Type: text/event-stream\r\n\r\nid: a\ndata: a\n\n", resetEarly, ""},
-		{"length_reset", head + "Content-Length: 5\r\n\r\nearly", resetEarly, "early"},
-		{"close_read", head + "\r\nearly", readEarly, "early"},
-		{"stream_read", head + "Content-Type: text/event-stream\r\n\r\n" + events("a"), readEarly, events("a")},
+		{"close_reset", head + "\r\npart", resetUnread, ""},
+		{"stream_reset", head + "Content-Type: text/event-stream\r\n\r\nid: a\ndata: a\n\n", resetUnread, ""},
+		{"length_reset", head + "Content-Length: 5\r\n\r\nearly", resetUnread, "early"},
+		{"close_read", head + "\r\nearly", readUpload, "early"},
+		{"stream_read", head + "Content-Type: text/event-stream\r\n\r\n" + events("a"), readUpload, events("a")},
 	} {
 		for _, path := range []string{"read", "order", "stream", "resume"} {
 			for _, hop := range []bool{false, true} {
 				t.Run(c.name+"_"+path+map[bool]string{true: "_hop"}[hop], func(t *testing.T) {
 					t.Parallel()
 					for range rounds {
-						testEarlyResponse(t, newEarlyTarget(t, c.response, c.end), path, hop, c.want)
+						received := make(chan struct{}, 1)
+						early := &rawTarget{responses: []string{c.response}, onEarly: func(conn *net.TCPConn, body io.Reader) {
+							<-received
+							c.end(conn, body)
+						}}
+						testEarlyResponse(t, early.start(t), received, path, hop, c.want)
 					}
 				})
 			}
@@ -79,10 +86,10 @@
 	}
 }
 
-func testEarlyResponse(t *testing.T, early *rawTarget, path string, hop bool, want string) {
+func testEarlyResponse(t *testing.T, early *rawTarget, received chan struct{}, path string, hop bool, want string) {
 	t.Helper()
 	serving := newTestInstance(t, "near", nil)
-	serving.gateway.Pool.Dial = dialWithShortBuffer
+	serving.gateway.Pool.Dial = dialEarly(early.listener.Addr().String(), received)
 	records := recordAttempts(t, serving)
 	useRawTargets(serving, early, newRawTarget(t, false, soundResponse))
 	instance := serving
--- a/chervilyard/pool/early_test.go
+++ b/chervilyard/pool/early_test.go
@@ -26,14 +26,28 @@
 	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n"
 )
 
-// failedWriteConn is a connection whose reads after the first wait until a write has failed, which
-// is then the call that gets the error of a reset.
-type failedWriteConn struct {
+// receivingConn is a connection that tells when the first bytes of the response have been read. A
+// server that resets it after that cannot discard them.
+type receivingConn struct {
 	net.Conn
-	received chan struct{} // closed after the first read
-	failed   chan struct{} // closed after a write has failed
+	received chan struct{} // gets a value after the first read; has room for it
 	read     bool
+}
+
+func (c *receivingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.read {
+		c.read = true
+		c.received <- struct{}{}
+	}
+	return n, err
+}
 
+// failedWriteConn is a connection whose reads after the first wait until a write has failed, which
+// is then the call that gets the error of a reset.
+type failedWriteConn struct {
+	receivingConn
+	failed     chan struct{} // closed after a write has failed
 	failedOnce sync.Once
 }
 
@@ -41,12 +55,7 @@
 	if c.read {
 		<-c.failed
 	}
-	n, err := c.Conn.Read(p)
-	if !c.read {
-		c.read = true
-		close(c.received)
-	}
-	return n, err
+	return c.receivingConn.Read(p)
 }
 
 func (c *failedWriteConn) Write(p []byte) (int, error) {
@@ -71,20 +80,29 @@
 	return address
 }
 
+// receivingPool returns a pool whose connections tell when the first bytes have been read.
+func receivingPool() (p *pool.Pool, received chan struct{}) {
+	received = make(chan struct{}, 1)
+	return &pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := pool.Dial(ctx, address)
+		return &receivingConn{Conn: c, received: received}, err
+	}}, received
+}
+
 // Guards against a part of a response that looks complete, because the write of the request got
 // the error of the reset connection and the read did not.
 func TestResetDuringUpload(t *testing.T) {
 	for name, response := range map[string]string{"close": closeHead + "part", "stream": streamHead, "no body": closeHead} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			received := make(chan struct{})
+			received := make(chan struct{}, 1)
 			address := earlyServer(t, response, func(c *net.TCPConn, _ *bufio.Reader) {
 				<-received
 				_ = c.SetLinger(0) // Close then sends a reset
 			})
 			p := pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 				c, err := pool.Dial(ctx, address)
-				return &failedWriteConn{Conn: c, received: received, failed: make(chan struct{})}, err
+				return &failedWriteConn{receivingConn: receivingConn{Conn: c, received: received}, failed: make(chan struct{})}, err
 			}}
 			checkIncomplete(t, &p, address)
 		})
@@ -94,14 +112,13 @@
 // The same without a forced order, in which the read gets the error or the write does.
 func TestResetDuringUploadInAnyOrder(t *testing.T) {
 	const rounds = 100
-	response := closeHead + "part"
-	address := earlyServer(t, response, func(c *net.TCPConn, r *bufio.Reader) {
-		_, _ = io.CopyN(io.Discard, r, 1<<20) // so that the response has arrived
+	p, received := receivingPool()
+	address := earlyServer(t, closeHead+"part", func(c *net.TCPConn, _ *bufio.Reader) {
+		<-received
 		_ = c.SetLinger(0)
 	})
-	var p pool.Pool
 	for range rounds {
-		checkIncomplete(t, &p, address)
+		checkIncomplete(t, p, address)
 	}
 }
 
@@ -169,13 +186,14 @@
 // its connection is closed in order once the request has been read.
 func TestEarlyResponseIsComplete(t *testing.T) {
 	readAll := func(_ *net.TCPConn, r *bufio.Reader) { _, _ = io.CopyN(io.Discard, r, int64(len(longUpload))) }
+	resetUnread := func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0) }
 	for name, tc := range map[string]struct {
 		response string
-		end      func(c *net.TCPConn, r *bufio.Reader)
+		end      func(c *net.TCPConn, r *bufio.Reader) // once the response has arrived
 		want     string
 	}{
-		"length, reset":                {lengthHead + "body", resetAfterSome, "body"},
-		"chunks, reset":                {chunksHead + "body\r\n0\r\n\r\n", resetAfterSome, "body"},
+		"length, reset":                {lengthHead + "body", resetUnread, "body"},
+		"chunks, reset":                {chunksHead + "body\r\n0\r\n\r\n", resetUnread, "body"},
 		"length, read":                 {lengthHead + "body", readAll, "body"},
 		"close, read":                  {closeHead + "body", readAll, "body"},
 		"close without a body, read":   {closeHead, readAll, ""},
@@ -184,9 +202,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			address := earlyServer(t, tc.response, tc.end)
-			var p pool.Pool
-			if got, err := post(t, &p, address, longUpload); got != tc.want || err != nil {
+			p, received := receivingPool()
+			address := earlyServer(t, tc.response, func(c *net.TCPConn, r *bufio.Reader) {
+				<-received
+				tc.end(c, r)
+			})
+			if got, err := post(t, p, address, longUpload); got != tc.want || err != nil {
 				t.Errorf("got %q, %v; want %q", got, err, tc.want)
 			}
 		})
@@ -216,8 +237,3 @@
 		t.Errorf("unexpected error: %v", err)
 	}
 }
-
-func resetAfterSome(c *net.TCPConn, r *bufio.Reader) {
-	_, _ = io.CopyN(io.Discard, r, 1<<20) // so that the response has arrived
-	_ = c.SetLinger(0)
-}
--- a/chervilyard/targetclient/targetclient_test.go
+++ b/chervilyard/targetclient/targetclient_test.go
@@ -129,7 +129,7 @@
 			in := bufio.NewReader(c)
 			if _, err := http.ReadRequest(in); err == nil {
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-				_, _ = io.CopyN(io.Discard, in, 1<<20) // so that the response has arrived
+				_, _ = io.CopyN(io.Discard, in, 1<<20) // meanwhile the response arrives
 			}
 			_ = c.(*net.TCPConn).SetLinger(0) // Close then sends a reset
 			_ = c.Close()
