pool, targetclient: tests of refused connections keep their port

Cause: the test took a port, closed its listener and relied on nobody listening there. The error has no "pool: read" before it, so it is that of a body: somebody had answered with a head and then reset the connection. The tests of gateway and of other packages run beside it and open such listeners. Which test had the port is not known. The code under test is not at fault.

Change: the port is bound for as long as the test runs, without a listener, so that each connection is refused and no one else can listen there. The check is the same: an error that nothing was sent. TestRefusedConnectionIsNotSent of targetclient had the same weakness and gets the same address.

--- a/chervilyard/pool/pool_test.go
+++ b/chervilyard/pool/pool_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,18 +131,31 @@
 	}
 }
 
-func TestErrorMaybeSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddress returns an address whose connections are refused until the test ends. Its port
+// is bound, so that no other test can listen on it.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	unused := l.Addr().String()
-	_ = l.Close()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+}
+
+func TestErrorMaybeSent(t *testing.T) {
 	closing, _ := server(t, func(_ net.Conn, r *bufio.Reader) { readRequest(r) })
 	for name, tc := range map[string]struct {
 		address string
 		sent    bool
-	}{"nobody listens": {unused, false}, "closed without an answer": {closing, true}} {
+	}{"nobody listens": {refusingAddress(t), false}, "closed without an answer": {closing, true}} {
 		t.Run(name, func(t *testing.T) {
 			var p pool.Pool
 			_, err := post(t, &p, tc.address, "b")
--- a/chervilyard/targetclient/targetclient_test.go
+++ b/chervilyard/targetclient/targetclient_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -94,19 +96,32 @@
 	}
 }
 
-// TestRefusedConnectionIsNotSent checks that a refused connection is reported as
-// *dispatch.NotSentError.
-func TestRefusedConnectionIsNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddress returns an address whose connections are refused until the test ends. Its port
+// is bound, so that no other test can listen on it.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	_ = l.Close()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+}
+
+// TestRefusedConnectionIsNotSent checks that a refused connection is reported as
+// *dispatch.NotSentError.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
 	c := targetclient.New()
 	defer c.CloseIdle()
 	var notSent *dispatch.NotSentError
-	if err := send(c, address, "first"); !errors.As(err, &notSent) {
+	if err := send(c, refusingAddress(t), "first"); !errors.As(err, &notSent) {
 		t.Errorf("error = %v, want *dispatch.NotSentError", err)
 	}
 }
