--- a/review/stand-4/engine.go
+++ b/review/stand-4/engine.go
@@ -62,8 +62,9 @@
 	Slots                  int
 	Queue                  int
 	Work                   time.Duration
-	Events                 int           // of a stream; 0 for a plain answer
-	Gap                    time.Duration // between events
+	WorkOf                 func() time.Duration // in place of Work; may be nil
+	Events                 int                  // of a stream; 0 for a plain answer
+	Gap                    time.Duration        // between events
 	Beat                   time.Duration
 	Store                  *Store
 	Journal                *Journal
@@ -232,7 +233,11 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.Record.Printf("engine %s runs %s", a.Engine, a.ID)
-	if !sleep(r.Context(), e.Work) {
+	work := e.Work
+	if e.WorkOf != nil {
+		work = e.WorkOf()
+	}
+	if !sleep(r.Context(), work) {
 		return
 	}
 	if e.Events > 0 {
