--- a/review/stand-4/engine.go
+++ b/review/stand-4/engine.go
@@ -66,6 +66,7 @@
 	Events                 int                  // of a stream; 0 for a plain answer
 	Gap                    time.Duration        // between events
 	Beat                   time.Duration
+	ColdS                  float64 // how long it is cold after a start
 	Store                  *Store
 	Journal                *Journal
 	Record                 *Record
@@ -150,7 +151,7 @@
 	e.seq++
 	value, _ := json.Marshal(map[string]any{
 		"Service": e.Service, "Addr": e.Address, "Zone": e.Zone, "Version": "v1", "Slots": e.Slots, "State": e.state,
-		"ColdLeftMs": 0, "Seq": e.seq, "born": e.born,
+		"ColdLeftMs": max(e.ColdS*1000-float64(time.Now().UnixMilli()-e.born), 0), "Seq": e.seq, "born": e.born,
 	})
 	key := "servers/" + e.id
 	e.mu.Unlock()
--- a/review/stand-4/hostile.go
+++ b/review/stand-4/hostile.go
@@ -80,7 +80,16 @@
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				m := w.Machines[r.IntN(len(w.Machines))]
-				c.Do(ctx, m, "read", "GET", "/puxa403/2f", 3*time.Second, nil, nil)
+				switch r.IntN(4) {
+				case 0:
+					c.Do(ctx, m, "read", "GET", "/puxa403/2f", 3*time.Second, nil, nil)
+				case 1:
+					c.Do(ctx, m, "write", "POST", "/pule252/2f", 3*time.Second, make([]byte, 600), nil)
+				case 2:
+					c.Do(ctx, m, "ask", "POST", "/pufi791/2f", 3*time.Second, make([]byte, 2400), tokens(r))
+				default:
+					c.Do(ctx, m, "long", "POST", "/pule252/2f", 3*time.Second, make([]byte, 300000), nil)
+				}
 				time.Sleep(20 * time.Millisecond)
 			}
 		})
@@ -95,7 +104,7 @@
 	wg.Wait()
 	results := map[string]int{}
 	for _, a := range c.All() {
-		results[fmt.Sprintf("%s %d", a.Machine, a.Status)]++
+		results[fmt.Sprintf("%s %s %d", a.Machine[len(a.Machine)-1:], a.Kind, a.Status)]++
 	}
 	w.Record.Say("%v", results)
 	return 0, nil
