--- a/review/stand-4/engine.go
+++ b/review/stand-4/engine.go
@@ -214,7 +214,6 @@
 	}
 	e.Arrived.Add(1)
 	e.Journal.Add(a)
-	e.Record.Printf("engine %s got %s %s %s", a.Engine, a.ID, a.Method, a.Target)
 	if e.Before != nil && e.Before(e, w, r, a) {
 		return
 	}
@@ -233,7 +232,7 @@
 	a.Run = true
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	e.Record.Printf("engine %s runs %s", a.Engine, a.ID)
+	e.Record.Printf("engine %s runs %s %s %s", a.Engine, a.ID, a.Method, a.Target)
 	work := e.Work
 	if e.WorkOf != nil {
 		work = e.WorkOf()
@@ -249,7 +248,7 @@
 }
 
 func (e *Engine) refuse(w http.ResponseWriter, a *Arrival) {
-	e.Record.Printf("engine %s turns away %s", a.Engine, a.ID)
+	e.Record.Printf("engine %s turns away %s %s %s", a.Engine, a.ID, a.Method, a.Target)
 	w.Header().Set("X-Not-Run", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/review/stand-4/reborn.go
+++ b/review/stand-4/reborn.go
@@ -52,16 +52,22 @@
 	})
 	time.Sleep(12 * time.Second)
 	worst := 0
-	for k := range 6 {
+	keep := os.Getenv("NEW") == ""
+	times, _ := strconv.Atoi(os.Getenv("TIMES"))
+	for k := range times {
 		e := w.Engines[k%len(w.Engines)]
+		old := e.ID()
 		e.Crash()
+		if !keep {
+			time.AfterFunc(entryLapse, func() { w.Store.Delete("servers/" + old) })
+		}
 		time.Sleep(away)
-		for e.Start(true) != nil {
+		for e.Start(keep) != nil {
 			time.Sleep(10 * time.Millisecond)
 		}
 		started := time.Now()
 		id := e.ID()
-		time.Sleep(7 * time.Second)
+		time.Sleep(4500 * time.Millisecond)
 		sent := map[string]time.Time{}
 		for _, a := range c.All() {
 			sent[a.ID] = a.SentAt
