--- a/review/stand-4/chaos.go
+++ b/review/stand-4/chaos.go
@@ -240,7 +240,7 @@
 			for _, word := range []string{"DATA RACE", "panic", "fatal error", "goroutine "} {
 				if strings.Contains(string(log), word) {
 					w.Record.Say("log of %s has %q", m.Name, word)
-					_ = os.WriteFile("/tmp/race-"+m.Name+"-"+strconv.FormatUint(seed, 10)+".log", log, 0o600)
+					_ = os.WriteFile(os.TempDir()+"/race-"+m.Name+"-"+strconv.FormatUint(seed, 10)+".log", log, 0o600)
 				}
 			}
 		}
--- a/review/stand-4/main.go
+++ b/review/stand-4/main.go
@@ -7,7 +7,7 @@
 )
 
 func main() {
-	cases := map[string]func(*World) (int, error){"brittle": brittle, "chaos": chaos, "crash-split": crashSplit, "early": early, "reborn": reborn, "zero": zero, "same-page": samePage, "endless": endless, "term": term, "versions": versions, "hostile": hostile, "raw": raw, "regress": regress}
+	cases := map[string]func(*World) (int, error){"brittle": brittle, "chaos": chaos, "crash-split": crashSplit, "early": early, "slow": slow, "reborn": reborn, "zero": zero, "same-page": samePage, "endless": endless, "term": term, "versions": versions, "hostile": hostile, "raw": raw, "regress": regress}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-4 CASE ROOT DIRECTORY")
 		os.Exit(2)
