--- a/review/stand-4/main.go
+++ b/review/stand-4/main.go
@@ -7,9 +7,15 @@
 )
 
 func main() {
-	cases := map[string]func(*World) (int, error){"brittle": brittle, "chaos": chaos, "crash-split": crashSplit, "early": early, "slow": slow, "reborn": reborn, "zero": zero, "same-page": samePage, "endless": endless, "term": term, "versions": versions, "hostile": hostile, "raw": raw, "regress": regress}
+	cases := map[string]func(*World) (int, error){
+		// The cases 11 to 14.
+		"same-page": samePage, "crash-split": crashSplit, "brittle": brittle, "regress": regress,
+		// Searches.
+		"chaos": chaos, "early": early, "endless": endless, "hostile": hostile, "raw": raw, "reborn": reborn,
+		"slow": slow, "term": term, "versions": versions, "zero": zero,
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-4 CASE ROOT DIRECTORY")
+		fmt.Fprintln(os.Stderr, "usage: stand4 CASE ROOT DIRECTORY")
 		os.Exit(2)
 	}
 	w, err := NewWorld(os.Args[2], os.Args[3])
