review: stand-ins end what they have started when they are ended

Seen: a stand-in that was ended by a signal or a closed pipe left its processes running. It now ends them, and itself after 115 seconds.

--- a/review/stand-4/main.go
+++ b/review/stand-4/main.go
@@ -4,8 +4,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime is how long a case may run.
+const maxTime = 115 * time.Second
+
 func main() {
 	cases := map[string]func(*World) (int, error){
 		// The cases 11 to 14.
@@ -23,6 +29,19 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	signal.Ignore(syscall.SIGPIPE) // whoever reads the output may have gone
+	go func() {
+		ended := make(chan os.Signal, 1)
+		signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case s := <-ended:
+			w.Record.Say("ended by %v", s)
+		case <-time.After(maxTime):
+			w.Record.Say("not done after %v", maxTime)
+		}
+		w.Close()
+		os.Exit(2)
+	}()
 	code, err := cases[os.Args[1]](w)
 	if err != nil {
 		w.Record.Say("could not run: %v", err)
